--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Every task of the project. `make help` lists them.
+GO ?= go
+BIN := bin
+LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+.PHONY: help build test race lint format model fuzz generate demo bench capacity clean
+
+help: ## List the tasks.
+	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
+
+build: ## Build the programs into bin/.
+	CGO_ENABLED=1 $(GO) build -o $(BIN)/ ./cmd/...
+
+test: build ## Run all tests.
+	$(GO) test ./...
+
+race: ## Run all tests with the race detector.
+	$(GO) test -race ./...
+
+lint: ## Check formatting and run the linter.
+	$(GO) run $(LINTER) run ./...
+
+format: ## Format all code.
+	$(GO) run $(LINTER) fmt ./...
+
+generate: ## Regenerate the protobuf code (needs protoc and protoc-gen-go).
+	protoc --go_out=. --go_opt=module=tamarackrun internal/protocol/wire/wire.proto
+
+demo: build ## Start a deployment, send load, kill and drain, print a table.
+	./$(BIN)/standin demo --deployment deployments/sundarban
+
+clean: ## Remove built files.
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,11 @@
+// Command standin runs the stand-ins for the platform, backend servers and
+// callers, and the demo. It is not part of the product.
+package main
+
+import (
+	"os"
+
+	"tamarackrun/internal/standin/process"
+)
+
+func main() { os.Exit(process.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/program/command/command.go
@@ -0,0 +1,127 @@
+// Package command is the command line of tamarackrun.
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/phuslu/log"
+	"github.com/spf13/cobra"
+
+	"tamarackrun/internal/program/instance"
+	"tamarackrun/internal/protocol/document"
+	"tamarackrun/internal/protocol/settings"
+)
+
+// Exit codes.
+const (
+	exitDone = 0
+	// exitFailed says that the command could not do its work.
+	exitFailed = 1
+	// exitInvalid says that the input is wrong and nothing changed.
+	exitInvalid = 2
+	// exitConflict says that another operator was first and nothing changed.
+	exitConflict = 3
+)
+
+// codedError is an error with the exit code that it leads to.
+type codedError struct {
+	code int
+	err  error
+}
+
+func (e *codedError) Error() string { return e.err.Error() }
+func (e *codedError) Unwrap() error { return e.err }
+
+func coded(code int, format string, args ...any) error {
+	return &codedError{code, fmt.Errorf(format, args...)}
+}
+
+// Run runs one command and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	root := newRoot(out, errOut)
+	root.SetArgs(args)
+	err := root.Execute()
+	if err == nil {
+		return exitDone
+	}
+	_, _ = fmt.Fprintln(errOut, "tamarackrun: "+err.Error())
+	var c *codedError
+	if errors.As(err, &c) {
+		return c.code
+	}
+	return exitFailed
+}
+
+func newRoot(out, errOut io.Writer) *cobra.Command {
+	root := &cobra.Command{
+		Use:           "tamarackrun",
+		Short:         "Steer calls to healthy backend servers across regions",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetOut(out)
+	root.SetErr(errOut)
+	root.AddCommand(newServe(), newCheck())
+	root.AddCommand(newOperatorCommands()...)
+	return root
+}
+
+func newServe() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "serve -c FILE.ini",
+		Short: "Run an entry instance",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := settings.Load(file)
+			if err != nil {
+				return &codedError{exitInvalid, err}
+			}
+			return serve(s, c.ErrOrStderr())
+		},
+	}
+	c.Flags().StringVarP(&file, "config", "c", "", "settings file of the instance")
+	_ = c.MarkFlagRequired("config")
+	return c
+}
+
+func serve(s settings.Settings, out io.Writer) error {
+	logger := &log.Logger{Level: log.ParseLevel(s.LogLevel), Writer: log.IOWriter{Writer: out}}
+	in, cleanup, err := instance.New(s, logger)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return in.Run(ctx)
+}
+
+func newCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE.ini",
+		Short: "Check an operators' document without applying it",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			_, problems := document.Parse(args[0], text)
+			for _, p := range problems {
+				_, _ = fmt.Fprintln(c.OutOrStdout(), p.String())
+			}
+			if len(problems) > 0 {
+				return coded(exitInvalid, "%d problems in %s", len(problems), args[0])
+			}
+			_, _ = fmt.Fprintln(c.OutOrStdout(), "ok")
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/program/command/event.go
@@ -0,0 +1,11 @@
+package command
+
+import (
+	"tamarackrun"
+	"tamarackrun/internal/protocol/event"
+)
+
+func eventName(id uint32) string {
+	d, _ := event.Lookup(tamarackrun.EventID(id))
+	return d.Name
+}
--- /dev/null
+++ b/internal/program/instance/instance.go
@@ -0,0 +1,219 @@
+// Package instance assembles one entry instance from its parts.
+package instance
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
+
+	"tamarackrun"
+	"tamarackrun/internal/protocol/event"
+	"tamarackrun/internal/protocol/settings"
+	"tamarackrun/internal/protocol/wire"
+	"tamarackrun/internal/state/boottime"
+	"tamarackrun/internal/state/configuration"
+	"tamarackrun/internal/state/history"
+	"tamarackrun/internal/state/roster"
+	"tamarackrun/internal/transport/backend"
+	"tamarackrun/internal/transport/caller"
+	"tamarackrun/internal/transport/operator"
+	"tamarackrun/internal/transport/peer"
+	"tamarackrun/internal/transport/platform"
+)
+
+const (
+	maxServerConnections = 390
+	// finishLimit bounds the wait for running requests in a planned stop.
+	finishLimit = 30 * time.Second
+)
+
+// Instance is one entry instance.
+type Instance struct {
+	Settings settings.Settings
+	Logger   *log.Logger
+
+	clock       tamarackrun.Clock
+	incarnation string
+	store       tamarackrun.ObjectStore
+	history     *history.History
+	metrics     http.Handler
+	roster      *roster.Roster
+	mesh        *peer.Mesh
+	callers     *caller.Server
+	operators   *operator.Server
+	backends    *backend.Client
+
+	// snapshot is nil until the first configuration was accepted; its version
+	// only grows.
+	snapshot atomic.Pointer[configuration.Snapshot]
+	leaving  atomic.Bool
+	homes    *homes
+	rates    *rates
+}
+
+// New opens the listeners. The clean-up function closes them.
+func New(s settings.Settings, logger *log.Logger) (*Instance, func(), error) {
+	in := &Instance{Settings: s, Logger: logger, clock: boottime.Clock{}, incarnation: s.Name + "-" + rand.Text()[:13]}
+	var cleanups []func()
+	cleanup := func() {
+		for i := len(cleanups) - 1; i >= 0; i-- {
+			cleanups[i]()
+		}
+	}
+	for _, open := range []func() (func(), error){in.openMetrics, in.openStore, in.openPeers, in.openBackends, in.openPorts} {
+		close, err := open()
+		if err != nil {
+			cleanup()
+			return nil, nil, eris.Wrap(err, "cannot open instance "+s.Name)
+		}
+		cleanups = append(cleanups, close)
+	}
+	return in, cleanup, nil
+}
+
+func (in *Instance) openMetrics() (func(), error) {
+	scope, handler, closer := newScope(in.Settings.Name)
+	in.metrics = handler
+	in.history = &history.History{Instance: in.Settings.Name, Logger: in.Logger, Scope: scope}
+	return func() { _ = closer.Close() }, nil
+}
+
+func (in *Instance) openStore() (func(), error) {
+	store, cleanup, err := platform.New(in.Settings.PlatformURL)
+	in.store = store
+	return cleanup, err
+}
+
+func (in *Instance) openPeers() (func(), error) {
+	mesh, cleanup, err := peer.New(in.Settings.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	in.mesh = mesh
+	mesh.Handler = in
+	in.roster = roster.New(in.listing(), in.clock)
+	return cleanup, nil
+}
+
+func (in *Instance) openBackends() (func(), error) {
+	client, cleanup, err := backend.New(maxServerConnections)
+	if err != nil {
+		return nil, err
+	}
+	in.backends = client
+	client.Clock = in.clock
+	client.Address = func(server string) (string, bool) {
+		v, ok := in.snapshot.Load().Servers[server]
+		return v.Address, ok
+	}
+	in.homes = newHomes(in)
+	client.Observe = in.homes.observe
+	in.rates = newRates(in)
+	return cleanup, nil
+}
+
+func (in *Instance) openPorts() (func(), error) {
+	callers, closeCallers, err := caller.New(in.Settings.CallerAddress)
+	if err != nil {
+		return nil, err
+	}
+	operators, closeOperators, err := operator.New(in.Settings.ControlAddress)
+	if err != nil {
+		closeCallers()
+		return nil, err
+	}
+	callers.Steerer, callers.Leaving = in, in.leaving.Load
+	callers.Lookup, callers.Tickets = http.HandlerFunc(in.serveLookup), http.HandlerFunc(in.serveTickets)
+	operators.Control, operators.Metrics = in, in.metrics
+	in.callers, in.operators = callers, operators
+	return func() { closeOperators(); closeCallers() }, nil
+}
+
+func newScope(name string) (tally.Scope, http.Handler, io.Closer) {
+	reporter := newReporter()
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "tamarackrun", Tags: map[string]string{"instance": name},
+		CachedReporter: reporter, Separator: "_", SanitizeOptions: &tallyprometheus.DefaultSanitizerOpts,
+		// The library's own metrics have names that Prometheus refuses.
+		OmitCardinalityMetrics: true,
+	}, time.Second)
+	return scope, reporter.HTTPHandler(), closer
+}
+
+func (in *Instance) listing() tamarackrun.Listing {
+	s := in.Settings
+	return tamarackrun.Listing{Name: s.Name, FailureDomain: s.FailureDomain, CallerAddress: s.CallerAddress,
+		PeerAddress: s.PeerAddress, ControlAddress: s.ControlAddress}
+}
+
+// Run serves until ctx ends and then shuts down gracefully.
+func (in *Instance) Run(ctx context.Context) error {
+	in.history.Record(event.Started, "", "incarnation", in.incarnation, "failureDomain", in.Settings.FailureDomain)
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	var group sync.WaitGroup
+	start := func(task func(context.Context)) { group.Go(func() { task(background) }) }
+	for _, listen := range []func() error{in.callers.Run, in.operators.Run, in.mesh.Run} {
+		start(func(context.Context) {
+			if err := listen(); err != nil {
+				in.history.Record(event.ListenerFailed, "", "error", err.Error())
+			}
+		})
+	}
+	start(in.watchConfiguration)
+	start(in.pollRoster)
+	start(in.sendHeartbeats)
+	start(in.homes.run)
+	start(in.rates.run)
+	<-ctx.Done()
+	in.shutdown()
+	stop()
+	return nil
+}
+
+// shutdown is the planned stop: look-ups leave the instance out first, callers
+// that hold an older look-up answer are served until it has lapsed.
+func (in *Instance) shutdown() {
+	in.history.Record(event.Stopping, "")
+	in.leaving.Store(true)
+	in.publishState()
+	if c := in.snapshot.Load(); c != nil {
+		time.Sleep(c.Fleet.LookupLifetime + time.Second)
+	}
+	limit, cancel := context.WithTimeout(context.Background(), finishLimit)
+	defer cancel()
+	_ = in.callers.Shutdown(limit)
+	in.homes.drain(limit)
+	in.history.Record(event.Stopped, "")
+}
+
+func (in *Instance) phase() uint32 {
+	switch {
+	case in.leaving.Load():
+		return roster.Leaving
+	case in.snapshot.Load() == nil:
+		return roster.Starting
+	default:
+		return roster.Ready
+	}
+}
+
+func (in *Instance) state() *wire.PeerState {
+	state := &wire.PeerState{Name: in.Settings.Name, Incarnation: in.incarnation,
+		FailureDomain: in.Settings.FailureDomain, Phase: in.phase(), Servers: in.homes.loads()}
+	if c := in.snapshot.Load(); c != nil {
+		state.ConfigurationVersion = uint64(c.Version)
+	}
+	return state
+}
+
+func (in *Instance) publishState() { in.roster.SetSelf(in.state()) }
--- /dev/null
+++ b/internal/program/instance/peers.go
@@ -0,0 +1,78 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"tamarackrun"
+	"tamarackrun/internal/protocol/event"
+	"tamarackrun/internal/protocol/frame"
+	"tamarackrun/internal/protocol/wire"
+	"tamarackrun/internal/state/roster"
+)
+
+const (
+	heartbeatInterval  = 500 * time.Millisecond
+	heartbeatTimeout   = time.Second
+	rosterPollInterval = time.Second
+)
+
+// ServePeer serves one exchange that a peer opened.
+func (in *Instance) ServePeer(ctx context.Context, first *wire.Envelope, stream tamarackrun.Stream) {
+	switch kind := first.Kind.(type) {
+	case *wire.Envelope_Heartbeat:
+		_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_HeartbeatReply{
+			HeartbeatReply: &wire.HeartbeatReply{State: in.state()}}})
+	case *wire.Envelope_Dispatch:
+		request := frame.ToRequest(kind.Dispatch, in.clock.Now())
+		sender := frame.NewSender(stream)
+		_ = sender.Finish(in.homes.Dispatch(ctx, request, sender))
+	case *wire.Envelope_Explain:
+		_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_Report{
+			Report: &wire.Report{Events: in.history.Of(kind.Explain.Request)}}})
+	}
+}
+
+// pollRoster reads the platform's list of instances.
+func (in *Instance) pollRoster(ctx context.Context) {
+	for ctx.Err() == nil {
+		if list, err := in.store.Instances(ctx); err == nil {
+			in.roster.Update(list)
+			in.homes.listed(list)
+		}
+		pause(ctx, rosterPollInterval)
+	}
+}
+
+// sendHeartbeats asks every member for its state.
+func (in *Instance) sendHeartbeats(ctx context.Context) {
+	for ctx.Err() == nil {
+		in.publishState()
+		for _, m := range in.roster.Members() {
+			if m.Listing.Name != in.Settings.Name {
+				go in.heartbeat(ctx, m)
+			}
+		}
+		pause(ctx, heartbeatInterval)
+	}
+}
+
+func (in *Instance) heartbeat(ctx context.Context, m roster.Member) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	sent := in.clock.Now()
+	reply, err := in.mesh.Call(ctx, m.Listing.PeerAddress, &wire.Envelope{Kind: &wire.Envelope_Heartbeat{
+		Heartbeat: &wire.Heartbeat{State: in.state()}}})
+	if state := reply.GetHeartbeatReply().GetState(); err == nil && state.GetName() == m.Listing.Name {
+		if in.roster.Heartbeat(m.Listing.Name, state, sent) {
+			in.history.Record(event.PeerReachable, "", "peer", m.Listing.Name, "incarnation", state.Incarnation)
+		}
+		return
+	}
+	// A connection that is silent for one heartbeat may never answer again,
+	// so the next heartbeat uses a new one.
+	in.mesh.Drop(m.Listing.PeerAddress)
+	if m.Reachable && in.clock.Now()-m.Heard > roster.SilenceLimit {
+		in.history.Record(event.PeerUnreachable, "", "peer", m.Listing.Name)
+	}
+}
--- /dev/null
+++ b/internal/protocol/document/document.go
@@ -0,0 +1,479 @@
+// Package document parses and checks the operators' document.
+package document
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"tamarackrun/internal/state/configuration"
+)
+
+// Problem is one fault of a document.
+type Problem struct {
+	File    string
+	Line    int
+	Section string
+	Key     string
+	// Message says what is wrong and what is allowed.
+	Message string
+}
+
+// String returns the problem for operators.
+func (p Problem) String() string {
+	where := fmt.Sprintf("%s:%d: [%s]", p.File, p.Line, p.Section)
+	if p.Key != "" {
+		where += " " + p.Key
+	}
+	return where + ": " + p.Message
+}
+
+// HashKey returns the form in which a key is stored.
+func HashKey(key string) [32]byte { return sha256.Sum256([]byte(key)) }
+
+// Parse reads a document. The snapshot is valid only if there are no problems.
+func Parse(file string, text []byte) (*configuration.Snapshot, []Problem) {
+	p := &parser{file: file, lines: scanLines(text)}
+	p.checkDuplicates()
+	parsed, err := ini.LoadSources(ini.LoadOptions{
+		// A value may hold ; or # (a URL with a fragment), so only whole
+		// lines are comments.
+		IgnoreInlineComment:      true,
+		SkipUnrecognizableLines:  false,
+		IgnoreContinuation:       true,
+		PreserveSurroundedQuote:  true,
+		SpaceBeforeInlineComment: true,
+	}, text)
+	if err != nil {
+		p.add("", "", "not an INI document: "+err.Error())
+		return nil, p.problems
+	}
+	snapshot := p.build(parsed)
+	if len(p.problems) > 0 {
+		sort.SliceStable(p.problems, func(i, j int) bool { return p.problems[i].Line < p.problems[j].Line })
+		return nil, p.problems
+	}
+	return snapshot, nil
+}
+
+// lineOfKey locates a key for error messages; the INI library keeps no lines.
+type lineOfKey struct {
+	section, key string
+	line         int
+}
+
+func scanLines(text []byte) []lineOfKey {
+	var found []lineOfKey
+	section := ""
+	for n, line := range strings.Split(string(text), "\n") {
+		line = strings.TrimSpace(line)
+		switch {
+		case line == "" || line[0] == ';' || line[0] == '#':
+		case line[0] == '[' && strings.HasSuffix(line, "]"):
+			section = strings.TrimSpace(line[1 : len(line)-1])
+			found = append(found, lineOfKey{section, "", n + 1})
+		default:
+			key, _, _ := strings.Cut(line, "=")
+			found = append(found, lineOfKey{section, strings.TrimSpace(key), n + 1})
+		}
+	}
+	return found
+}
+
+type parser struct {
+	file     string
+	lines    []lineOfKey
+	problems []Problem
+}
+
+func (p *parser) add(section, key, message string) {
+	p.problems = append(p.problems, Problem{p.file, p.lineOf(section, key), section, key, message})
+}
+
+func (p *parser) lineOf(section, key string) int {
+	for _, l := range p.lines {
+		if l.section == section && l.key == key {
+			return l.line
+		}
+	}
+	for _, l := range p.lines {
+		if l.section == section && l.key == "" {
+			return l.line
+		}
+	}
+	return 1
+}
+
+// checkDuplicates reports sections and keys given twice; the INI library
+// merges them and keeps the last value.
+func (p *parser) checkDuplicates() {
+	type name struct{ section, key string }
+	seen := map[name]int{}
+	for _, l := range p.lines {
+		n := name{l.section, l.key}
+		if first, ok := seen[n]; ok {
+			what := "key"
+			if l.key == "" {
+				what = "section"
+			}
+			p.problems = append(p.problems, Problem{p.file, l.line, l.section, l.key,
+				fmt.Sprintf("%s given twice, first in line %d", what, first)})
+			continue
+		}
+		seen[n] = l.line
+	}
+}
+
+// section reads the typed values of one INI section and reports faults.
+type section struct {
+	p    *parser
+	raw  *ini.Section
+	team string
+	kind string
+	name string
+	used map[string]bool
+}
+
+func (s *section) fail(key, format string, args ...any) {
+	s.p.add(s.raw.Name(), key, fmt.Sprintf(format, args...))
+}
+
+func (s *section) text(key, fallback string) string {
+	s.used[key] = true
+	if !s.raw.HasKey(key) {
+		return fallback
+	}
+	// Value does not expand %(name)s, String would.
+	return s.raw.Key(key).Value()
+}
+
+func (s *section) required(key string) string {
+	value := s.text(key, "")
+	if value == "" {
+		s.fail(key, "is missing or empty; a value is required")
+	}
+	return value
+}
+
+func (s *section) integer(key string, fallback, low, high int) int {
+	value := s.text(key, strconv.Itoa(fallback))
+	n, err := strconv.Atoi(value)
+	if err != nil || n < low || n > high {
+		s.fail(key, "value %q is not a whole number from %d to %d", value, low, high)
+	}
+	return n
+}
+
+func (s *section) number(key string, fallback, low, high float64) float64 {
+	value := s.text(key, strconv.FormatFloat(fallback, 'g', -1, 64))
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(n >= low && n <= high) {
+		s.fail(key, "value %q is not a number from %g to %g", value, low, high)
+	}
+	return n
+}
+
+func (s *section) flag(key string, fallback bool) bool {
+	word := "no"
+	if fallback {
+		word = "yes"
+	}
+	return s.choice(key, word, "yes", "no") == "yes"
+}
+
+func (s *section) choice(key, fallback string, allowed ...string) string {
+	value := s.text(key, fallback)
+	for _, a := range allowed {
+		if value == a {
+			return value
+		}
+	}
+	s.fail(key, "value %q is not one of %s", value, strings.Join(allowed, ", "))
+	return fallback
+}
+
+func (s *section) duration(key string, fallback, low, high time.Duration) time.Duration {
+	value := s.text(key, fallback.String())
+	d, err := time.ParseDuration(value)
+	if err != nil || d < low || d > high {
+		s.fail(key, "value %q is not a duration from %v to %v, such as 500ms or 5s", value, low, high)
+	}
+	return d
+}
+
+func (s *section) words(key string) []string {
+	var words []string
+	for _, w := range strings.Split(s.text(key, ""), ",") {
+		if w = strings.TrimSpace(w); w != "" {
+			words = append(words, w)
+		}
+	}
+	return words
+}
+
+func (s *section) hash(key string) (hash [32]byte) {
+	value := s.required(key)
+	raw, err := hex.DecodeString(value)
+	if value != "" && (err != nil || len(raw) != len(hash)) {
+		s.fail(key, "is not a SHA-256 hash of 64 hexadecimal digits")
+	}
+	copy(hash[:], raw)
+	return hash
+}
+
+func (s *section) finish() {
+	for _, key := range s.raw.Keys() {
+		if !s.used[key.Name()] {
+			s.fail(key.Name(), "unknown key for kind %q", s.kind)
+		}
+	}
+}
+
+func (p *parser) build(parsed *ini.File) *configuration.Snapshot {
+	b := &builder{p: p, snapshot: &configuration.Snapshot{
+		Fleet:         configuration.Fleet{LookupLifetime: defaultLookupLifetime},
+		Teams:         map[string]configuration.Team{},
+		Regions:       map[string]configuration.Region{},
+		Domains:       map[string]configuration.Domain{},
+		Organisations: map[string]configuration.Organisation{},
+		Keys:          map[[32]byte]configuration.Key{},
+		Services:      map[string]configuration.Service{},
+		Servers:       map[string]configuration.Server{},
+		Sites:         map[string]configuration.Site{},
+	}, taken: map[string]string{}}
+	for _, raw := range parsed.Sections() {
+		if raw.Name() == ini.DefaultSection {
+			for _, key := range raw.Keys() {
+				p.add("", key.Name(), "key stands before the first section")
+			}
+			continue
+		}
+		b.section(raw)
+	}
+	b.checkReferences()
+	sort.SliceStable(b.snapshot.Routes, func(i, j int) bool {
+		return len(b.snapshot.Routes[i].Path) > len(b.snapshot.Routes[j].Path)
+	})
+	return b.snapshot
+}
+
+const (
+	defaultLookupLifetime = 5 * time.Second
+	maxNameLength         = 80
+)
+
+// builder collects the sections into a snapshot.
+type builder struct {
+	p        *parser
+	snapshot *configuration.Snapshot
+	// taken maps kind/name to the section that defined it; names are unique
+	// over all teams.
+	taken map[string]string
+}
+
+func validName(name string) bool {
+	if name == "" || len(name) > maxNameLength {
+		return false
+	}
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '.' {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *builder) section(raw *ini.Section) {
+	parts := strings.Split(raw.Name(), "/")
+	if len(parts) != 3 || !validName(parts[0]) || !validName(parts[2]) {
+		b.p.add(raw.Name(), "", "section name is not TEAM/KIND/NAME in lower-case letters, digits, - and .")
+		return
+	}
+	s := &section{b.p, raw, parts[0], parts[1], parts[2], map[string]bool{}}
+	read, ok := readers[s.kind]
+	if !ok {
+		s.fail("", "unknown kind %q; allowed are %s", s.kind, kindNames())
+		return
+	}
+	if other, ok := b.taken[s.kind+"/"+s.name]; ok {
+		s.fail("", "%s %q is already defined in [%s]", s.kind, s.name, other)
+		return
+	}
+	b.taken[s.kind+"/"+s.name] = raw.Name()
+	read(b.snapshot, s)
+	s.finish()
+}
+
+func kindNames() string {
+	var names []string
+	for kind := range readers {
+		names = append(names, kind)
+	}
+	sort.Strings(names)
+	return strings.Join(names, ", ")
+}
+
+var readers = map[string]func(c *configuration.Snapshot, s *section){
+	"team": func(c *configuration.Snapshot, s *section) {
+		if s.name != s.team {
+			s.fail("", "the team section of team %q must be [%s/team/%s]", s.team, s.team, s.team)
+		}
+		c.Teams[s.name] = configuration.Team{Name: s.name, OperatorKeyHash: s.hash("operatorKeyHash")}
+	},
+	"fleet": func(c *configuration.Snapshot, s *section) {
+		c.Fleet = configuration.Fleet{
+			StoreRegion:    s.text("storeRegion", ""),
+			LookupLifetime: s.duration("lookupLifetime", defaultLookupLifetime, time.Second, time.Minute),
+		}
+	},
+	"region": func(c *configuration.Snapshot, s *section) {
+		c.Regions[s.name] = configuration.Region{
+			Name:         s.name,
+			LinkMegabits: s.integer("linkMegabits", 4000, 1, 10_000_000),
+			Delay:        time.Duration(s.number("delayMs", 35, 0, 1000) * float64(time.Millisecond)),
+		}
+	},
+	"domain": func(c *configuration.Snapshot, s *section) {
+		c.Domains[s.name] = configuration.Domain{Name: s.name, Region: s.required("region")}
+	},
+	"organisation": func(c *configuration.Snapshot, s *section) {
+		c.Organisations[s.name] = configuration.Organisation{
+			Name:   s.name,
+			Rate:   s.number("rate", 0, 0.001, 1e7),
+			Burst:  s.number("burst", 0, 1, 1e7),
+			Weight: s.integer("weight", 1, 1, 1000),
+		}
+	},
+	"key": func(c *configuration.Snapshot, s *section) {
+		hash := s.hash("hash")
+		if other, ok := c.Keys[hash]; ok {
+			s.fail("hash", "is the same as that of key %q", other.Name)
+		}
+		c.Keys[hash] = configuration.Key{Name: s.name, Hash: hash,
+			Organisation: s.required("organisation"), Withdrawn: s.flag("withdrawn", false)}
+	},
+	"service": func(c *configuration.Snapshot, s *section) {
+		c.Services[s.name] = configuration.Service{
+			Name:        s.name,
+			Slots:       s.integer("slots", 0, 1, 100_000),
+			Connections: s.integer("connections", 330, 1, 100_000),
+			ShiftCap:    s.number("shiftCap", 0.5, 0, 1),
+		}
+	},
+	"server": func(c *configuration.Snapshot, s *section) {
+		server := configuration.Server{Name: s.name, Service: s.required("service"),
+			Domain: s.required("domain"), Address: s.required("address"),
+			Slots: s.integer("slots", 0, 0, 100_000)}
+		if _, err := netip.ParseAddrPort(server.Address); server.Address != "" && err != nil {
+			s.fail("address", "value %q is not IP:PORT with an IP number", server.Address)
+		}
+		c.Servers[s.name] = server
+	},
+	"route":   readRoute,
+	"clients": readClients,
+	"site": func(c *configuration.Snapshot, s *section) {
+		c.Sites[s.name] = configuration.Site{Name: s.name, Domain: s.required("domain")}
+	},
+}
+
+func readRoute(c *configuration.Snapshot, s *section) {
+	route := configuration.Route{
+		Name:          s.name,
+		Path:          s.required("path"),
+		Methods:       s.words("methods"),
+		Service:       s.required("service"),
+		Idempotent:    s.flag("idempotent", false),
+		Open:          s.flag("open", false),
+		Timeout:       s.duration("timeout", 5*time.Second, 10*time.Millisecond, 10*time.Minute),
+		Attempts:      s.integer("attempts", 3, 1, 5),
+		Headers:       s.words("headers"),
+		Organisations: s.words("organisations"),
+	}
+	if route.Path != "" && (route.Path[0] != '/' || strings.HasPrefix(route.Path, "/v1/")) {
+		s.fail("path", "value %q must start with / and not with /v1/, which is the system's own", route.Path)
+	}
+	for _, m := range route.Methods {
+		if !allowedMethods[m] {
+			s.fail("methods", "value %q is not one of DELETE, GET, HEAD, PATCH, POST, PUT", m)
+		}
+	}
+	if len(route.Methods) == 0 {
+		s.fail("methods", "is missing or empty; a list such as GET, HEAD is required")
+	}
+	if s.choice("class", "interactive", "interactive", "batch") == "batch" {
+		route.Class = configuration.Batch
+	}
+	if s.choice("cutOff", "refuse", "refuse", "serve") == "serve" {
+		route.CutOff = configuration.ServeWhenCutOff
+	}
+	if route.Open && !route.Idempotent {
+		s.fail("open", "an open route must be idempotent, because tickets belong to organisations")
+	}
+	c.Routes = append(c.Routes, route)
+}
+
+var allowedMethods = map[string]bool{"DELETE": true, "GET": true, "HEAD": true, "PATCH": true, "POST": true, "PUT": true}
+
+func readClients(c *configuration.Snapshot, s *section) {
+	clients := configuration.Clients{Name: s.name, Site: s.required("site")}
+	for _, w := range s.words("blocks") {
+		prefix, err := netip.ParsePrefix(w)
+		if err != nil || prefix != prefix.Masked() {
+			s.fail("blocks", "value %q is not a CIDR block such as 10.1.0.0/16", w)
+			continue
+		}
+		clients.Blocks = append(clients.Blocks, prefix)
+	}
+	c.Clients = append(c.Clients, clients)
+}
+
+// checkReferences reports names that no section defines.
+func (b *builder) checkReferences() {
+	c := b.snapshot
+	check := func(kind, name, key, target string, known bool) {
+		if target != "" && !known {
+			b.p.add(b.taken[kind+"/"+name], key, fmt.Sprintf("value %q is not defined in the document", target))
+		}
+	}
+	for _, d := range c.Domains {
+		_, ok := c.Regions[d.Region]
+		check("domain", d.Name, "region", d.Region, ok)
+	}
+	for _, k := range c.Keys {
+		_, ok := c.Organisations[k.Organisation]
+		check("key", k.Name, "organisation", k.Organisation, ok)
+	}
+	for name, v := range c.Servers {
+		service, ok := c.Services[v.Service]
+		check("server", v.Name, "service", v.Service, ok)
+		_, ok = c.Domains[v.Domain]
+		check("server", v.Name, "domain", v.Domain, ok)
+		if v.Slots == 0 {
+			v.Slots = service.Slots
+			c.Servers[name] = v
+		}
+	}
+	for _, r := range c.Routes {
+		_, ok := c.Services[r.Service]
+		check("route", r.Name, "service", r.Service, ok)
+		for _, o := range r.Organisations {
+			_, ok := c.Organisations[o]
+			check("route", r.Name, "organisations", o, ok)
+		}
+	}
+	for _, s := range c.Sites {
+		_, ok := c.Domains[s.Domain]
+		check("site", s.Name, "domain", s.Domain, ok)
+	}
+	for _, l := range c.Clients {
+		_, ok := c.Sites[l.Site]
+		check("clients", l.Name, "site", l.Site, ok)
+	}
+}
--- /dev/null
+++ b/internal/protocol/event/event.go
@@ -0,0 +1,78 @@
+// Package event numbers the events that instances record. docs/events.md is
+// the catalogue; a test compares both.
+package event
+
+import "tamarackrun"
+
+// Events. Numbers are never reused.
+const (
+	Started               tamarackrun.EventID = 1001
+	Stopping              tamarackrun.EventID = 1002
+	Stopped               tamarackrun.EventID = 1003
+	Ready                 tamarackrun.EventID = 1004
+	ListenerFailed        tamarackrun.EventID = 1005
+	ConfigurationAccepted tamarackrun.EventID = 1101
+	ConfigurationRejected tamarackrun.EventID = 1102
+	StoreUnreachable      tamarackrun.EventID = 1103
+	StoreReachable        tamarackrun.EventID = 1104
+	PeerReachable         tamarackrun.EventID = 1201
+	PeerUnreachable       tamarackrun.EventID = 1202
+	HomeGained            tamarackrun.EventID = 1301
+	HomeLost              tamarackrun.EventID = 1302
+	ServerEjected         tamarackrun.EventID = 1303
+	ServerReinstated      tamarackrun.EventID = 1304
+	ServerLeaving         tamarackrun.EventID = 1305
+	RequestAccepted       tamarackrun.EventID = 2001
+	RequestDispatched     tamarackrun.EventID = 2002
+	RequestFinished       tamarackrun.EventID = 2003
+	RequestRefused        tamarackrun.EventID = 2004
+	RequestRetried        tamarackrun.EventID = 2005
+	RequestUncertain      tamarackrun.EventID = 2006
+	AttemptResolved       tamarackrun.EventID = 2007
+)
+
+// Description is one row of the catalogue.
+type Description struct {
+	ID   tamarackrun.EventID
+	Name string
+	// Level is debug, info, warn or error.
+	Level   string
+	Meaning string
+}
+
+// Catalogue lists all events in the order of their numbers.
+var Catalogue = []Description{
+	{Started, "started", "info", "the instance started"},
+	{Stopping, "stopping", "info", "a graceful shutdown began"},
+	{Stopped, "stopped", "info", "the graceful shutdown ended"},
+	{Ready, "ready", "info", "the instance has a configuration and serves callers"},
+	{ListenerFailed, "listenerFailed", "error", "a listener ended with an error"},
+	{ConfigurationAccepted, "configurationAccepted", "info", "a newer configuration is in force on this instance"},
+	{ConfigurationRejected, "configurationRejected", "error", "a stored configuration could not be read; the previous one stays in force"},
+	{StoreUnreachable, "storeUnreachable", "warn", "the platform's object store does not answer"},
+	{StoreReachable, "storeReachable", "info", "the platform's object store answers again"},
+	{PeerReachable, "peerReachable", "info", "heartbeats with a peer succeed"},
+	{PeerUnreachable, "peerUnreachable", "warn", "a peer did not answer heartbeats"},
+	{HomeGained, "homeGained", "info", "the instance became home of a backend server"},
+	{HomeLost, "homeLost", "info", "the instance is no longer home of a backend server"},
+	{ServerEjected, "serverEjected", "warn", "a backend server gets no work because of observed failures"},
+	{ServerReinstated, "serverReinstated", "info", "an ejected backend server gets work again"},
+	{ServerLeaving, "serverLeaving", "info", "a backend server is leaving and gets no new work"},
+	{RequestAccepted, "requestAccepted", "debug", "a request passed key and rate checks"},
+	{RequestDispatched, "requestDispatched", "debug", "a home instance sent a request to a backend server"},
+	{RequestFinished, "requestFinished", "debug", "a request ran and its answer is complete"},
+	{RequestRefused, "requestRefused", "info", "a request was refused and did not run"},
+	{RequestRetried, "requestRetried", "info", "a request is dispatched again"},
+	{RequestUncertain, "requestUncertain", "warn", "the outcome of a request is unknown"},
+	{AttemptResolved, "attemptResolved", "info", "the state of an attempt was settled with its home instance"},
+}
+
+// Lookup returns the description of an event.
+func Lookup(id tamarackrun.EventID) (Description, bool) {
+	for _, d := range Catalogue {
+		if d.ID == id {
+			return d, true
+		}
+	}
+	return Description{}, false
+}
--- /dev/null
+++ b/internal/protocol/frame/exchange.go
@@ -0,0 +1,129 @@
+package frame
+
+import (
+	"net/http"
+	"time"
+
+	"tamarackrun"
+	"tamarackrun/internal/protocol/wire"
+)
+
+// HeaderFields converts HTTP headers for a message.
+func HeaderFields(header http.Header) []*wire.HeaderField {
+	var fields []*wire.HeaderField
+	for name, values := range header {
+		for _, v := range values {
+			fields = append(fields, &wire.HeaderField{Name: name, Value: v})
+		}
+	}
+	return fields
+}
+
+// Header converts the fields of a message to HTTP headers.
+func Header(fields []*wire.HeaderField) http.Header {
+	header := http.Header{}
+	for _, f := range fields {
+		header.Add(f.Name, f.Value)
+	}
+	return header
+}
+
+// FromRequest converts a request for a message. now is on the local clock.
+func FromRequest(r tamarackrun.Request, now time.Duration) *wire.Dispatch {
+	return &wire.Dispatch{
+		Id: r.ID, Attempt: r.Attempt, Organisation: r.Organisation, Route: r.Route, Service: r.Service,
+		Server: r.Server, OriginRegion: r.OriginRegion, Method: r.Method, Target: r.Target,
+		Header: HeaderFields(r.Header), Body: r.Body, Idempotent: r.Idempotent,
+		RemainingMillis: uint64(max(0, r.Deadline-now).Milliseconds()),
+	}
+}
+
+// ToRequest converts a message to a request. now is on the local clock.
+func ToRequest(d *wire.Dispatch, now time.Duration) tamarackrun.Request {
+	return tamarackrun.Request{
+		ID: d.Id, Attempt: d.Attempt, Organisation: d.Organisation, Route: d.Route, Service: d.Service,
+		Server: d.Server, OriginRegion: d.OriginRegion, Method: d.Method, Target: d.Target,
+		Header: Header(d.Header), Body: d.Body, Idempotent: d.Idempotent,
+		Deadline: now + time.Duration(d.RemainingMillis)*time.Millisecond,
+	}
+}
+
+// Sender is an AnswerWriter that sends the answer over a stream.
+type Sender struct {
+	stream tamarackrun.Stream
+	length uint64
+	began  bool
+}
+
+// NewSender returns a sender for one answer.
+func NewSender(stream tamarackrun.Stream) *Sender { return &Sender{stream: stream} }
+
+// Head sends the status and the headers.
+func (s *Sender) Head(status int, header http.Header) error {
+	s.began = true
+	return s.stream.Send(&wire.Envelope{Kind: &wire.Envelope_AnswerHead{AnswerHead: &wire.AnswerHead{
+		Outcome: uint32(tamarackrun.Ran), Status: uint32(status), Header: HeaderFields(header)}}})
+}
+
+// Body sends a piece.
+func (s *Sender) Body(piece []byte) error {
+	s.length += uint64(len(piece))
+	return s.stream.Send(&wire.Envelope{Kind: &wire.Envelope_AnswerBody{AnswerBody: &wire.AnswerBody{Piece: piece}}})
+}
+
+// End does nothing; Finish sends the end with the outcome.
+func (s *Sender) End() error { return nil }
+
+// Finish sends the outcome: in a head if no answer began, else in the end.
+func (s *Sender) Finish(o tamarackrun.Outcome) error {
+	if !s.began {
+		return s.stream.Send(&wire.Envelope{Kind: &wire.Envelope_AnswerHead{AnswerHead: &wire.AnswerHead{
+			Outcome: uint32(o.Kind), Reason: string(o.Reason)}}})
+	}
+	return s.stream.Send(&wire.Envelope{Kind: &wire.Envelope_AnswerEnd{AnswerEnd: &wire.AnswerEnd{
+		Outcome: uint32(o.Kind), Reason: string(o.Reason), Length: s.length}}})
+}
+
+// ReceiveAnswer reads an answer from a stream and writes it to answer. began
+// says whether the peer sent anything: if not, the state of the request is
+// unknown to the receiver and the outcome's reason is HomeLost.
+func ReceiveAnswer(stream tamarackrun.Stream, answer tamarackrun.AnswerWriter) (outcome tamarackrun.Outcome, began bool) {
+	first, err := stream.Receive()
+	head := first.GetAnswerHead()
+	if err != nil || head == nil {
+		return tamarackrun.Uncertain(tamarackrun.HomeLost), false
+	}
+	if head.Status == 0 {
+		return tamarackrun.Outcome{Kind: tamarackrun.Kind(head.Outcome), Reason: tamarackrun.Reason(head.Reason)}, true
+	}
+	if answer.Head(int(head.Status), Header(head.Header)) != nil {
+		return tamarackrun.Uncertain(tamarackrun.AnswerCancelled), true
+	}
+	return receiveBody(stream, answer), true
+}
+
+func receiveBody(stream tamarackrun.Stream, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
+	var length uint64
+	for {
+		message, err := stream.Receive()
+		if err != nil {
+			return tamarackrun.Uncertain(tamarackrun.AnswerTruncated)
+		}
+		if piece := message.GetAnswerBody(); piece != nil {
+			length += uint64(len(piece.Piece))
+			if answer.Body(piece.Piece) != nil {
+				return tamarackrun.Uncertain(tamarackrun.AnswerCancelled)
+			}
+			continue
+		}
+		end := message.GetAnswerEnd()
+		if end == nil || end.Length != length {
+			return tamarackrun.Uncertain(tamarackrun.AnswerTruncated)
+		}
+		outcome := tamarackrun.Outcome{Kind: tamarackrun.Kind(end.Outcome), Reason: tamarackrun.Reason(end.Reason)}
+		if outcome.Kind == tamarackrun.Ran && answer.End() != nil {
+			return tamarackrun.Uncertain(tamarackrun.AnswerCancelled)
+		}
+		return outcome
+	}
+}
--- /dev/null
+++ b/internal/protocol/settings/settings.go
@@ -0,0 +1,215 @@
+// Package settings reads the INI settings of one instance.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"sort"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// Settings is the content of one settings file.
+type Settings struct {
+	// Name is unique in the fleet.
+	Name          string
+	FailureDomain string
+	// The addresses are IP:PORT with an IP number.
+	CallerAddress  string
+	PeerAddress    string
+	ControlAddress string
+	// PlatformURL is the base URL of the platform's object API.
+	PlatformURL string
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+	// BootstrapKeyHash authenticates the first apply, before the document
+	// defines any team. Empty forbids it.
+	BootstrapKeyHash string
+	// Insecure allows links between instances without TLS, on loopback only.
+	Insecure bool
+	// The files hold the fleet's certificate authority and the instance's
+	// own certificate and key.
+	AuthorityFile, CertificateFile, KeyFile string
+}
+
+// Error is a fault of a settings file.
+type Error struct {
+	File, Section, Key, Value, Allowed string
+}
+
+// Error says where the fault is and what is allowed.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: [%s] %s = %q: %s", e.File, e.Section, e.Key, e.Value, e.Allowed)
+}
+
+// field describes one allowed key.
+type field struct {
+	section, key string
+	required     bool
+	target       func(s *Settings) *string
+	check        func(value string) string
+}
+
+var fields = []field{
+	{"instance", "name", true, func(s *Settings) *string { return &s.Name }, checkName},
+	{"instance", "failureDomain", true, func(s *Settings) *string { return &s.FailureDomain }, checkName},
+	{"caller", "address", true, func(s *Settings) *string { return &s.CallerAddress }, checkAddress},
+	{"peer", "address", true, func(s *Settings) *string { return &s.PeerAddress }, checkAddress},
+	{"peer", "authorityFile", false, func(s *Settings) *string { return &s.AuthorityFile }, nil},
+	{"peer", "certificateFile", false, func(s *Settings) *string { return &s.CertificateFile }, nil},
+	{"peer", "keyFile", false, func(s *Settings) *string { return &s.KeyFile }, nil},
+	{"control", "address", true, func(s *Settings) *string { return &s.ControlAddress }, checkAddress},
+	{"control", "bootstrapKeyHash", false, func(s *Settings) *string { return &s.BootstrapKeyHash }, checkHash},
+	{"platform", "url", true, func(s *Settings) *string { return &s.PlatformURL }, checkURL},
+	{"log", "level", false, func(s *Settings) *string { return &s.LogLevel }, checkLevel},
+}
+
+func checkName(value string) string {
+	for _, c := range value {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return "allowed are lower-case letters, digits and -"
+		}
+	}
+	return ""
+}
+
+func checkAddress(value string) string {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return "must be IP:PORT with an IP number, such as 127.0.0.1:8080"
+	}
+	return ""
+}
+
+func checkURL(value string) string {
+	rest, ok := strings.CutPrefix(value, "http://")
+	if !ok {
+		return "must be http://IP:PORT"
+	}
+	return checkAddress(rest)
+}
+
+func checkHash(value string) string {
+	if len(value) != 64 || strings.Trim(value, "0123456789abcdef") != "" {
+		return "must be a SHA-256 hash of 64 hexadecimal digits"
+	}
+	return ""
+}
+
+func checkLevel(value string) string {
+	switch value {
+	case "debug", "info", "warn", "error":
+		return ""
+	}
+	return "must be debug, info, warn or error"
+}
+
+// Load reads and checks a settings file. All faults are *Error.
+func Load(file string) (Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, err
+	}
+	return Parse(file, text)
+}
+
+// Parse checks the text of a settings file.
+func Parse(file string, text []byte) (Settings, error) {
+	s := Settings{LogLevel: "info"}
+	// AllowShadows keeps a key that is given twice visible; the default keeps
+	// the last value silently.
+	parsed, err := ini.LoadSources(ini.LoadOptions{
+		IgnoreInlineComment: true, IgnoreContinuation: true, AllowShadows: true,
+		AllowDuplicateShadowValues: true, PreserveSurroundedQuote: true,
+	}, text)
+	if err != nil {
+		return s, &Error{file, "", "", "", "not an INI file: " + err.Error()}
+	}
+	if err := checkUnknown(file, parsed); err != nil {
+		return s, err
+	}
+	for _, f := range fields {
+		if err := f.read(file, parsed, &s); err != nil {
+			return s, err
+		}
+	}
+	return s, s.readLinkMode(file, parsed)
+}
+
+func (f field) read(file string, parsed *ini.File, s *Settings) error {
+	section := parsed.Section(f.section)
+	if !section.HasKey(f.key) {
+		if f.required {
+			return &Error{file, f.section, f.key, "", "is required"}
+		}
+		return nil
+	}
+	value := section.Key(f.key).Value()
+	if value == "" {
+		return &Error{file, f.section, f.key, value, "must not be empty"}
+	}
+	if f.check != nil {
+		if allowed := f.check(value); allowed != "" {
+			return &Error{file, f.section, f.key, value, allowed}
+		}
+	}
+	*f.target(s) = value
+	return nil
+}
+
+func (s *Settings) readLinkMode(file string, parsed *ini.File) error {
+	value := parsed.Section("peer").Key("insecure").Value()
+	switch value {
+	case "yes":
+		s.Insecure = true
+	case "", "no":
+	default:
+		return &Error{file, "peer", "insecure", value, "must be yes or no"}
+	}
+	if s.Insecure && !netip.MustParseAddrPort(s.PeerAddress).Addr().IsLoopback() {
+		return &Error{file, "peer", "insecure", value, "yes is allowed only with a loopback peer address"}
+	}
+	if !s.Insecure && (s.AuthorityFile == "" || s.CertificateFile == "" || s.KeyFile == "") {
+		return &Error{file, "peer", "authorityFile", s.AuthorityFile,
+			"authorityFile, certificateFile and keyFile are required unless insecure = yes"}
+	}
+	return nil
+}
+
+// checkUnknown refuses unknown sections and keys and keys given twice.
+func checkUnknown(file string, parsed *ini.File) error {
+	known := map[string]bool{"peer.insecure": true}
+	sections := map[string]bool{}
+	for _, f := range fields {
+		known[f.section+"."+f.key] = true
+		sections[f.section] = true
+	}
+	for _, section := range parsed.Sections() {
+		name := section.Name()
+		if name == ini.DefaultSection && len(section.Keys()) == 0 {
+			continue
+		}
+		if !sections[name] {
+			return &Error{file, name, "", "", "unknown section; allowed are " + strings.Join(sortedKeys(sections), ", ")}
+		}
+		for _, key := range section.Keys() {
+			if !known[name+"."+key.Name()] {
+				return &Error{file, name, key.Name(), key.Value(), "unknown key"}
+			}
+			if values := key.ValueWithShadows(); len(values) > 1 {
+				return &Error{file, name, key.Name(), strings.Join(values, ", "), "key is given more than once"}
+			}
+		}
+	}
+	return nil
+}
+
+func sortedKeys(m map[string]bool) []string {
+	var keys []string
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/standin/caller/caller.go
@@ -0,0 +1,135 @@
+// Package caller is a small stand-in for a caller: it looks up entry
+// instances, caches the answer for its lifetime and sends requests.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"tamarackrun/internal/coordination/lookup"
+	frontdoor "tamarackrun/internal/transport/caller"
+)
+
+// Result is the end of one request.
+type Result struct {
+	Outcome string
+	Reason  string
+	ID      string
+	Status  int
+	Body    string
+	// Err is set if no whole answer arrived.
+	Err     error
+	Elapsed time.Duration
+}
+
+// Caller belongs to one organisation. It is safe for concurrent use.
+type Caller struct {
+	Key string
+	// Seeds are the instances to ask for the first look-up.
+	Seeds  []string
+	Client *http.Client
+
+	mu      sync.Mutex
+	cached  lookup.Answer
+	expires time.Time
+}
+
+// instances returns the cached look-up answer or a new one.
+func (c *Caller) instances(ctx context.Context) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.expires) {
+		return addresses(c.cached)
+	}
+	for _, seed := range append(addresses(c.cached), c.Seeds...) {
+		if answer, err := c.lookup(ctx, seed); err == nil && len(answer.Instances) > 0 {
+			c.cached = answer
+			c.expires = time.Now().Add(time.Duration(answer.LifetimeMillis) * time.Millisecond)
+			break
+		}
+	}
+	return addresses(c.cached)
+}
+
+func addresses(a lookup.Answer) []string {
+	var list []string
+	for _, i := range a.Instances {
+		list = append(list, i.Address)
+	}
+	return list
+}
+
+func (c *Caller) lookup(ctx context.Context, address string) (lookup.Answer, error) {
+	var answer lookup.Answer
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/lookup", nil)
+	if err != nil {
+		return answer, err
+	}
+	response, err := c.Client.Do(request)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return answer, fmt.Errorf("look-up answered with status %d", response.StatusCode)
+	}
+	return answer, json.NewDecoder(response.Body).Decode(&answer)
+}
+
+// Send sends one request to the best instance. When the connection to it
+// cannot be established, the next one is used; nothing else is repeated.
+func (c *Caller) Send(ctx context.Context, method, target string, body []byte, header http.Header) Result {
+	result := Result{Err: fmt.Errorf("no entry instance is known")}
+	for _, address := range c.instances(ctx) {
+		result = c.SendTo(ctx, address, method, target, body, header)
+		if result.Err == nil || !dialFailed(result.Err) {
+			break
+		}
+		c.forget()
+	}
+	return result
+}
+
+func (c *Caller) forget() {
+	c.mu.Lock()
+	c.expires = time.Time{}
+	c.mu.Unlock()
+}
+
+// SendTo sends one request to one instance.
+func (c *Caller) SendTo(ctx context.Context, address, method, target string, body []byte, header http.Header) Result {
+	began := time.Now()
+	// The body is not rewindable, so that http.Transport does not send the
+	// request again by itself.
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+target, io.MultiReader(bytes.NewReader(body)))
+	if err != nil {
+		return Result{Err: err}
+	}
+	request.ContentLength = int64(len(body))
+	if len(body) == 0 {
+		request.Body = nil
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	if c.Key != "" {
+		request.Header.Set("Tamarackrun-Key", c.Key)
+	}
+	response, err := c.Client.Do(request)
+	if err != nil {
+		return Result{Err: err, Elapsed: time.Since(began)}
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return Result{
+		Outcome: response.Header.Get(frontdoor.OutcomeHeader), Reason: response.Header.Get(frontdoor.ReasonHeader),
+		ID: response.Header.Get(frontdoor.RequestIDHeader), Status: response.StatusCode, Body: string(content),
+		Err: err, Elapsed: time.Since(began),
+	}
+}
--- /dev/null
+++ b/internal/transport/caller/caller.go
@@ -0,0 +1,224 @@
+// Package caller serves callers over HTTP.
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"tamarackrun"
+)
+
+// Headers of answers.
+const (
+	OutcomeHeader   = "Tamarackrun-Outcome"
+	ReasonHeader    = "Tamarackrun-Reason"
+	RequestIDHeader = "Tamarackrun-Request-Id"
+)
+
+// Limits of a request.
+const (
+	MaxBody        = 1 << 20
+	maxHeader      = 32 << 10
+	headerTimeout  = 5 * time.Second
+	bodyTimeout    = 10 * time.Second
+	idleTimeout    = 30 * time.Second
+	maxConnections = 4096
+)
+
+// Steerer runs one request of a caller. The answer's rules are those of
+// tamarackrun.Dispatcher.
+type Steerer interface {
+	Steer(r *http.Request, id string, body []byte, answer tamarackrun.AnswerWriter) tamarackrun.Outcome
+}
+
+// Server is the callers' port.
+type Server struct {
+	// Steerer, Lookup and Tickets are set before Run.
+	Steerer Steerer
+	Lookup  http.Handler
+	Tickets http.Handler
+	// Leaving says that answers close their connections, because the instance
+	// is about to stop.
+	Leaving func() bool
+
+	listener net.Listener
+	server   *http.Server
+}
+
+// New listens on the address. The clean-up function closes the listener and
+// all connections.
+func New(address string) (*Server, func(), error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, nil, err
+	}
+	s := &Server{listener: limitListener(listener, maxConnections)}
+	s.server = &http.Server{
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+	}
+	return s, func() { _ = s.server.Close(); _ = listener.Close() }, nil
+}
+
+// Run serves until Shutdown or the clean-up function is called.
+func (s *Server) Run() error {
+	mux := http.NewServeMux()
+	mux.Handle("GET /v1/lookup", s.Lookup)
+	mux.Handle("POST /v1/tickets", s.Tickets)
+	mux.HandleFunc("/v1/", func(w http.ResponseWriter, _ *http.Request) {
+		WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.RouteUnknown))
+	})
+	mux.HandleFunc("/", s.steer)
+	s.server.Handler = s.closing(mux)
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown stops accepting connections and waits for running requests.
+func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
+
+func (s *Server) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.Leaving() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) steer(w http.ResponseWriter, r *http.Request) {
+	id := rand.Text()
+	body, refusal := readBody(w, r)
+	if refusal != "" {
+		WriteOutcome(w, id, tamarackrun.Refused(refusal))
+		return
+	}
+	answer := &answerWriter{w: w, id: id}
+	outcome := s.Steerer.Steer(r, id, body, answer)
+	if !answer.began {
+		WriteOutcome(w, id, outcome)
+		return
+	}
+	if outcome.Kind != tamarackrun.Ran {
+		// The caller must see that the answer is incomplete.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, tamarackrun.Reason) {
+	if r.Header.Get("Upgrade") != "" || len(r.Trailer) > 0 || !strings.HasPrefix(r.RequestURI, "/") {
+		return nil, tamarackrun.Malformed
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	var timeout net.Error
+	switch {
+	case err == nil:
+		return body, ""
+	case errors.As(err, &tooLarge):
+		return nil, tamarackrun.BodyTooLarge
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return nil, tamarackrun.BodyTimeout
+	}
+	return nil, tamarackrun.Malformed
+}
+
+// answerWriter passes an answer to the caller.
+type answerWriter struct {
+	w     http.ResponseWriter
+	id    string
+	began bool
+}
+
+// hopHeaders concern one connection and are not passed on. RFC 9110, section
+// 7.6.1.
+var hopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+func (a *answerWriter) Head(status int, header http.Header) error {
+	a.began = true
+	named := strings.Split(header.Get("Connection"), ",")
+	for name, values := range header {
+		if !strings.HasPrefix(name, "Tamarackrun-") {
+			a.w.Header()[name] = values
+		}
+	}
+	for _, name := range append(named, hopHeaders...) {
+		a.w.Header().Del(strings.TrimSpace(name))
+	}
+	setOutcome(a.w, a.id, tamarackrun.Done)
+	a.w.WriteHeader(status)
+	return nil
+}
+
+func (a *answerWriter) Body(piece []byte) error {
+	if _, err := a.w.Write(piece); err != nil {
+		return err
+	}
+	return http.NewResponseController(a.w).Flush()
+}
+
+func (a *answerWriter) End() error { return nil }
+
+func setOutcome(w http.ResponseWriter, id string, o tamarackrun.Outcome) {
+	w.Header().Set(OutcomeHeader, o.Kind.String())
+	if o.Reason != "" {
+		w.Header().Set(ReasonHeader, string(o.Reason))
+	}
+	if id != "" {
+		w.Header().Set(RequestIDHeader, id)
+	}
+}
+
+// WriteOutcome answers a request that has no answer of a backend server.
+func WriteOutcome(w http.ResponseWriter, id string, o tamarackrun.Outcome) {
+	setOutcome(w, id, o)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	status := Status(o)
+	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, o.String()+"\n")
+}
+
+// refusalStatus gives the status of refusals other than 503.
+var refusalStatus = map[tamarackrun.Reason]int{
+	tamarackrun.KeyMissing:      http.StatusUnauthorized,
+	tamarackrun.KeyUnknown:      http.StatusUnauthorized,
+	tamarackrun.KeyWithdrawn:    http.StatusUnauthorized,
+	tamarackrun.KeyInURL:        http.StatusBadRequest,
+	tamarackrun.RouteUnknown:    http.StatusNotFound,
+	tamarackrun.RouteForbidden:  http.StatusForbidden,
+	tamarackrun.MethodForbidden: http.StatusMethodNotAllowed,
+	tamarackrun.RateExceeded:    http.StatusTooManyRequests,
+	tamarackrun.TicketRequired:  http.StatusBadRequest,
+	tamarackrun.TicketInvalid:   http.StatusBadRequest,
+	tamarackrun.TicketExpired:   http.StatusBadRequest,
+	tamarackrun.TicketReused:    http.StatusBadRequest,
+	tamarackrun.TicketSealed:    http.StatusBadRequest,
+	tamarackrun.BodyTooLarge:    http.StatusRequestEntityTooLarge,
+	tamarackrun.Malformed:       http.StatusBadRequest,
+}
+
+// Status returns the HTTP status of an outcome without an answer. Status 502 is
+// used for unknown outcomes only.
+func Status(o tamarackrun.Outcome) int {
+	if o.Kind == tamarackrun.Unknown {
+		return http.StatusBadGateway
+	}
+	if status, ok := refusalStatus[o.Reason]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,108 @@
+package tamarackrun
+
+// Kind says whether a request ran.
+type Kind uint8
+
+// Kinds of outcomes. The zero value is not a valid outcome.
+const (
+	// Ran says that the request ran once and its answer is complete.
+	Ran Kind = iota + 1
+	// NotRun says that the request did not run and never will.
+	NotRun
+	// Unknown says that the request may have run.
+	Unknown
+)
+
+// String returns the word that callers see in the outcome header.
+func (k Kind) String() string {
+	switch k {
+	case Ran:
+		return "ran"
+	case NotRun:
+		return "notRun"
+	case Unknown:
+		return "unknown"
+	default:
+		return "invalid"
+	}
+}
+
+// Reason says why a request was refused or its outcome is unknown.
+type Reason string
+
+// Reasons of refusals; the request did not run.
+const (
+	KeyMissing       Reason = "keyMissing"
+	KeyUnknown       Reason = "keyUnknown"
+	KeyWithdrawn     Reason = "keyWithdrawn"
+	KeyInURL         Reason = "keyInUrl"
+	RouteUnknown     Reason = "routeUnknown"
+	RouteForbidden   Reason = "routeForbidden"
+	MethodForbidden  Reason = "methodForbidden"
+	RateExceeded     Reason = "rateExceeded"
+	QueueFull        Reason = "queueFull"
+	QueueTimeout     Reason = "queueTimeout"
+	DeadlinePassed   Reason = "deadlinePassed"
+	NoHealthyServer  Reason = "noHealthyServer"
+	ServerShed       Reason = "serverShed"
+	ServerDraining   Reason = "serverDraining"
+	ServerEjected    Reason = "serverEjected"
+	ConnectFailed    Reason = "connectFailed"
+	ConnectionsFull  Reason = "connectionsFull"
+	HomeUnreachable  Reason = "homeUnreachable"
+	NotHome          Reason = "notHome"
+	ShiftCapped      Reason = "shiftCapped"
+	LinkCapped       Reason = "linkCapped"
+	CutOff           Reason = "cutOff"
+	NotReady         Reason = "notReady"
+	Leaving          Reason = "leaving"
+	TicketRequired   Reason = "ticketRequired"
+	TicketInvalid    Reason = "ticketInvalid"
+	TicketExpired    Reason = "ticketExpired"
+	TicketReused     Reason = "ticketReused"
+	TicketSealed     Reason = "ticketSealed"
+	IssuerUnreached  Reason = "issuerUnreachable"
+	LedgerFull       Reason = "ledgerFull"
+	BodyTooLarge     Reason = "bodyTooLarge"
+	BodyTimeout      Reason = "bodyTimeout"
+	Malformed        Reason = "malformed"
+	HeldTooLong      Reason = "heldTooLong"
+	AttemptCancelled Reason = "attemptCancelled"
+	CallerCancelled  Reason = "callerCancelled"
+)
+
+// Reasons of unknown outcomes; the request may have run.
+const (
+	AnswerLost      Reason = "answerLost"
+	AnswerTruncated Reason = "answerTruncated"
+	AnswerTimeout   Reason = "answerTimeout"
+	AnswerCancelled Reason = "answerCancelled"
+	HomeLost        Reason = "homeLost"
+	IssuerGone      Reason = "issuerGone"
+	IssuerLost      Reason = "issuerLost"
+	StillRunning    Reason = "stillRunning"
+)
+
+// Outcome is what became of a request.
+type Outcome struct {
+	Kind Kind
+	// Reason is empty if and only if Kind is Ran.
+	Reason Reason
+}
+
+// Done is the outcome of a request that ran and whose answer is complete.
+var Done = Outcome{Kind: Ran}
+
+// Refused returns the outcome of a request that did not run.
+func Refused(reason Reason) Outcome { return Outcome{Kind: NotRun, Reason: reason} }
+
+// Uncertain returns the outcome of a request that may have run.
+func Uncertain(reason Reason) Outcome { return Outcome{Kind: Unknown, Reason: reason} }
+
+// String returns the outcome for logs.
+func (o Outcome) String() string {
+	if o.Kind == Ran {
+		return o.Kind.String()
+	}
+	return o.Kind.String() + ": " + string(o.Reason)
+}
