Add a fleet of real processes for tests and the demo

Tests that kill or pause an instance need processes. The fleet runs the built program on a loopback address of its own and keeps the platform and the backend servers in the test process, where their records can be read. The first test failed at once: a new instance refused requests for up to 1 s because its buckets were made only by a periodic task. Buckets and homes are now set up when a configuration is accepted.

--- a/internal/program/instance/configuration.go
+++ b/internal/program/instance/configuration.go
@@ -77,6 +77,8 @@
 		}
 	}
 	in.history.Record(event.ConfigurationAccepted, "", "version", strconv.FormatInt(object.Version, 10))
+	in.rates.share(&versioned)
+	in.homes.place(&versioned)
 	in.publishState()
 	return nil
 }
--- /dev/null
+++ b/internal/program/instance/process_test.go
@@ -0,0 +1,82 @@
+package instance_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"tamarackrun/internal/standin/fleet"
+)
+
+// binary is the built program; the tests of this package run it as separate
+// processes, so that they can be killed and paused.
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "tamarackrun-test-")
+	if err == nil {
+		defer func() { _ = os.RemoveAll(directory) }()
+		binary, err = fleet.Build(directory)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// startFleet starts a fleet that ends with the test. It defaults to three
+// instances, two regions, and the services browse (idempotent) and order
+// (non-idempotent).
+func startFleet(t *testing.T, o fleet.Options) *fleet.Fleet {
+	t.Helper()
+	o.Directory, o.Binary = t.TempDir(), binary
+	if o.Instances == 0 {
+		o.Instances = 3
+	}
+	if o.Regions == nil {
+		o.Regions = []int{2, 1}
+	}
+	if o.Services == nil {
+		o.Services = []fleet.Service{
+			{Name: "browse", Servers: 3, Slots: 3, Route: "methods = GET\nidempotent = yes"},
+			{Name: "order", Servers: 3, Slots: 3, Route: "methods = POST\nidempotent = no"},
+		}
+	}
+	if o.Organisations == nil {
+		o.Organisations = map[string]fleet.Rate{"tea": {Rate: 1000, Burst: 1000}}
+	}
+	f, cleanup, err := fleet.Start(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cleanup()
+		if t.Failed() {
+			for _, i := range f.Instances {
+				log, _ := os.ReadFile(i.LogFile)
+				t.Logf("log of %s:\n%s", i.Listing.Name, log)
+			}
+		}
+	})
+	return f
+}
+
+// A request must reach a backend server through any entry instance, and an
+// answer must come back whole.
+func TestServesThroughEveryInstance(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{})
+	c := f.Caller("tea")
+	for n, i := range f.Instances {
+		target := fmt.Sprintf("/browse/%d", n)
+		r := c.SendTo(t.Context(), i.Listing.CallerAddress, "GET", target, nil, nil)
+		if diff := cmp.Diff("ran", r.Outcome); diff != "" || r.Err != nil {
+			t.Errorf("%s: outcome (-want +got):\n%s%+v", i.Listing.Name, diff, r)
+		}
+	}
+}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -48,7 +48,7 @@
 		return addresses(c.cached)
 	}
 	for _, seed := range append(addresses(c.cached), c.Seeds...) {
-		if answer, err := c.lookup(ctx, seed); err == nil && len(answer.Instances) > 0 {
+		if answer, err := c.Lookup(ctx, seed); err == nil && len(answer.Instances) > 0 {
 			c.cached = answer
 			c.expires = time.Now().Add(time.Duration(answer.LifetimeMillis) * time.Millisecond)
 			break
@@ -65,7 +65,8 @@
 	return list
 }
 
-func (c *Caller) lookup(ctx context.Context, address string) (lookup.Answer, error) {
+// Lookup asks one instance which instances to use.
+func (c *Caller) Lookup(ctx context.Context, address string) (lookup.Answer, error) {
 	var answer lookup.Answer
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/lookup", nil)
 	if err != nil {
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -3,6 +3,7 @@
 package demo
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -17,6 +18,7 @@
 	"tamarackrun"
 	"tamarackrun/internal/protocol/document"
 	"tamarackrun/internal/protocol/manifest"
+	"tamarackrun/internal/standin/fleet"
 	"tamarackrun/internal/standin/server"
 	"tamarackrun/internal/state/configuration"
 	"tamarackrun/internal/transport/platform"
@@ -47,7 +49,7 @@
 	directory string
 	document  []byte
 	snapshot  *configuration.Snapshot
-	processes map[string]*child
+	processes map[string]*fleet.Process
 	store     tamarackrun.ObjectStore
 	listings  []tamarackrun.Listing
 }
@@ -63,7 +65,7 @@
 	if len(problems) > 0 {
 		return fmt.Errorf("document has %d problems; the first: %s", len(problems), problems[0])
 	}
-	d.document, d.snapshot, d.processes = text, snapshot, map[string]*child{}
+	d.document, d.snapshot, d.processes = text, snapshot, map[string]*fleet.Process{}
 	if d.directory, err = os.MkdirTemp("", "tamarackrun-demo-"); err != nil {
 		return err
 	}
@@ -114,13 +116,22 @@
 	_, _ = fmt.Fprintf(d.Out, "started %d processes: 1 platform, %d backend servers, %d entry instances\n",
 		len(d.processes), len(d.snapshot.Servers), len(d.listings))
 	for _, name := range []string{"platform", d.listings[0].Name} {
-		_, _ = fmt.Fprintf(d.Out, "  %-12s pid %d\n", name, d.processes[name].pid())
+		_, _ = fmt.Fprintf(d.Out, "  %-12s pid %d\n", name, d.processes[name].PID())
 	}
 	// Heartbeats need a moment until every instance knows all homes.
 	time.Sleep(2 * time.Second)
 	return nil
 }
 
+func (d *Demo) start(name, program string, args ...string) error {
+	p, err := fleet.StartProcess(filepath.Join(d.directory, name+".log"), filepath.Join(d.Binaries, program), args...)
+	if err != nil {
+		return err
+	}
+	d.processes[name] = p
+	return nil
+}
+
 func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
 func (d *Demo) servers() []configuration.Server {
@@ -208,7 +219,19 @@
 	if err != nil {
 		return err
 	}
-	return putJSON("http://"+host+path, content)
+	request, err := http.NewRequest(http.MethodPut, "http://"+host+path, bytes.NewReader(content))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
+	return nil
 }
 
 // conclude reads the records of all backend servers and prints the table.
@@ -231,10 +254,10 @@
 
 func (d *Demo) stopAll() {
 	for _, p := range d.processes {
-		p.signal(syscall.SIGTERM)
+		p.Signal(syscall.SIGTERM)
 	}
 	limit := time.Now().Add(15 * time.Second)
 	for _, p := range d.processes {
-		p.waitUntil(limit)
+		p.Wait(time.Until(limit))
 	}
 }
--- /dev/null
+++ b/internal/standin/fleet/fleet.go
@@ -0,0 +1,308 @@
+// Package fleet runs entry instances as processes for tests and the demo. The
+// platform and the backend servers are stand-ins in the calling process.
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strings"
+	"syscall"
+	"time"
+
+	"tamarackrun"
+	"tamarackrun/internal/protocol/manifest"
+	"tamarackrun/internal/standin/caller"
+	"tamarackrun/internal/standin/platform"
+	"tamarackrun/internal/standin/server"
+	platformclient "tamarackrun/internal/transport/platform"
+)
+
+const (
+	platformPort   = 7000
+	callerPort     = 7100
+	peerPort       = 7200
+	controlPort    = 7300
+	serverPort     = 7500
+	startLimit     = 20 * time.Second
+	pollDelay      = 20 * time.Millisecond
+	requestTimeout = 20 * time.Second
+)
+
+// OperatorKey is the operator key of team base in a fleet's document.
+const OperatorKey = "fleet-operator-base"
+
+// CallerKey returns the key of an organisation in a fleet's document.
+func CallerKey(organisation string) string { return "fleet-key-" + organisation }
+
+// Service describes the backend servers of one service and its route.
+type Service struct {
+	Name    string
+	Servers int
+	Slots   int
+	// Route holds the keys of the route's section, without path and service,
+	// such as "methods = GET\nidempotent = yes". The path is /NAME.
+	Route string
+}
+
+// Options describe a fleet.
+type Options struct {
+	// Directory holds settings and logs.
+	Directory string
+	// Binary is the built program tamarackrun.
+	Binary    string
+	Instances int
+	// Regions has the number of failure domains of each region r1, r2, ...;
+	// instances and servers are spread over the domains in turn.
+	Regions       []int
+	Services      []Service
+	Organisations map[string]Rate
+	// Extra is appended to the document.
+	Extra string
+}
+
+// Rate is an organisation's rate and burst.
+type Rate struct{ Rate, Burst float64 }
+
+// Instance is one entry instance.
+type Instance struct {
+	*Process
+	Listing  tamarackrun.Listing
+	settings string
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Options   Options
+	Platform  *platform.Server
+	Servers   map[string]*server.Server
+	Instances []*Instance
+	// Document is the document that was applied at the start.
+	Document string
+	Store    tamarackrun.ObjectStore
+
+	// ip is a loopback address of this fleet alone, so that fleets of
+	// parallel tests do not meet on a port.
+	ip       string
+	cleanups []func()
+}
+
+// Build compiles the program into the directory and returns its file.
+func Build(directory string) (string, error) {
+	file := filepath.Join(directory, "tamarackrun")
+	output, err := exec.Command("go", "build", "-o", file, "tamarackrun/cmd/tamarackrun").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build failed: %w: %s", err, output)
+	}
+	return file, nil
+}
+
+// Start starts a fleet and waits until all instances are ready and know one
+// another. The clean-up function ends everything.
+func Start(ctx context.Context, o Options) (*Fleet, func(), error) {
+	f := &Fleet{Options: o, Servers: map[string]*server.Server{},
+		ip: fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))}
+	if err := f.start(ctx); err != nil {
+		f.stop()
+		return nil, nil, err
+	}
+	return f, f.stop, nil
+}
+
+func (f *Fleet) stop() {
+	for _, i := range f.Instances {
+		i.Kill()
+	}
+	for i := len(f.cleanups) - 1; i >= 0; i-- {
+		f.cleanups[i]()
+	}
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	f.Platform = platform.New()
+	if err := f.serve(f.PlatformAddress(), f.Platform); err != nil {
+		return err
+	}
+	store, cleanup, err := platformclient.New("http://" + f.PlatformAddress())
+	if err != nil {
+		return err
+	}
+	f.Store = store
+	f.cleanups = append(f.cleanups, cleanup)
+	if err := f.startServers(); err != nil {
+		return err
+	}
+	if _, err := manifest.Write(ctx, f.Store, []byte(f.Document), "fleet", 0); err != nil {
+		return err
+	}
+	domains := f.domains()
+	for n := range f.Options.Instances {
+		f.Instances = append(f.Instances, &Instance{Listing: tamarackrun.Listing{
+			Name: fmt.Sprintf("entry-%d", n+1), FailureDomain: domains[n%len(domains)],
+			CallerAddress: f.address(callerPort + n), PeerAddress: f.address(peerPort + n),
+			ControlAddress: f.address(controlPort + n)}})
+	}
+	f.PublishInstances()
+	for _, i := range f.Instances {
+		if err := f.StartInstance(i); err != nil {
+			return err
+		}
+	}
+	return f.AwaitReady(ctx)
+}
+
+// PublishInstances puts all instances into the platform's list.
+func (f *Fleet) PublishInstances() {
+	var list []tamarackrun.Listing
+	for _, i := range f.Instances {
+		list = append(list, i.Listing)
+	}
+	f.Platform.SetInstances(list)
+}
+
+func (f *Fleet) serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: requestTimeout}
+	go func() { _ = s.Serve(listener) }()
+	f.cleanups = append(f.cleanups, func() { _ = s.Close() })
+	return nil
+}
+
+func (f *Fleet) address(port int) string { return fmt.Sprintf("%s:%d", f.ip, port) }
+
+// PlatformAddress is where the platform stand-in listens.
+func (f *Fleet) PlatformAddress() string { return f.address(platformPort) }
+
+func (f *Fleet) domains() []string {
+	var domains []string
+	for r, n := range f.Options.Regions {
+		for d := range n {
+			domains = append(domains, fmt.Sprintf("r%d-%c", r+1, 'a'+d))
+		}
+	}
+	sort.SliceStable(domains, func(i, j int) bool { return domains[i][3:] < domains[j][3:] })
+	return domains
+}
+
+func (f *Fleet) startServers() error {
+	var b strings.Builder
+	hash := func(key string) string { h := sha256.Sum256([]byte(key)); return hex.EncodeToString(h[:]) }
+	fmt.Fprintf(&b, "[base/team/base]\noperatorKeyHash = %s\n[base/fleet/fleet]\nstoreRegion = r1\nlookupLifetime = 1s\n", hash(OperatorKey))
+	domains := f.domains()
+	for r := range f.Options.Regions {
+		fmt.Fprintf(&b, "[base/region/r%d]\n", r+1)
+	}
+	for _, d := range domains {
+		fmt.Fprintf(&b, "[base/domain/%s]\nregion = %s\n[base/site/%s]\ndomain = %s\n", d, d[:2], d, d)
+	}
+	for name, r := range f.Options.Organisations {
+		fmt.Fprintf(&b, "[base/organisation/%s]\nrate = %g\nburst = %g\n[base/key/%s]\norganisation = %s\nhash = %s\n",
+			name, r.Rate, r.Burst, name, name, hash(CallerKey(name)))
+	}
+	port := serverPort
+	for _, v := range f.Options.Services {
+		fmt.Fprintf(&b, "[base/service/%s]\nslots = %d\n[base/route/%s]\npath = /%s\nservice = %s\n%s\n",
+			v.Name, v.Slots, v.Name, v.Name, v.Name, v.Route)
+		for n := range v.Servers {
+			name := fmt.Sprintf("%s-%02d", v.Name, n+1)
+			f.Servers[name] = server.New(name, v.Slots)
+			if err := f.serve(f.address(port), f.Servers[name]); err != nil {
+				return err
+			}
+			fmt.Fprintf(&b, "[base/server/%s]\nservice = %s\ndomain = %s\naddress = %s\n", name, v.Name, domains[n%len(domains)], f.address(port))
+			port++
+		}
+	}
+	f.Document = b.String() + f.Options.Extra
+	return nil
+}
+
+const settingsFormat = `[instance]
+name = %s
+failureDomain = %s
+[caller]
+address = %s
+[peer]
+address = %s
+insecure = yes
+[control]
+address = %s
+[platform]
+url = http://%s
+[log]
+level = info
+`
+
+// StartInstance starts or restarts one instance without waiting for it.
+func (f *Fleet) StartInstance(i *Instance) error {
+	l := i.Listing
+	i.settings = filepath.Join(f.Options.Directory, l.Name+".ini")
+	text := fmt.Sprintf(settingsFormat, l.Name, l.FailureDomain, l.CallerAddress, l.PeerAddress, l.ControlAddress, f.PlatformAddress())
+	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
+		return err
+	}
+	p, err := StartProcess(filepath.Join(f.Options.Directory, l.Name+".log"), f.Options.Binary, "serve", "-c", i.settings)
+	i.Process = p
+	return err
+}
+
+// AwaitReady waits until every instance lists every other as serving.
+func (f *Fleet) AwaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	for _, i := range f.Instances {
+		for {
+			c := f.Caller("")
+			answer, err := c.Lookup(ctx, i.Listing.CallerAddress)
+			if err == nil && len(answer.Instances) == len(f.Instances) {
+				break
+			}
+			if ctx.Err() != nil {
+				log, _ := os.ReadFile(i.LogFile)
+				return fmt.Errorf("%s is not ready: %v, %d instances in its look-up: %s", i.Listing.Name, err, len(answer.Instances), log)
+			}
+			time.Sleep(pollDelay)
+		}
+	}
+	return nil
+}
+
+// Caller returns a caller of an organisation.
+func (f *Fleet) Caller(organisation string) *caller.Caller {
+	var seeds []string
+	for _, i := range f.Instances {
+		seeds = append(seeds, i.Listing.CallerAddress)
+	}
+	c := &caller.Caller{Seeds: seeds, Client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{}}}
+	if organisation != "" {
+		c.Key = CallerKey(organisation)
+	}
+	return c
+}
+
+// Terminate asks an instance to stop gracefully.
+func (i *Instance) Terminate() { i.Signal(syscall.SIGTERM) }
+
+// Executions returns how often the backend servers ran a request with the body.
+func (f *Fleet) Executions(body string) int {
+	n := 0
+	for _, s := range f.Servers {
+		for _, e := range s.Record().Executions {
+			if e.Body == body {
+				n++
+			}
+		}
+	}
+	return n
+}
