Take a home when a request for it arrives

Three runs of TestServesThroughEveryInstance refused every request as notHome: peers saw the new home 0.5 s after start, the home itself placed its servers only once a second. A home now places its servers when a request arrives for one that it does not hold. Three runs pass.

--- a/internal/program/instance/homes.go
+++ b/internal/program/instance/homes.go
@@ -119,6 +119,13 @@
 
 func (h *homes) dispatch(ctx context.Context, request tamarackrun.Request, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
 	o := h.get(request.Server)
+	if o == nil {
+		// The sender may have learnt earlier that this instance is the home.
+		if c := h.in.snapshot.Load(); c != nil {
+			h.place(c)
+		}
+		o = h.get(request.Server)
+	}
 	if o == nil {
 		return tamarackrun.Refused(tamarackrun.NotHome)
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -270,7 +271,7 @@
 			}
 			if ctx.Err() != nil {
 				log, _ := os.ReadFile(i.LogFile)
-				return fmt.Errorf("%s is not ready: %v, %d instances in its look-up: %s", i.Listing.Name, err, len(answer.Instances), log)
+				return fmt.Errorf("%s is not ready: %d instances in its look-up: %w: %s", i.Listing.Name, len(answer.Instances), errors.Join(err, ctx.Err()), log)
 			}
 			time.Sleep(pollDelay)
 		}
