Limit rates by recorded shares and loans

Each instance applied rate/instances from its own list of members, so the sum of the parts was above the whole while lists differed, and an organisation whose callers all used one instance got 1/7 of its rate.

A share is now a fraction of rate and burst that is granted by a record in the platform and counts while the holder's term counts. A loan lends a fraction of the share together with tokens: with tokens alone a lender's cap of b/7 can move only once in 5.15 s, which is less than its rate unless the burst is above 5 s of it. Fractions also make a lowered rate scale at once without a write. A request that took its token more than 2 s before its dispatch takes a new one or is refused with heldTooLong, at the entry instance and at the home.

--- /dev/null
+++ b/internal/coordination/rate/loan.go
@@ -0,0 +1,212 @@
+package rate
+
+import "time"
+
+const (
+	// Term is the duration of a loan for its receiver, from its request.
+	Term = 5 * time.Second
+	// acceptLimit is how long after its request a receiver accepts a loan.
+	acceptLimit = 500 * time.Millisecond
+	// driftPercent and holdMargin lengthen the term for the lender, so that
+	// its part returns only after the receiver's ended, on whichever clock.
+	driftPercent = 1
+	holdMargin   = 100 * time.Millisecond
+	// headroom is how much more than its demand an instance keeps or borrows.
+	headroom = 1.15
+	// quiet is the demand below which an instance keeps nothing for itself,
+	// in requests per second.
+	quiet = 0.05
+	// smallest is the least part that is lent, and chunk is the least part
+	// that is asked for. They bound the number of loans.
+	smallest = Whole / 4096
+	chunk    = Whole / 64
+	// maxLoans bounds the loans that an instance holds at a time.
+	maxLoans = 128
+	// lookahead is the demand that a borrower wants to have tokens for, about
+	// the round trip between two regions.
+	lookahead = 150 * time.Millisecond
+	// extendBefore is the remaining time at which a borrower asks for an
+	// extension; it leaves time for a second attempt.
+	extendBefore = 2 * time.Second
+)
+
+// Ask is what a borrower wants of one lender.
+type Ask struct {
+	// ID is not 0 to extend this loan, and 0 for a new one.
+	ID   uint64
+	Part Fraction
+	// Tokens is in requests and may be a fraction of one.
+	Tokens float64
+	Term   time.Duration
+}
+
+// Loan is a lender's reply. The zero value says that it lends nothing.
+type Loan struct {
+	ID     uint64
+	Part   Fraction
+	Tokens float64
+}
+
+func hold(term time.Duration) time.Duration { return term + term*driftPercent/100 + holdMargin }
+
+// Lend lends a part of the own share and tokens with it. The part is lowered
+// before the loan is sent. id must be unique over all lenders, so that no other
+// loan is ever extended by mistake.
+func (b *Bucket) Lend(now time.Duration, ask Ask, id uint64) Loan {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	if ask.ID != 0 {
+		return b.extend(ask)
+	}
+	part := min(b.partOf(ask), b.lendable(hold(ask.Term))-b.kept())
+	if b.closed || part < smallest || ask.Term <= 0 || ask.Term > Term {
+		return Loan{}
+	}
+	tokens := min(b.tokens, b.limit.Burst*float64(part)/float64(Whole))
+	b.tokens -= tokens
+	b.lent = append(b.lent, loan{id: id, part: part, until: b.last + hold(ask.Term)})
+	b.lentPart += part
+	b.update()
+	return Loan{ID: id, Part: part, Tokens: tokens}
+}
+
+// partOf is the part that an ask needs for its tokens or its rate.
+func (b *Bucket) partOf(ask Ask) Fraction {
+	byTokens := Fraction(min(1, ask.Tokens/b.limit.Burst) * float64(Whole))
+	return max(byTokens, ask.Part, smallest)
+}
+
+// lendable is the own part that is not lent and counts until the end of a new
+// loan. A loan never outlasts the term of the share that it is a part of, and
+// parts that were borrowed are not lent on.
+func (b *Bucket) lendable(hold time.Duration) Fraction {
+	return b.own(b.last+hold) - b.lentPart
+}
+
+// kept is the part that the own demand needs.
+func (b *Bucket) kept() Fraction {
+	d := b.demand.at(b.last)
+	if d < quiet {
+		return 0
+	}
+	need := Fraction(min(1, headroom*d/b.limit.Rate) * float64(Whole))
+	return max(0, need-b.borrowedPart)
+}
+
+// extend lengthens a loan that has not ended. The lender's part stays lowered
+// without a gap, so that the receiver's part may stay raised.
+func (b *Bucket) extend(ask Ask) Loan {
+	free := b.lendable(hold(ask.Term))
+	for i := range b.lent {
+		if l := &b.lent[i]; l.id == ask.ID {
+			if b.closed || free < b.kept() || free < 0 || ask.Term > Term {
+				return Loan{}
+			}
+			l.until = max(l.until, b.last+hold(ask.Term))
+			b.update()
+			return Loan{ID: l.id, Part: l.part}
+		}
+	}
+	return Loan{}
+}
+
+// Accept takes a lender's reply to a request that was sent at the given time
+// and says whether it was in time.
+func (b *Bucket) Accept(now, requested time.Duration, lender string, ask Ask, l Loan) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	until := requested + ask.Term
+	if l.ID == 0 || b.last-requested > acceptLimit || until <= b.last {
+		return false
+	}
+	if ask.ID != 0 {
+		return b.prolong(l, until)
+	}
+	b.borrowed = append(b.borrowed, loan{id: l.ID, part: l.Part, until: until, lender: lender})
+	b.borrowedPart += l.Part
+	b.update()
+	// The lender may still apply a higher burst than this instance.
+	tokens := min(l.Tokens, b.limit.Burst*float64(l.Part)/float64(Whole))
+	b.tokens = min(b.capacity, b.tokens+tokens)
+	return true
+}
+
+func (b *Bucket) prolong(l Loan, until time.Duration) bool {
+	for i := range b.borrowed {
+		if held := &b.borrowed[i]; held.id == l.ID {
+			held.until = max(held.until, until)
+			b.update()
+			return true
+		}
+	}
+	return false
+}
+
+// Close refuses new loans, so that a share can be handed back once the loans
+// have ended.
+func (b *Bucket) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+}
+
+// Want returns what the instance wants to borrow from the other holders
+// together for the requests that wait and for its demand.
+func (b *Bucket) Want(now time.Duration, waiting int) Ask {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	d := b.demand.at(b.last)
+	ask := Ask{Term: Term}
+	if d < quiet && waiting == 0 || len(b.borrowed) >= maxLoans {
+		return ask
+	}
+	need := Fraction(min(1, headroom*d/b.limit.Rate) * float64(Whole))
+	ask.Part = max(0, need-b.part())
+	ask.Tokens = max(0, float64(waiting)+d*lookahead.Seconds()-b.tokens)
+	if waiting == 0 && ask.Part == 0 {
+		// Refilling covers the demand, and nothing waits.
+		ask.Tokens = 0
+	}
+	return ask
+}
+
+// Split returns the ask to one of n lenders. It asks each for more than an
+// equal part, because some may have nothing to lend.
+func (a Ask) Split(n int) Ask {
+	if n == 0 || a.Part == 0 && a.Tokens == 0 {
+		return Ask{}
+	}
+	const surplus = 1.5
+	factor := min(1, surplus/float64(n))
+	return Ask{Part: max(chunk, Fraction(float64(a.Part)*factor)), Tokens: a.Tokens * factor, Term: a.Term}
+}
+
+// Extension is a loan to extend at its lender.
+type Extension struct {
+	Lender string
+	Ask    Ask
+}
+
+// Extensions returns the loans that end soon and that the demand still needs.
+func (b *Bucket) Extensions(now time.Duration) []Extension {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	need := Fraction(min(1, headroom*b.demand.at(b.last)/b.limit.Rate) * float64(Whole))
+	spare := b.part() - need
+	var list []Extension
+	for _, l := range b.borrowed {
+		if l.until-b.last > extendBefore {
+			continue
+		}
+		if l.part <= spare {
+			spare -= l.part
+			continue
+		}
+		list = append(list, Extension{l.lender, Ask{ID: l.id, Part: l.part, Term: Term}})
+	}
+	return list
+}
--- a/internal/program/instance/homes.go
+++ b/internal/program/instance/homes.go
@@ -140,6 +140,9 @@
 	if h.isLeaving(o) {
 		return tamarackrun.Refused(tamarackrun.ServerDraining)
 	}
+	if isHeldTooLong(request, h.in.clock.Now()) {
+		return tamarackrun.Refused(tamarackrun.HeldTooLong)
+	}
 	h.in.history.Record(event.RequestDispatched, request.ID, "server", request.Server, "attempt", request.Attempt,
 		"organisation", request.Organisation)
 	return h.in.backends.Dispatch(ctx, request, answer)
--- a/internal/program/instance/instance.go
+++ b/internal/program/instance/instance.go
@@ -186,6 +186,7 @@
 	in.history.Record(event.Stopping, "")
 	in.leaving.Store(true)
 	in.publishState()
+	in.rates.stopLending()
 	if c := in.snapshot.Load(); c != nil {
 		time.Sleep(c.Fleet.LookupLifetime + time.Second)
 	}
@@ -193,6 +194,7 @@
 	defer cancel()
 	_ = in.callers.Shutdown(limit)
 	in.homes.drain(limit)
+	in.rates.handBack(limit)
 	in.history.Record(event.Stopped, "")
 }
 
--- a/internal/program/instance/peers.go
+++ b/internal/program/instance/peers.go
@@ -27,6 +27,8 @@
 		request := frame.ToRequest(kind.Dispatch, in.clock.Now())
 		sender := frame.NewSender(stream)
 		_ = sender.Finish(in.homes.Dispatch(ctx, request, sender))
+	case *wire.Envelope_Borrow:
+		_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_Loan{Loan: in.rates.lend(kind.Borrow)}})
 	case *wire.Envelope_Explain:
 		_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_Report{
 			Report: &wire.Report{Events: in.history.Of(kind.Explain.Request)}}})
--- a/internal/program/instance/rates.go
+++ b/internal/program/instance/rates.go
@@ -2,56 +2,156 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/rate"
+	"tamarackrun/internal/coordination/share"
 	"tamarackrun/internal/state/configuration"
+	"tamarackrun/internal/state/roster"
 )
 
-const rateInterval = time.Second
+const (
+	// shareInterval is the pause between two looks at the share records when
+	// nothing changes.
+	shareInterval = 2 * time.Second
+	// shareRetry is the first pause while a share is not at its target. It
+	// doubles up to shareInterval.
+	shareRetry = 40 * time.Millisecond
+	// candidateGrace is how long an instance that does not answer stays a
+	// candidate for shares.
+	candidateGrace = 30 * time.Second
+	// firstContact is how long after the start instances that were never
+	// heard of are candidates, so that a fleet that starts together divides
+	// its rates once.
+	firstContact = 10 * time.Second
+	// handBackLimit bounds a planned stop while the store is out. It is longer
+	// than a loan, since the share cannot be returned before.
+	handBackLimit = 8 * time.Second
+)
 
-// rates holds this instance's part of the rate of each organisation.
+// rates admits requests within the rates of their organisations.
 type rates struct {
-	in *Instance
+	in      *Instance
+	pool    *rate.Pool
+	started time.Duration
 
+	// mu guards manager.
 	mu      sync.Mutex
-	buckets map[string]*rate.Bucket
+	manager *share.Manager
+
+	queuesMu sync.Mutex
+	queues   map[string]*queue
+	// asking holds the lenders with an open exchange, by organisation.
+	asking map[exchange]bool
 }
 
-func newRates(in *Instance) *rates { return &rates{in: in, buckets: map[string]*rate.Bucket{}} }
+func newRates(in *Instance) *rates {
+	pool := rate.NewPool()
+	return &rates{in: in, pool: pool, started: in.clock.Now(), queues: map[string]*queue{}, asking: map[exchange]bool{},
+		manager: share.New(in.store, in.clock, pool, in.history, in.incarnation)}
+}
 
+// run keeps the own shares until ctx ends.
 func (r *rates) run(ctx context.Context) {
+	go r.keepBorrowing(ctx)
+	var previous map[string]rate.Fraction
+	delay := shareRetry
 	for ctx.Err() == nil {
-		if c := r.in.snapshot.Load(); c != nil {
-			r.share(c)
+		c := r.in.snapshot.Load()
+		if c == nil {
+			pause(ctx, shareRetry)
+			continue
 		}
-		pause(ctx, rateInterval)
+		targets := r.targets(c)
+		if !maps.Equal(targets, previous) {
+			previous, delay = targets, shareRetry
+		}
+		if r.step(ctx, targets) {
+			delay = shareInterval
+		}
+		// The random part keeps instances that met in a conflict from meeting
+		// again.
+		pause(ctx, delay/2+rand.N(delay/2))
+		delay = min(2*delay, shareInterval)
 	}
 }
 
-// share splits each rate equally over the listed instances.
-func (r *rates) share(c *configuration.Snapshot) {
-	parts := float64(max(1, len(r.in.roster.Members())))
+func (r *rates) step(ctx context.Context, targets map[string]rate.Fraction) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.in.leaving.Load() {
+		return true
+	}
+	return r.manager.Step(ctx, targets)
+}
+
+// share puts the limits of a configuration in force.
+func (r *rates) share(c *configuration.Snapshot) {
+	limits := map[string]rate.Limit{}
 	for name, o := range c.Organisations {
-		if b, ok := r.buckets[name]; ok {
-			b.SetShare(o.Rate/parts, o.Burst/parts)
-		} else {
-			r.buckets[name] = rate.New(o.Rate/parts, o.Burst/parts, r.in.clock)
+		limits[name] = rate.Limit{Rate: o.Rate, Burst: o.Burst}
+	}
+	r.pool.SetLimits(r.in.clock.Now(), limits)
+}
+
+// targets are the own parts of all organisations.
+func (r *rates) targets(c *configuration.Snapshot) map[string]rate.Fraction {
+	var candidates []share.Candidate
+	for _, m := range r.in.roster.Members() {
+		if r.isCandidate(m) {
+			candidates = append(candidates, share.Candidate{Name: m.Listing.Name, Region: c.RegionOf(m.Listing.FailureDomain)})
+		}
+	}
+	targets := map[string]rate.Fraction{}
+	for name := range c.Organisations {
+		if r.pool.Bucket(name) != nil {
+			targets[name] = share.Target(r.in.Settings.Name, share.Holders(name, candidates))
 		}
 	}
+	return targets
+}
+
+func (r *rates) isCandidate(m roster.Member) bool {
+	now := r.in.clock.Now()
+	switch {
+	case m.Listing.Name == r.in.Settings.Name:
+		return true
+	case m.Listing.Leaving:
+		return false
+	case m.State == nil:
+		return now-r.started < firstContact
+	default:
+		return m.State.Phase != roster.Leaving && now-m.Heard < candidateGrace
+	}
 }
 
-// admit takes a token of the organisation.
-func (r *rates) admit(_ context.Context, organisation string, _ time.Duration) tamarackrun.Outcome {
+// stopLending lets the loans end while the instance still serves, so that the
+// hand-back need not wait for them.
+func (r *rates) stopLending() {
+	for _, b := range r.pool.Buckets() {
+		b.Close()
+	}
+}
+
+// handBack returns the shares to the other instances. If the store is out, the
+// others reclaim them later.
+func (r *rates) handBack(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handBackLimit)
+	defer cancel()
 	r.mu.Lock()
-	b := r.buckets[organisation]
-	r.mu.Unlock()
-	if b == nil || !b.Take() {
-		return tamarackrun.Refused(tamarackrun.RateExceeded)
+	defer r.mu.Unlock()
+	for ctx.Err() == nil && !r.manager.HandBack(ctx) {
+		pause(ctx, shareRetry)
 	}
-	return tamarackrun.Done
+}
+
+// isHeldTooLong says that a request waited too long since it took its token: a
+// process that was paused in between would otherwise add an old second's
+// requests to the present one.
+func isHeldTooLong(request tamarackrun.Request, now time.Duration) bool {
+	return request.Organisation != "" && now-request.Admitted > tokenLifetime
 }
--- a/internal/program/instance/steering.go
+++ b/internal/program/instance/steering.go
@@ -61,7 +61,7 @@
 		Deadline: in.clock.Now() + in.timeout(r, route),
 	}
 	if organisation != "" {
-		if outcome := in.rates.admit(r.Context(), organisation, request.Deadline); outcome != tamarackrun.Done {
+		if request.Admitted, outcome = in.rates.admit(r.Context(), organisation, request.Deadline); outcome != tamarackrun.Done {
 			return outcome
 		}
 	}
@@ -151,6 +151,16 @@
 			in.history.Record(event.RequestRetried, request.ID, "reason", string(outcome.Reason), "server", server)
 			in.history.CountOutcome("retry", outcome)
 		}
+		if isHeldTooLong(request, in.clock.Now()) {
+			var admitted tamarackrun.Outcome
+			request.Admitted, admitted = in.rates.admit(ctx, request.Organisation, request.Deadline)
+			if admitted != tamarackrun.Done && outcome.Kind != tamarackrun.Unknown {
+				outcome = tamarackrun.Refused(tamarackrun.HeldTooLong)
+			}
+			if admitted != tamarackrun.Done {
+				return outcome
+			}
+		}
 		request.Server, request.Attempt = server, fmt.Sprintf("%s.%d", request.ID, n)
 		outcome = in.dispatchTo(ctx, homeName, request, guarded)
 		retriable := outcome.Kind == tamarackrun.NotRun || outcome.Kind == tamarackrun.Unknown && request.Idempotent
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -29,6 +29,10 @@
 	RequestRetried        tamarackrun.EventID = 2005
 	RequestUncertain      tamarackrun.EventID = 2006
 	AttemptResolved       tamarackrun.EventID = 2007
+	ShareChanged          tamarackrun.EventID = 2301
+	TermLost              tamarackrun.EventID = 2302
+	TermReturned          tamarackrun.EventID = 2303
+	TermReclaimed         tamarackrun.EventID = 2304
 )
 
 // Description is one row of the catalogue.
@@ -65,6 +69,10 @@
 	{RequestRetried, "requestRetried", "info", "a request is dispatched again"},
 	{RequestUncertain, "requestUncertain", "warn", "the outcome of a request is unknown"},
 	{AttemptResolved, "attemptResolved", "info", "the state of an attempt was settled with its home instance"},
+	{ShareChanged, "shareChanged", "info", "the instance's part of an organisation's rate changed, in billionths"},
+	{TermLost, "termLost", "warn", "another instance reclaimed this instance's shares; it starts a new term"},
+	{TermReturned, "termReturned", "info", "the instance gave up the shares of a term"},
+	{TermReclaimed, "termReclaimed", "warn", "this instance reclaimed the shares of one that did not renew its term"},
 }
 
 // Lookup returns the description of an event.
--- a/internal/protocol/frame/exchange.go
+++ b/internal/protocol/frame/exchange.go
@@ -35,6 +35,7 @@
 		Server: r.Server, OriginRegion: r.OriginRegion, Method: r.Method, Target: r.Target,
 		Header: HeaderFields(r.Header), Body: r.Body, Idempotent: r.Idempotent,
 		RemainingMillis: uint64(max(0, r.Deadline-now).Milliseconds()),
+		TokenAgeMillis:  uint64(max(0, now-r.Admitted).Milliseconds()),
 	}
 }
 
@@ -45,6 +46,7 @@
 		Server: d.Server, OriginRegion: d.OriginRegion, Method: d.Method, Target: d.Target,
 		Header: Header(d.Header), Body: d.Body, Idempotent: d.Idempotent,
 		Deadline: now + time.Duration(d.RemainingMillis)*time.Millisecond,
+		Admitted: now - time.Duration(d.TokenAgeMillis)*time.Millisecond,
 	}
 }
 
--- a/tamarackrun.go
+++ b/tamarackrun.go
@@ -89,6 +89,9 @@
 	Idempotent bool
 	// Deadline is on the local Clock; other processes get the remaining time.
 	Deadline time.Duration
+	// Admitted is when the request took its rate token, on the local Clock;
+	// other processes get the age. It has no meaning without Organisation.
+	Admitted time.Duration
 }
 
 // AnswerWriter receives the answer to one request. An implementation of
