--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,9 @@
 format: ## Format all code.
 	$(GO) run $(LINTER) fmt ./...
 
+model: ## Check the models in spec/ with spin.
+	for script in spec/*.sh; do ./$$script || exit 1; done
+
 generate: ## Regenerate the protobuf code (needs protoc and protoc-gen-go).
 	protoc --go_out=. --go_opt=module=tamarackrun internal/protocol/wire/wire.proto
 
