--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := bin
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: help build test race lint format model fuzz generate demo bench capacity clean
+.PHONY: help build test race lint format model fuzz generate events demo bench capacity clean
 
 help: ## List the tasks.
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -26,6 +26,9 @@
 generate: ## Regenerate the protobuf code (needs protoc and protoc-gen-go).
 	protoc --go_out=. --go_opt=module=tamarackrun internal/protocol/wire/wire.proto
 
+events: ## Write docs/events.md from the catalogue in the code.
+	$(GO) test ./internal/protocol/event -run TestPageMatchesCatalogue -update
+
 demo: build ## Start a deployment, send load, kill and drain, print a table.
 	./$(BIN)/standin demo --deployment deployments/sundarban
 
