Refuse unclean paths and end answers that the caller does not read

The mux answered /a//b and /a/%2e%2e/b with a redirect; many clients turn a redirected POST into a GET, and the answer had no outcome. The new table test failed for three rows (double slash, dot segments, connect) before and passes five times now. An answer piece that a caller does not read for 10 s ends the answer, since it holds a slot of its backend server; this part has no test yet.

--- a/internal/transport/caller/caller.go
+++ b/internal/transport/caller/caller.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path"
 	"strings"
 	"time"
 
@@ -23,10 +24,13 @@
 
 // Limits of a request.
 const (
-	MaxBody        = 1 << 20
-	maxHeader      = 32 << 10
-	headerTimeout  = 5 * time.Second
-	bodyTimeout    = 10 * time.Second
+	MaxBody       = 1 << 20
+	maxHeader     = 32 << 10
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 10 * time.Second
+	// pieceTimeout ends answers to callers that do not read, since the answer
+	// holds a slot of its backend server.
+	pieceTimeout   = 10 * time.Second
 	idleTimeout    = 30 * time.Second
 	maxConnections = 4096
 )
@@ -74,7 +78,7 @@
 		WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.RouteUnknown))
 	})
 	mux.HandleFunc("/", s.steer)
-	s.server.Handler = s.closing(mux)
+	s.server.Handler = s.closing(refuseUnclean(mux))
 	err := s.server.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -94,6 +98,23 @@
 	})
 }
 
+// refuseUnclean refuses paths such as /a//b or /a/../b. The mux would answer
+// them with a redirect, after which a POST becomes a GET in many clients, and a
+// backend server may read such a path as another route's.
+func refuseUnclean(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		clean := path.Clean(r.URL.Path)
+		if clean != "/" && strings.HasSuffix(r.URL.Path, "/") {
+			clean += "/"
+		}
+		if !strings.HasPrefix(r.RequestURI, "/") || clean != r.URL.Path {
+			WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.Malformed))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (s *Server) steer(w http.ResponseWriter, r *http.Request) {
 	id := rand.Text()
 	body, refusal := readBody(w, r)
@@ -114,7 +135,7 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, tamarackrun.Reason) {
-	if r.Header.Get("Upgrade") != "" || len(r.Trailer) > 0 || !strings.HasPrefix(r.RequestURI, "/") {
+	if r.Header.Get("Upgrade") != "" || len(r.Trailer) > 0 {
 		return nil, tamarackrun.Malformed
 	}
 	control := http.NewResponseController(w)
@@ -162,13 +183,19 @@
 }
 
 func (a *answerWriter) Body(piece []byte) error {
+	control := http.NewResponseController(a.w)
+	_ = control.SetWriteDeadline(time.Now().Add(pieceTimeout))
 	if _, err := a.w.Write(piece); err != nil {
 		return err
 	}
-	return http.NewResponseController(a.w).Flush()
+	return control.Flush()
 }
 
-func (a *answerWriter) End() error { return nil }
+// End removes the deadline, so that a later answer on the connection has its
+// own.
+func (a *answerWriter) End() error {
+	return http.NewResponseController(a.w).SetWriteDeadline(time.Time{})
+}
 
 func setOutcome(w http.ResponseWriter, id string, o tamarackrun.Outcome) {
 	w.Header().Set(OutcomeHeader, o.Kind.String())
