Test the control port, explain and callers that do not read

Without the write deadline the new test of a caller that does not read fails after 30 s; with it the answer ends after the timeout (200 ms in the test, 10 s by default).

--- /dev/null
+++ b/internal/program/instance/control_test.go
@@ -0,0 +1,91 @@
+package instance_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"tamarackrun/internal/standin/fleet"
+)
+
+// fetch returns the status and the body of a GET.
+func fetch(t *testing.T, url, operatorKey string) (int, string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Tamarackrun-Operator-Key", operatorKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, string(body)
+}
+
+// eventually waits until the condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(30 * time.Second); !condition(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("did not happen in time: %s", what)
+		}
+	}
+}
+
+// Probes and metrics must work without a key, everything else only with the key
+// of a team, and each refusal reason must have its own counter.
+func TestControlPort(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{})
+	i := f.Instances[0]
+	base := "http://" + i.Listing.ControlAddress
+	for path, want := range map[string]int{"/healthz": 200, "/readyz": 200, "/metrics": 200,
+		"/v1/status": 401, "/v1/document": 401, "/v1/explain/x": 401} {
+		if status, _ := fetch(t, base+path, ""); status != want {
+			t.Errorf("%s without a key: status %d, want %d", path, status, want)
+		}
+	}
+	if status, _ := fetch(t, base+"/v1/status", fleet.OperatorKey); status != 200 {
+		t.Errorf("/v1/status with a key: status %d, want 200", status)
+	}
+	stranger := f.Caller("")
+	stranger.SendTo(t.Context(), i.Listing.CallerAddress, "GET", "/browse/1", nil, nil)
+	stranger.SendTo(t.Context(), i.Listing.CallerAddress, "GET", "/nowhere", nil, nil)
+	for _, reason := range []string{"keyMissing", "routeUnknown"} {
+		eventually(t, "counter for "+reason, func() bool {
+			_, metrics := fetch(t, base+"/metrics", "")
+			for _, line := range strings.Split(metrics, "\n") {
+				if strings.HasPrefix(line, "tamarackrun_outcomes{") && strings.Contains(line, `reason="`+reason+`"`) {
+					return strings.HasSuffix(line, " 1")
+				}
+			}
+			return false
+		})
+	}
+}
+
+// explain must tell the story of one request from all instances that took part.
+func TestExplainShowsAllStages(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{})
+	r := f.Caller("tea").Send(t.Context(), "GET", "/browse/1", nil, nil)
+	if r.Outcome != "ran" {
+		t.Fatalf("request: %+v", r)
+	}
+	for _, i := range f.Instances {
+		_, story := fetch(t, "http://"+i.Listing.ControlAddress+"/v1/explain/"+r.ID, fleet.OperatorKey)
+		for _, event := range []string{`"id":2001`, `"id":2002`, `"id":2003`} {
+			if !strings.Contains(story, event) {
+				t.Errorf("explain at %s lacks %s: %s", i.Listing.Name, event, story)
+			}
+		}
+	}
+}
--- a/internal/transport/caller/caller.go
+++ b/internal/transport/caller/caller.go
@@ -24,15 +24,13 @@
 
 // Limits of a request.
 const (
-	MaxBody       = 1 << 20
-	maxHeader     = 32 << 10
-	headerTimeout = 5 * time.Second
-	bodyTimeout   = 10 * time.Second
-	// pieceTimeout ends answers to callers that do not read, since the answer
-	// holds a slot of its backend server.
-	pieceTimeout   = 10 * time.Second
-	idleTimeout    = 30 * time.Second
-	maxConnections = 4096
+	MaxBody             = 1 << 20
+	maxHeader           = 32 << 10
+	headerTimeout       = 5 * time.Second
+	bodyTimeout         = 10 * time.Second
+	defaultPieceTimeout = 10 * time.Second
+	idleTimeout         = 30 * time.Second
+	maxConnections      = 4096
 )
 
 // Steerer runs one request of a caller. The answer's rules are those of
@@ -50,6 +48,10 @@
 	// Leaving says that answers close their connections, because the instance
 	// is about to stop.
 	Leaving func() bool
+	// PieceTimeout ends answers to callers that do not read a piece in this
+	// time, since an answer holds a slot of its backend server. New sets it to
+	// 10 s.
+	PieceTimeout time.Duration
 
 	listener net.Listener
 	server   *http.Server
@@ -62,7 +64,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	s := &Server{listener: limitListener(listener, maxConnections)}
+	s := &Server{listener: limitListener(listener, maxConnections), PieceTimeout: defaultPieceTimeout}
 	s.server = &http.Server{
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
@@ -122,7 +124,7 @@
 		WriteOutcome(w, id, tamarackrun.Refused(refusal))
 		return
 	}
-	answer := &answerWriter{w: w, id: id}
+	answer := &answerWriter{w: w, id: id, timeout: s.PieceTimeout}
 	outcome := s.Steerer.Steer(r, id, body, answer)
 	if !answer.began {
 		WriteOutcome(w, id, outcome)
@@ -157,9 +159,10 @@
 
 // answerWriter passes an answer to the caller.
 type answerWriter struct {
-	w     http.ResponseWriter
-	id    string
-	began bool
+	w       http.ResponseWriter
+	id      string
+	timeout time.Duration
+	began   bool
 }
 
 // hopHeaders concern one connection and are not passed on. RFC 9110, section
@@ -184,7 +187,7 @@
 
 func (a *answerWriter) Body(piece []byte) error {
 	control := http.NewResponseController(a.w)
-	_ = control.SetWriteDeadline(time.Now().Add(pieceTimeout))
+	_ = control.SetWriteDeadline(time.Now().Add(a.timeout))
 	if _, err := a.w.Write(piece); err != nil {
 		return err
 	}
--- a/internal/transport/caller/caller_test.go
+++ b/internal/transport/caller/caller_test.go
@@ -43,6 +43,7 @@
 	t.Cleanup(cleanup)
 	s.Steerer, s.Leaving = f, func() bool { return false }
 	s.Lookup, s.Tickets = http.NotFoundHandler(), http.NotFoundHandler()
+	s.PieceTimeout = 200 * time.Millisecond
 	go func() { _ = s.Run() }()
 	return s
 }
@@ -130,6 +131,33 @@
 	}
 }
 
+// A caller that stops reading must not hold a slot for ever.
+func TestSlowReaderIsCut(t *testing.T) {
+	ended := make(chan error, 1)
+	f := &fakeSteerer{steer: func(answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
+		_ = answer.Head(http.StatusOK, http.Header{})
+		piece := make([]byte, 32<<10)
+		var err error
+		for err == nil {
+			err = answer.Body(piece)
+		}
+		ended <- err
+		return tamarackrun.Uncertain(tamarackrun.AnswerCancelled)
+	}}
+	s := startServer(t, f)
+	conn, err := net.Dial("tcp", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+	select {
+	case <-ended:
+	case <-time.After(30 * time.Second):
+		t.Error("the answer to a caller that does not read went on for 30 s")
+	}
+}
+
 // Callers must be able to tell refusals from unknown outcomes by the status.
 func TestStatus(t *testing.T) {
 	tests := []struct {
