Test and measure rates with real processes

The property tests run the decisions in virtual time. A fleet of processes shows that the wiring keeps the bound as well, and how many requests inside the rate are refused. The backend stand-in records when each request ran.

--- /dev/null
+++ b/internal/program/instance/rates_bench_test.go
@@ -0,0 +1,86 @@
+package instance_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"tamarackrun/internal/coordination/rate"
+	"tamarackrun/internal/standin/fleet"
+	"tamarackrun/internal/standin/platform"
+)
+
+// BenchmarkRefusedInsideRate measures the requests that are refused although
+// the organisation is inside its rate, with all demand on one of 7 instances,
+// against one bucket for the whole fleet as the ideal and against a bucket with
+// 1/7 of the limit as the baseline. Run it with -benchtime 1x.
+func BenchmarkRefusedInsideRate(b *testing.B) {
+	for _, limit := range []fleet.Rate{{Rate: 200, Burst: 100}, {Rate: 20, Burst: 5}} {
+		for _, part := range []float64{0.5, 0.8, 0.9} {
+			for _, failure := range []string{"none", "killed", "frozen", "outage"} {
+				b.Run(fmt.Sprintf("rate=%g/burst=%g/demand=%g/failure=%s", limit.Rate, limit.Burst, part, failure), func(b *testing.B) {
+					measureRefused(b, limit, part, failure)
+				})
+			}
+		}
+	}
+}
+
+const (
+	warmUp  = 3 * time.Second
+	measure = 15 * time.Second
+)
+
+func measureRefused(b *testing.B, limit fleet.Rate, part float64, failure string) {
+	f, cleanup, err := fleet.Start(b.Context(), fleet.Options{Directory: b.TempDir(), Binary: binary, Instances: 7,
+		Regions: []int{2, 2, 2}, Services: browse(100), Organisations: map[string]fleet.Rate{"tea": limit}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer cleanup()
+	awaitShares(b, f, 7)
+	time.Sleep(warmUp)
+	ctx, stop := context.WithTimeout(b.Context(), measure)
+	defer stop()
+	go fail(f, failure)
+	l := newLoad(f, 0, part*limit.Rate)
+	l.run(ctx, 1, "bench")
+	refused := float64(l.outcomes["notRun rateExceeded"])
+	ideal := refusedBy(l.arrivals, limit, 1)
+	sent := float64(len(l.arrivals))
+	b.ReportMetric(sent, "requests")
+	b.ReportMetric(100*max(0, refused-ideal)/sent, "%refused")
+	b.ReportMetric(100*(refusedBy(l.arrivals, limit, 7)-ideal)/sent, "%baseline")
+	b.Logf("%v, ideal refuses %g", l.outcomes, ideal)
+}
+
+// fail lets the failure happen a third into the measurement.
+func fail(f *fleet.Fleet, failure string) {
+	time.Sleep(measure / 3)
+	switch failure {
+	case "killed":
+		f.Instances[3].Kill()
+	case "frozen":
+		f.Instances[3].Pause()
+		time.Sleep(measure / 3)
+		f.Instances[3].Resume()
+	case "outage":
+		f.Platform.SetFaults(platform.Faults{Outage: true})
+	}
+}
+
+// refusedBy replays arrivals against one full bucket with a part of the limit.
+func refusedBy(arrivals []time.Time, limit fleet.Rate, parts float64) float64 {
+	const filled = time.Hour
+	bucket := rate.New(rate.Limit{Rate: limit.Rate / parts, Burst: limit.Burst / parts}, 0)
+	bucket.SetTerm(0, 2*filled, 2*filled)
+	bucket.SetShare(0, rate.Whole/2, rate.Whole/2)
+	refused := 0.0
+	for _, at := range arrivals {
+		if !bucket.Admit(filled + at.Sub(arrivals[0])) {
+			refused++
+		}
+	}
+	return refused
+}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -38,6 +38,8 @@
 	Organisation string      `json:"organisation"`
 	Header       http.Header `json:"header"`
 	Body         string      `json:"body"`
+	// At is when the request began to run.
+	At time.Time `json:"at"`
 }
 
 // Record is what the server saw.
@@ -133,7 +135,7 @@
 		f.WorkMillis += f.ColdMillis
 	}
 	s.record.Executions = append(s.record.Executions, Execution{r.Method, r.URL.RequestURI(),
-		r.Header.Get("Tamarackrun-Organisation"), r.Header.Clone(), body})
+		r.Header.Get("Tamarackrun-Organisation"), r.Header.Clone(), body, time.Now()})
 	if s.faults.DropAnswers > 0 {
 		s.faults.DropAnswers--
 	} else if s.faults.TruncateAnswers > 0 {
