Return borrowed parts that the demand no longer needs

When callers move to another instance, the other holders had lent their parts to the former one until the term of 5 s ended. The receiver now gives up loans above 1.6 times its demand, first locally, and tells the lender, which ends the loan and takes back tokens that did not fit any more.

--- a/internal/coordination/rate/fleet_test.go
+++ b/internal/coordination/rate/fleet_test.go
@@ -385,7 +385,13 @@
 			a.ask(other, want)
 		}
 	}
-	for _, e := range b.Extensions(a.Now()) {
+	changes := b.Extensions(a.Now())
+	if s.random.IntN(4) == 0 {
+		returns := b.Returns(a.Now())
+		s.counts["return"] += len(returns)
+		changes = append(changes, returns...)
+	}
+	for _, e := range changes {
 		for _, other := range lenders {
 			if other.name == e.Lender {
 				a.ask(other, e.Ask)
--- a/internal/coordination/rate/loan.go
+++ b/internal/coordination/rate/loan.go
@@ -13,6 +13,9 @@
 	holdMargin   = 100 * time.Millisecond
 	// headroom is how much more than its demand an instance keeps or borrows.
 	headroom = 1.15
+	// returnHeadroom is how much more than its demand an instance holds before
+	// it returns loans; the gap to headroom keeps it from borrowing them again.
+	returnHeadroom = 1.6
 	// quiet is the demand below which an instance keeps nothing for itself,
 	// in requests per second.
 	quiet = 0.05
@@ -32,7 +35,8 @@
 
 // Ask is what a borrower wants of one lender.
 type Ask struct {
-	// ID is not 0 to extend this loan, and 0 for a new one.
+	// ID is 0 for a new loan, else the loan to extend, or to return if Term is
+	// 0. Tokens are then returned with it.
 	ID   uint64
 	Part Fraction
 	// Tokens is in requests and may be a fraction of one.
@@ -56,6 +60,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
+	if ask.ID != 0 && ask.Term == 0 {
+		b.restore(ask)
+		return Loan{}
+	}
 	if ask.ID != 0 {
 		return b.extend(ask)
 	}
@@ -111,6 +119,21 @@
 	return Loan{}
 }
 
+// restore ends a loan that its receiver returned. Returned tokens are dropped if
+// the loan has ended, because the part was refilled since.
+func (b *Bucket) restore(ask Ask) {
+	for i, l := range b.lent {
+		if l.id == ask.ID {
+			tokens := min(ask.Tokens, b.limit.Burst*float64(l.part)/float64(Whole))
+			b.lent = append(b.lent[:i], b.lent[i+1:]...)
+			b.lentPart -= l.part
+			b.update()
+			b.tokens = min(b.capacity, b.tokens+tokens)
+			return
+		}
+	}
+}
+
 // Accept takes a lender's reply to a request that was sent at the given time
 // and says whether it was in time.
 func (b *Bucket) Accept(now, requested time.Duration, lender string, ask Ask, l Loan) bool {
@@ -184,20 +207,45 @@
 	return Ask{Part: max(chunk, Fraction(float64(a.Part)*factor)), Tokens: a.Tokens * factor, Term: a.Term}
 }
 
-// Extension is a loan to extend at its lender.
-type Extension struct {
+// Returns gives up loans that the demand no longer needs and returns the
+// messages that tell their lenders. Without them a caller that moves to another
+// instance would find all parts lent to its former one until the term ends.
+func (b *Bucket) Returns(now time.Duration) []Change {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	need := Fraction(min(1, returnHeadroom*b.demand.at(b.last)/b.limit.Rate) * float64(Whole))
+	var list []Change
+	kept := b.borrowed[:0]
+	for _, l := range b.borrowed {
+		if b.part()-l.part < need {
+			kept = append(kept, l)
+			continue
+		}
+		b.borrowedPart -= l.part
+		before := b.tokens
+		b.update()
+		list = append(list, Change{l.lender, Ask{ID: l.id, Tokens: before - b.tokens}})
+	}
+	b.borrowed = kept
+	b.update()
+	return list
+}
+
+// Change is an extension or a return of a loan at its lender.
+type Change struct {
 	Lender string
 	Ask    Ask
 }
 
 // Extensions returns the loans that end soon and that the demand still needs.
-func (b *Bucket) Extensions(now time.Duration) []Extension {
+func (b *Bucket) Extensions(now time.Duration) []Change {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
 	need := Fraction(min(1, headroom*b.demand.at(b.last)/b.limit.Rate) * float64(Whole))
 	spare := b.part() - need
-	var list []Extension
+	var list []Change
 	for _, l := range b.borrowed {
 		if l.until-b.last > extendBefore {
 			continue
@@ -206,7 +254,7 @@
 			spare -= l.part
 			continue
 		}
-		list = append(list, Extension{l.lender, Ask{ID: l.id, Part: l.part, Term: Term}})
+		list = append(list, Change{l.lender, Ask{ID: l.id, Part: l.part, Term: Term}})
 	}
 	return list
 }
--- a/internal/program/instance/rates_bench_test.go
+++ b/internal/program/instance/rates_bench_test.go
@@ -18,7 +18,7 @@
 func BenchmarkRefusedInsideRate(b *testing.B) {
 	for _, limit := range []fleet.Rate{{Rate: 200, Burst: 100}, {Rate: 20, Burst: 5}} {
 		for _, part := range []float64{0.5, 0.8, 0.9} {
-			for _, failure := range []string{"none", "killed", "frozen", "outage"} {
+			for _, failure := range []string{"none", "killed", "frozen", "outage", "moved", "entryKilled"} {
 				b.Run(fmt.Sprintf("rate=%g/burst=%g/demand=%g/failure=%s", limit.Rate, limit.Burst, part, failure), func(b *testing.B) {
 					measureRefused(b, limit, part, failure)
 				})
@@ -43,8 +43,8 @@
 	time.Sleep(warmUp)
 	ctx, stop := context.WithTimeout(b.Context(), measure)
 	defer stop()
-	go fail(f, failure)
 	l := newLoad(f, 0, part*limit.Rate)
+	go fail(f, l, failure)
 	l.run(ctx, 1, "bench")
 	refused := float64(l.outcomes["notRun rateExceeded"])
 	ideal := refusedBy(l.arrivals, limit, 1)
@@ -56,7 +56,7 @@
 }
 
 // fail lets the failure happen a third into the measurement.
-func fail(f *fleet.Fleet, failure string) {
+func fail(f *fleet.Fleet, l *load, failure string) {
 	time.Sleep(measure / 3)
 	switch failure {
 	case "killed":
@@ -67,6 +67,11 @@
 		f.Instances[3].Resume()
 	case "outage":
 		f.Platform.SetFaults(platform.Faults{Outage: true})
+	case "moved":
+		l.moveTo(f.Instances[1].Listing.CallerAddress)
+	case "entryKilled":
+		l.moveTo(f.Instances[1].Listing.CallerAddress)
+		f.Instances[0].Kill()
 	}
 }
 
--- a/internal/program/instance/rates_borrow.go
+++ b/internal/program/instance/rates_borrow.go
@@ -26,8 +26,9 @@
 // exchange is an open request for a loan.
 type exchange struct {
 	organisation, lender string
-	// loan is not 0 for an extension.
-	loan uint64
+	// loan is not 0 for an extension or a return.
+	loan      uint64
+	returning bool
 }
 
 // keepBorrowing borrows ahead of demand and extends loans.
@@ -92,8 +93,10 @@
 	return lenders
 }
 
+// extend extends the loans that the demand needs and returns the others.
 func (r *rates) extend(organisation string, b *rate.Bucket) {
-	for _, e := range b.Extensions(r.in.clock.Now()) {
+	now := r.in.clock.Now()
+	for _, e := range append(b.Extensions(now), b.Returns(now)...) {
 		if m, ok := r.in.roster.Member(e.Lender); ok && m.Reachable {
 			r.ask(organisation, m, b, e.Ask)
 		}
@@ -102,7 +105,7 @@
 
 // ask requests one loan in the background, unless the same request is open.
 func (r *rates) ask(organisation string, m roster.Member, b *rate.Bucket, ask rate.Ask) {
-	open := exchange{organisation, m.Listing.Name, ask.ID}
+	open := exchange{organisation, m.Listing.Name, ask.ID, ask.Term == 0}
 	r.queuesMu.Lock()
 	defer r.queuesMu.Unlock()
 	if r.asking[open] {
--- a/internal/program/instance/rates_test.go
+++ b/internal/program/instance/rates_test.go
@@ -27,10 +27,10 @@
 // outcomes.
 type load struct {
 	f         *fleet.Fleet
-	address   string
 	perSecond float64
 
 	mu       sync.Mutex
+	address  string
 	outcomes map[string]int
 	arrivals []time.Time
 }
@@ -39,6 +39,13 @@
 	return &load{f: f, address: f.Instances[instance].Listing.CallerAddress, perSecond: perSecond, outcomes: map[string]int{}}
 }
 
+// moveTo sends the following requests to another instance.
+func (l *load) moveTo(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.address = address
+}
+
 // run sends until ctx ends and waits for the answers.
 func (l *load) run(ctx context.Context, seed uint64, name string) {
 	random, c := rand.New(rand.NewPCG(seed, 1)), l.f.Caller("tea")
@@ -54,9 +61,10 @@
 		}
 		l.mu.Lock()
 		l.arrivals = append(l.arrivals, time.Now())
+		address := l.address
 		l.mu.Unlock()
 		group.Go(func() {
-			r := c.SendTo(context.Background(), l.address, "GET", fmt.Sprintf("/browse/%s-%d", name, n), nil, nil)
+			r := c.SendTo(context.Background(), address, "GET", fmt.Sprintf("/browse/%s-%d", name, n), nil, nil)
 			outcome := r.Outcome + " " + r.Reason
 			if r.Err != nil {
 				outcome = "no answer"
