Answer look-ups from prepared immutable tables

Cause: each look-up scanned all client blocks of the document, sorted all members and took the roster's lock. Overloaded instances come last.

--- a/internal/program/instance/lookups.go
+++ b/internal/program/instance/lookups.go
@@ -1,39 +1,116 @@
 package instance
 
 import (
-	"encoding/json"
+	"context"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/lookup"
+	"tamarackrun/internal/protocol/event"
+	"tamarackrun/internal/state/configuration"
+	"tamarackrun/internal/state/roster"
 	"tamarackrun/internal/transport/caller"
 )
 
-// serveLookup answers GET /v1/lookup. The query parameter client names another
-// address than the connection's.
-func (in *Instance) serveLookup(w http.ResponseWriter, r *http.Request) {
-	c := in.snapshot.Load()
+// lookupInterval bounds how long a table names an instance that became
+// unreachable, since the mere passing of time makes it so.
+const lookupInterval = 100 * time.Millisecond
+
+// lookups holds the table from which look-ups are answered.
+type lookups struct {
+	in *Instance
+	// table is nil until the first configuration was accepted.
+	table atomic.Pointer[lookup.Table]
+	// buffers holds *[]byte for encoded answers.
+	buffers sync.Pool
+
+	// mu guards the fields below, which only refresh uses.
+	mu            sync.Mutex
+	configuration *configuration.Snapshot
+	places        *lookup.Places
+	overloaded    map[string]bool
+}
+
+func newLookups(in *Instance) *lookups {
+	return &lookups{in: in, overloaded: map[string]bool{},
+		buffers: sync.Pool{New: func() any { return new([]byte) }}}
+}
+
+func (l *lookups) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.refresh()
+		pause(ctx, lookupInterval)
+	}
+}
+
+// refresh replaces the table if the configuration or the usable instances
+// changed.
+func (l *lookups) refresh() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.in.snapshot.Load()
 	if c == nil {
-		caller.WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.NotReady))
 		return
 	}
-	text := r.URL.Query().Get("client")
-	if text == "" {
-		port, err := netip.ParseAddrPort(r.RemoteAddr)
+	if c != l.configuration {
+		places, err := lookup.NewPlaces(c)
 		if err != nil {
-			caller.WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.Malformed))
-			return
+			l.in.history.Record(event.LookupRejected, "", "version", strconv.FormatInt(c.Version, 10), "error", err.Error())
+			if l.places == nil {
+				return
+			}
+			places = l.places
 		}
-		text = port.Addr().Unmap().String()
+		l.configuration, l.places = c, places
 	}
-	client, err := netip.ParseAddr(text)
-	if err != nil {
+	candidates := lookup.Candidates(l.in.roster.Members(), func(m roster.Member) bool {
+		now := lookup.Overloaded(m, l.overloaded[m.Listing.Name])
+		l.overloaded[m.Listing.Name] = now
+		return now
+	})
+	if current := l.table.Load(); current != nil && current.Equal(l.places, candidates) {
+		return
+	}
+	l.table.Store(lookup.NewTable(l.places, candidates))
+	l.in.history.Record(event.LookupSwapped, "", "version", strconv.FormatInt(c.Version, 10),
+		"instances", strconv.Itoa(len(candidates)))
+}
+
+// serveLookup answers GET /v1/lookup. The query parameter client names another
+// address than the connection's.
+func (l *lookups) serveLookup(w http.ResponseWriter, r *http.Request) {
+	table := l.table.Load()
+	if table == nil {
+		caller.WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.NotReady))
+		return
+	}
+	client, ok := clientOf(r)
+	if !ok {
 		caller.WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.Malformed))
 		return
 	}
+	buffer := l.buffers.Get().(*[]byte)
+	*buffer = table.AppendAnswer((*buffer)[:0], client)
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(lookup.Choose(c, in.roster.Members(), client))
+	_, _ = w.Write(*buffer)
+	l.buffers.Put(buffer)
+}
+
+func clientOf(r *http.Request) (netip.Addr, bool) {
+	if r.URL.RawQuery != "" {
+		if text := r.URL.Query().Get("client"); text != "" {
+			client, err := netip.ParseAddr(text)
+			// A zone names a link of the caller's machine and selects nothing here.
+			return client.WithZone(""), err == nil
+		}
+	}
+	port, err := netip.ParseAddrPort(r.RemoteAddr)
+	return port.Addr().WithZone(""), err == nil
 }
 
 // serveTickets answers POST /v1/tickets.
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -17,6 +17,9 @@
 	StoreReachable        tamarackrun.EventID = 1104
 	PeerReachable         tamarackrun.EventID = 1201
 	PeerUnreachable       tamarackrun.EventID = 1202
+	PeerRefused           tamarackrun.EventID = 1203
+	LookupSwapped         tamarackrun.EventID = 1210
+	LookupRejected        tamarackrun.EventID = 1211
 	HomeGained            tamarackrun.EventID = 1301
 	HomeLost              tamarackrun.EventID = 1302
 	ServerEjected         tamarackrun.EventID = 1303
@@ -53,6 +56,9 @@
 	{StoreReachable, "storeReachable", "info", "the platform's object store answers again"},
 	{PeerReachable, "peerReachable", "info", "heartbeats with a peer succeed"},
 	{PeerUnreachable, "peerUnreachable", "warn", "a peer did not answer heartbeats"},
+	{PeerRefused, "peerRefused", "warn", "a link of another process was refused because it did not prove to be an instance of the fleet"},
+	{LookupSwapped, "lookupSwapped", "info", "look-ups are answered from a new table"},
+	{LookupRejected, "lookupRejected", "error", "no look-up table could be made from the configuration; the previous client blocks stay in force"},
 	{HomeGained, "homeGained", "info", "the instance became home of a backend server"},
 	{HomeLost, "homeLost", "info", "the instance is no longer home of a backend server"},
 	{ServerEjected, "serverEjected", "warn", "a backend server gets no work because of observed failures"},
