Secure the links between instances with mutual TLS

Cause: links were plain whatever the settings said, and a heartbeat that failed closed whichever link was open to the address by then. Change: TLS 1.3 from the three files of the settings; both ends verify the fleet's authority, the dialling end the listed name, the accepting end the name in heartbeats. Refused links are event TR1203. A failed heartbeat closes only the link that it used (Mesh.Probe replaces Mesh.Drop). Fleets in tests can use generated certificates, and a relay that goes silent without a reset. Conclusion: processes without the fleet's certificate get no link.

--- a/internal/coordination/lookup/lookup_test.go
+++ b/internal/coordination/lookup/lookup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -20,6 +21,10 @@
 	"tamarackrun/internal/state/roster"
 )
 
+// init gives the property tests a fixed seed, so that each run tests the same
+// cases. The command line overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // snapshot has 3 failure domains for each region and one site for each.
 func snapshot(domains, blocks int) *configuration.Snapshot {
 	c := &configuration.Snapshot{Fleet: configuration.Fleet{LookupLifetime: 5 * time.Second},
--- a/internal/program/instance/instance.go
+++ b/internal/program/instance/instance.go
@@ -102,6 +102,10 @@
 	in.mesh = mesh
 	mesh.Handler = in
 	in.roster = roster.New(in.listing(), in.clock)
+	if err := in.secureLinks(); err != nil {
+		cleanup()
+		return nil, err
+	}
 	return cleanup, nil
 }
 
--- /dev/null
+++ b/internal/program/instance/links_test.go
@@ -0,0 +1,137 @@
+package instance_test
+
+import (
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"tamarackrun"
+	"tamarackrun/internal/standin/fleet"
+	"tamarackrun/internal/standin/server"
+)
+
+// patience is far above the time that any step takes, so that a busy machine
+// does not decide a test.
+const patience = 30 * time.Second
+
+// await polls until the condition holds.
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(patience); !condition(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+	}
+}
+
+// linked starts two instances in two failure domains and one backend server,
+// whose home is the first instance.
+func linked(t *testing.T, secured bool) *fleet.Fleet {
+	return startFleet(t, fleet.Options{Instances: 2, Regions: []int{2}, TLS: secured, Services: []fleet.Service{
+		{Name: "once", Servers: 1, Slots: 3, Route: "methods = GET\nidempotent = yes\nattempts = 1\ntimeout = 25s"}}})
+}
+
+func send(f *fleet.Fleet, t *testing.T, target string) (outcome, reason string) {
+	r := f.Caller("tea").SendTo(t.Context(), f.Instances[1].Listing.CallerAddress, "GET", target, nil, nil)
+	return r.Outcome, r.Reason
+}
+
+// Guards against a fleet that cannot work with TLS, and against plain links to
+// it.
+func TestLinksWithTLS(t *testing.T) {
+	t.Parallel()
+	f := linked(t, true)
+	await(t, "a request over a secured link", func() bool { o, _ := send(f, t, "/once/1"); return o == "ran" })
+	response, err := (&http.Client{Timeout: patience}).Get("http://" + f.Instances[0].Listing.PeerAddress)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+	await(t, "an event about the plain link", func() bool { return logged(f.Instances[0], "peerRefused") })
+}
+
+func logged(i *fleet.Instance, text string) bool {
+	log, err := os.ReadFile(i.LogFile)
+	return err == nil && strings.Contains(string(log), text)
+}
+
+// Guards against an instance with a certificate of another authority that
+// becomes part of the fleet.
+func TestForeignInstanceIsRefused(t *testing.T) {
+	t.Parallel()
+	f := linked(t, true)
+	foreign, err := fleet.NewAuthority(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Instances[1].Kill()
+	f.Authority = foreign
+	if err := f.StartInstance(f.Instances[1]); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "both instances refuse each other's links", func() bool {
+		return logged(f.Instances[0], "peerRefused") && logged(f.Instances[1], "peerRefused")
+	})
+	for n, i := range f.Instances {
+		await(t, "an answer that names only the own instance", func() bool {
+			answer, err := f.Caller("").Lookup(t.Context(), i.Listing.CallerAddress)
+			return err == nil && len(answer.Instances) == 1 && answer.Instances[0].Name == f.Instances[n].Listing.Name
+		})
+	}
+}
+
+// Guards against requests that wait until their deadline, or end with a false
+// outcome, when the connection to the home is lost without a reset, and against
+// later requests that use the lost connection.
+func TestSilentLink(t *testing.T) {
+	for _, secured := range []bool{false, true} {
+		t.Run(map[bool]string{false: "plain", true: "TLS"}[secured], func(t *testing.T) {
+			t.Parallel()
+			f := linked(t, secured)
+			relay, cleanup, err := fleet.NewRelay(f.Instances[0].Listing.PeerAddress)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(cleanup)
+			var list []tamarackrun.Listing
+			for n, i := range f.Instances {
+				l := i.Listing
+				if n == 0 {
+					l.PeerAddress = relay.Address()
+				}
+				list = append(list, l)
+			}
+			f.Platform.SetInstances(list)
+			await(t, "a link through the relay", func() bool { return relay.Connections() > 0 })
+			await(t, "a request through the relay", func() bool { o, _ := send(f, t, "/once/warm"); return o == "ran" })
+			testSilentLink(t, f, relay)
+		})
+	}
+}
+
+func testSilentLink(t *testing.T, f *fleet.Fleet, relay *fleet.Relay) {
+	f.Servers["once-01"].SetFaults(server.Faults{WorkMillis: 300})
+	links := relay.Connections()
+	relay.Silence()
+	began := time.Now()
+	outcome, reason := send(f, t, "/once/silent")
+	t.Logf("request on the silent connection: %s %s after %v", outcome, reason, time.Since(began))
+	executions := 0
+	for _, e := range f.Servers["once-01"].Record().Executions {
+		if e.Target == "/once/silent" {
+			executions++
+		}
+	}
+	switch {
+	case outcome == "unknown" && reason == string(tamarackrun.HomeLost):
+	case outcome == "notRun" && executions == 0:
+	case outcome == "ran" && executions == 1:
+	default:
+		t.Errorf("outcome %q, reason %q, %d executions", outcome, reason, executions)
+	}
+	await(t, "a request on a new connection", func() bool { o, _ := send(f, t, "/once/after"); return o == "ran" })
+	if relay.Connections() <= links {
+		t.Errorf("%d connections, want more than %d", relay.Connections(), links)
+	}
+}
--- a/internal/program/instance/peers.go
+++ b/internal/program/instance/peers.go
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	sent := in.clock.Now()
-	reply, err := in.mesh.Call(ctx, m.Listing.PeerAddress, &wire.Envelope{Kind: &wire.Envelope_Heartbeat{
+	reply, err := in.mesh.Probe(ctx, m.Listing.PeerAddress, &wire.Envelope{Kind: &wire.Envelope_Heartbeat{
 		Heartbeat: &wire.Heartbeat{State: in.state()}}})
 	if state := reply.GetHeartbeatReply().GetState(); err == nil && state.GetName() == m.Listing.Name {
 		if in.roster.Heartbeat(m.Listing.Name, state, sent) {
@@ -69,9 +69,6 @@
 		}
 		return
 	}
-	// A connection that is silent for one heartbeat may never answer again,
-	// so the next heartbeat uses a new one.
-	in.mesh.Drop(m.Listing.PeerAddress)
 	if m.Reachable && in.clock.Now()-m.Heard > roster.SilenceLimit {
 		in.history.Record(event.PeerUnreachable, "", "peer", m.Listing.Name)
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -68,6 +68,8 @@
 	Organisations map[string]Rate
 	// Extra is appended to the document.
 	Extra string
+	// TLS secures the links between instances with generated certificates.
+	TLS bool
 }
 
 // Rate is an organisation's rate and burst.
@@ -90,6 +92,9 @@
 	Document string
 	Store    tamarackrun.ObjectStore
 
+	// Authority signs the instances' certificates; nil without TLS.
+	Authority *Authority
+
 	// ip is a loopback address of this fleet alone, so that fleets of
 	// parallel tests do not meet on a port.
 	ip       string
@@ -144,6 +149,11 @@
 	if _, err := manifest.Write(ctx, f.Store, []byte(f.Document), "fleet", 0); err != nil {
 		return err
 	}
+	if f.Options.TLS {
+		if f.Authority, err = NewAuthority(f.Options.Directory); err != nil {
+			return err
+		}
+	}
 	domains := f.domains()
 	for n := range f.Options.Instances {
 		f.Instances = append(f.Instances, &Instance{Listing: tamarackrun.Listing{
@@ -236,7 +246,7 @@
 address = %s
 [peer]
 address = %s
-insecure = yes
+%s
 [control]
 address = %s
 [platform]
@@ -249,7 +259,11 @@
 func (f *Fleet) StartInstance(i *Instance) error {
 	l := i.Listing
 	i.settings = filepath.Join(f.Options.Directory, l.Name+".ini")
-	text := fmt.Sprintf(settingsFormat, l.Name, l.FailureDomain, l.CallerAddress, l.PeerAddress, l.ControlAddress, f.PlatformAddress())
+	link, err := f.linkSettings(l.Name)
+	if err != nil {
+		return err
+	}
+	text := fmt.Sprintf(settingsFormat, l.Name, l.FailureDomain, l.CallerAddress, l.PeerAddress, link, l.ControlAddress, f.PlatformAddress())
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -258,6 +272,21 @@
 	return err
 }
 
+// linkSettings returns the settings of section peer that concern TLS. A
+// certificate that a test has put in place is kept.
+func (f *Fleet) linkSettings(name string) (string, error) {
+	if f.Authority == nil {
+		return "insecure = yes", nil
+	}
+	certificate, key := f.Authority.files(name)
+	if _, err := os.Stat(certificate); err != nil {
+		if err := f.Authority.Issue(name); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("authorityFile = %s\ncertificateFile = %s\nkeyFile = %s", f.Authority.File, certificate, key), nil
+}
+
 // AwaitReady waits until every instance lists every other as serving.
 func (f *Fleet) AwaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
--- a/internal/state/clientblock/clientblock_test.go
+++ b/internal/state/clientblock/clientblock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -13,6 +14,10 @@
 	"tamarackrun/internal/state/clientblock"
 )
 
+// init gives the property tests a fixed seed, so that each run tests the same
+// cases. The command line overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // naive returns the site of the longest prefix that contains the address.
 func naive(blocks []clientblock.Block, a netip.Addr) uint16 {
 	best, site := -1, uint16(clientblock.NoSite)
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -3,10 +3,10 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,11 +20,13 @@
 // Limits of a link. The library's defaults of 30 s, 10 s and 75 s would let a
 // silent connection hold requests for longer than their deadlines.
 const (
-	keepAliveInterval  = 2 * time.Second
-	writeTimeout       = 2 * time.Second
-	streamOpenTimeout  = 2 * time.Second
+	keepAliveInterval = 2 * time.Second
+	writeTimeout      = 2 * time.Second
+	streamOpenTimeout = 2 * time.Second
+	// dialTimeout includes the TLS handshake.
 	dialTimeout        = time.Second
 	firstMessageLimit  = 5 * time.Second
+	handshakeLimit     = 5 * time.Second
 	streamWindow       = 1 << 20
 	acceptBacklog      = 1024
 	defaultCallTimeout = 2 * time.Second
@@ -34,8 +36,14 @@
 type Mesh struct {
 	// Handler serves exchanges that peers open. Set before Run.
 	Handler tamarackrun.PeerHandler
-	// TLS is nil for links on loopback without TLS. Set before Run.
-	TLS *tls.Config
+	// Identity is nil for links on loopback without TLS. Set before Run.
+	Identity *Identity
+	// Name returns the name of the instance that is listed at an address. It
+	// is used only with an Identity. Set before Run.
+	Name func(address string) (string, bool)
+	// Refused is told of links that did not prove to be an instance of the
+	// fleet. It may be nil. Set before Run.
+	Refused func(remote string, err error)
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -99,14 +107,36 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		if m.TLS != nil {
-			conn = tls.Server(conn, m.TLS)
-		}
-		go m.serveSession(conn)
+		go m.serveConnection(conn)
+	}
+}
+
+// serveConnection verifies who opened a connection and serves it.
+func (m *Mesh) serveConnection(conn net.Conn) {
+	if m.Identity == nil {
+		m.serveSession(conn, nil)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeLimit)
+	defer cancel()
+	secured, names, err := m.Identity.accept(ctx, conn)
+	if err != nil {
+		_ = conn.Close()
+		m.refuse(conn, err)
+		return
 	}
+	m.serveSession(secured, names)
 }
 
-func (m *Mesh) serveSession(conn net.Conn) {
+func (m *Mesh) refuse(conn net.Conn, err error) {
+	if m.Refused != nil {
+		m.Refused(conn.RemoteAddr().String(), err)
+	}
+}
+
+// serveSession serves a link. names are the verified names of the opener; nil
+// means that the link is not secured.
+func (m *Mesh) serveSession(conn net.Conn, names []string) {
 	session, err := yamux.Server(conn, sessionConfig())
 	if err != nil {
 		_ = conn.Close()
@@ -131,11 +161,11 @@
 		if err != nil {
 			return
 		}
-		go m.serveStream(session, s)
+		go m.serveStream(session, s, conn, names)
 	}
 }
 
-func (m *Mesh) serveStream(session *yamux.Session, raw *yamux.Stream) {
+func (m *Mesh) serveStream(session *yamux.Session, raw *yamux.Stream, conn net.Conn, names []string) {
 	s := &stream{raw: raw}
 	defer func() { _ = s.Close() }()
 	_ = raw.SetReadDeadline(time.Now().Add(firstMessageLimit))
@@ -143,6 +173,11 @@
 	if err != nil {
 		return
 	}
+	if claimed := first.GetHeartbeat().GetState().GetName(); claimed != "" && names != nil && !slices.Contains(names, claimed) {
+		m.refuse(conn, &NameError{Claimed: claimed, Certified: names})
+		_ = session.Close()
+		return
+	}
 	_ = raw.SetReadDeadline(time.Time{})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -152,24 +187,31 @@
 		_, _ = raw.Read(make([]byte, 1))
 		cancel()
 	}()
-	_ = session
 	m.Handler.ServePeer(ctx, first, s)
 }
 
 // Open starts an exchange. The stream closes when ctx ends.
 func (m *Mesh) Open(ctx context.Context, address string) (tamarackrun.Stream, error) {
-	session, err := m.session(ctx, address)
+	s, _, err := m.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	return s, nil
+}
+
+func (m *Mesh) open(ctx context.Context, address string) (*stream, *yamux.Session, error) {
+	session, err := m.session(ctx, address)
+	if err != nil {
+		return nil, nil, err
+	}
 	raw, err := session.OpenStream()
 	if err != nil {
 		m.drop(address, session)
-		return nil, err
+		return nil, session, err
 	}
 	s := &stream{raw: raw}
 	s.stop = context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
-	return s, nil
+	return s, session, nil
 }
 
 // Call sends a message and waits for one reply.
@@ -179,26 +221,32 @@
 		ctx, cancel = context.WithTimeout(ctx, defaultCallTimeout)
 		defer cancel()
 	}
-	s, err := m.Open(ctx, address)
+	reply, _, err := m.call(ctx, address, message)
+	return reply, err
+}
+
+// Probe is a Call that closes the link which it used if no reply comes, so that
+// the next exchange uses a new connection. A link that another exchange has
+// opened meanwhile stays open.
+func (m *Mesh) Probe(ctx context.Context, address string, message *wire.Envelope) (*wire.Envelope, error) {
+	reply, session, err := m.call(ctx, address, message)
+	if err != nil && session != nil {
+		m.drop(address, session)
+	}
+	return reply, err
+}
+
+func (m *Mesh) call(ctx context.Context, address string, message *wire.Envelope) (*wire.Envelope, *yamux.Session, error) {
+	s, session, err := m.open(ctx, address)
 	if err != nil {
-		return nil, err
+		return nil, session, err
 	}
 	defer func() { _ = s.Close() }()
 	if err := s.Send(message); err != nil {
-		return nil, err
-	}
-	return s.Receive()
-}
-
-// Drop closes the link to an address, so that the next exchange uses a new
-// connection.
-func (m *Mesh) Drop(address string) {
-	m.mu.Lock()
-	session := m.sessions[address]
-	m.mu.Unlock()
-	if session != nil {
-		m.drop(address, session)
+		return nil, session, err
 	}
+	reply, err := s.Receive()
+	return reply, session, err
 }
 
 func (m *Mesh) drop(address string, session *yamux.Session) {
@@ -219,13 +267,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	conn, err := m.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	if m.TLS != nil {
-		conn = tls.Client(conn, m.TLS)
-	}
 	fresh, err := yamux.Client(conn, sessionConfig())
 	if err != nil {
 		_ = conn.Close()
@@ -234,6 +279,27 @@
 	return m.keep(address, fresh)
 }
 
+func (m *Mesh) dial(ctx context.Context, address string) (net.Conn, error) {
+	name := ""
+	if m.Identity != nil {
+		listed, ok := m.Name(address)
+		if !ok {
+			return nil, &UnlistedError{address}
+		}
+		name = listed
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil || m.Identity == nil {
+		return conn, err
+	}
+	secured, err := m.Identity.connect(ctx, conn, name)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return secured, nil
+}
+
 // keep stores a new session unless another dial was faster.
 func (m *Mesh) keep(address string, fresh *yamux.Session) (*yamux.Session, error) {
 	m.mu.Lock()
