Refresh the look-up table with each heartbeat and reuse unchanged blocks

Cause: building the table of 470,000 client blocks took 1.5 s of processor time with each change of the configuration, and comparing 810 members every 100 ms took 0.6% of a core. An Accept at the limit of connections did not end when the listener was closed. Change: a faster sort; the client block table is kept while blocks, sites and failure domains are the same; the check runs with each heartbeat (500 ms); Close ends a waiting Accept. Conclusion: most changes of the configuration no longer rebuild the table.

--- a/internal/coordination/lookup/lookup.go
+++ b/internal/coordination/lookup/lookup.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
 	"sort"
@@ -91,11 +92,31 @@
 	domains    []string
 	regions    []string
 	lifetime   int64
+	clients    []configuration.Clients
+	sites      map[string]configuration.Site
+}
+
+// With returns the places of a newer configuration: p itself if it has the
+// same blocks, sites and failure domains, since most changes concern others.
+func (p *Places) With(c *configuration.Snapshot) (*Places, error) {
+	same := p.lifetime == c.Fleet.LookupLifetime.Milliseconds() && maps.Equal(p.sites, c.Sites) &&
+		len(p.domains) == len(c.Domains) && slices.EqualFunc(p.clients, c.Clients, equalClients)
+	for i, name := range p.domains {
+		same = same && c.Domains[name] == configuration.Domain{Name: name, Region: p.regions[i]}
+	}
+	if same {
+		return p, nil
+	}
+	return NewPlaces(c)
+}
+
+func equalClients(a, b configuration.Clients) bool {
+	return a.Name == b.Name && a.Site == b.Site && slices.Equal(a.Blocks, b.Blocks)
 }
 
 // NewPlaces returns the places of a configuration.
 func NewPlaces(c *configuration.Snapshot) (*Places, error) {
-	p := &Places{lifetime: c.Fleet.LookupLifetime.Milliseconds()}
+	p := &Places{lifetime: c.Fleet.LookupLifetime.Milliseconds(), clients: c.Clients, sites: c.Sites}
 	numbers := map[string]uint16{}
 	for _, name := range sorted(c.Domains) {
 		numbers[name] = uint16(len(p.domains))
--- a/internal/coordination/lookup/lookup_test.go
+++ b/internal/coordination/lookup/lookup_test.go
@@ -218,6 +218,36 @@
 	}
 }
 
+// Guards against a table that stays in force although the configuration moved
+// a block, a site or a failure domain, or changed the lifetime.
+func TestPlacesFollowTheConfiguration(t *testing.T) {
+	base := snapshot(3, 30)
+	places, err := lookup.NewPlaces(base)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changes := map[string]func(c *configuration.Snapshot){
+		"nothing":  func(*configuration.Snapshot) {},
+		"block":    func(c *configuration.Snapshot) { c.Clients[1].Blocks = c.Clients[1].Blocks[1:] },
+		"site":     func(c *configuration.Snapshot) { c.Clients[1].Site = "d02" },
+		"domain":   func(c *configuration.Snapshot) { c.Sites["d01"] = configuration.Site{Name: "d01", Domain: "d02"} },
+		"region":   func(c *configuration.Snapshot) { c.Domains["d01"] = configuration.Domain{Name: "d01", Region: "r9"} },
+		"added":    func(c *configuration.Snapshot) { c.Domains["d09"] = configuration.Domain{Name: "d09", Region: "r0"} },
+		"lifetime": func(c *configuration.Snapshot) { c.Fleet.LookupLifetime = time.Second },
+	}
+	for name, change := range changes {
+		c := snapshot(3, 30)
+		change(c)
+		got, err := places.With(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(name == "nothing", got == places); diff != "" {
+			t.Errorf("%s: same places (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
 func BenchmarkFind(b *testing.B) {
 	for _, writer := range []bool{false, true} {
 		for _, n := range []int{4_700, 47_000, 470_000} {
--- a/internal/program/instance/instance.go
+++ b/internal/program/instance/instance.go
@@ -180,7 +180,6 @@
 	start(in.sendHeartbeats)
 	start(in.homes.run)
 	start(in.rates.run)
-	start(in.lookups.run)
 	<-ctx.Done()
 	in.shutdown()
 	stop()
--- a/internal/program/instance/lookups.go
+++ b/internal/program/instance/lookups.go
@@ -1,13 +1,11 @@
 package instance
 
 import (
-	"context"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/lookup"
@@ -17,10 +15,6 @@
 	"tamarackrun/internal/transport/caller"
 )
 
-// lookupInterval bounds how long a table names an instance that became
-// unreachable, since the mere passing of time makes it so.
-const lookupInterval = 100 * time.Millisecond
-
 // lookups holds the table from which look-ups are answered.
 type lookups struct {
 	in *Instance
@@ -41,15 +35,9 @@
 		buffers: sync.Pool{New: func() any { return new([]byte) }}}
 }
 
-func (l *lookups) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		l.refresh()
-		pause(ctx, lookupInterval)
-	}
-}
-
 // refresh replaces the table if the configuration or the usable instances
-// changed.
+// changed. It runs with each heartbeat, since the mere passing of time makes an
+// instance unreachable.
 func (l *lookups) refresh() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -58,7 +46,7 @@
 		return
 	}
 	if c != l.configuration {
-		places, err := lookup.NewPlaces(c)
+		places, err := l.newPlaces(c)
 		if err != nil {
 			l.in.history.Record(event.LookupRejected, "", "version", strconv.FormatInt(c.Version, 10), "error", err.Error())
 			if l.places == nil {
@@ -81,6 +69,13 @@
 		"instances", strconv.Itoa(len(candidates)))
 }
 
+func (l *lookups) newPlaces(c *configuration.Snapshot) (*lookup.Places, error) {
+	if l.places == nil {
+		return lookup.NewPlaces(c)
+	}
+	return l.places.With(c)
+}
+
 // serveLookup answers GET /v1/lookup. The query parameter client names another
 // address than the connection's.
 func (l *lookups) serveLookup(w http.ResponseWriter, r *http.Request) {
--- a/internal/state/clientblock/clientblock.go
+++ b/internal/state/clientblock/clientblock.go
@@ -3,11 +3,11 @@
 package clientblock
 
 import (
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"net/netip"
 	"slices"
-	"sort"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -105,6 +105,13 @@
 	return n.high < o.high || n.high == o.high && n.low < o.low
 }
 
+func (n number) compare(o number) int {
+	if c := cmp.Compare(n.high, o.high); c != 0 {
+		return c
+	}
+	return cmp.Compare(n.low, o.low)
+}
+
 func (n number) next() number {
 	if n.low == 1<<64-1 {
 		return number{n.high + 1, 0}
@@ -125,6 +132,7 @@
 type span struct {
 	first, last number
 	match       Match
+	order       int
 }
 
 func newSpan(p netip.Prefix, m Match) span {
@@ -148,13 +156,15 @@
 
 // flatten turns nested blocks into disjoint ranges. limit is the last address.
 func flatten(spans []span, limit number) []edge {
-	sort.SliceStable(spans, func(i, j int) bool {
-		if spans[i].first != spans[j].first {
-			return spans[i].first.less(spans[j].first)
-		}
-		return spans[j].last.less(spans[i].last)
+	// The order makes the sort stable. With the library's stable sort building
+	// a table of 470,000 blocks took 0.77 s instead of 0.59 s.
+	for i := range spans {
+		spans[i].order = i
+	}
+	slices.SortFunc(spans, func(a, b span) int {
+		return cmp.Or(a.first.compare(b.first), b.last.compare(a.last), a.order-b.order)
 	})
-	var edges []edge
+	edges := make([]edge, 0, 2*len(spans))
 	emit := func(start number, m Match) {
 		n := len(edges)
 		if n > 0 && edges[n-1].start == start {
@@ -184,7 +194,7 @@
 		open = append(open, s)
 	}
 	closeBefore(number{}, true)
-	return slices.Clip(edges)
+	return edges
 }
 
 func (t *Table) fill4(edges []edge) {
--- a/internal/transport/caller/limit.go
+++ b/internal/transport/caller/limit.go
@@ -10,14 +10,22 @@
 type limitedListener struct {
 	net.Listener
 	tokens chan struct{}
+	// closed ends an Accept that waits for a token.
+	closed chan struct{}
+	close  func()
 }
 
 func limitListener(l net.Listener, limit int) net.Listener {
-	return &limitedListener{l, make(chan struct{}, limit)}
+	closed := make(chan struct{})
+	return &limitedListener{l, make(chan struct{}, limit), closed, sync.OnceFunc(func() { close(closed) })}
 }
 
 func (l *limitedListener) Accept() (net.Conn, error) {
-	l.tokens <- struct{}{}
+	select {
+	case l.tokens <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		<-l.tokens
@@ -26,6 +34,11 @@
 	return &limitedConn{Conn: conn, release: sync.OnceFunc(func() { <-l.tokens })}, nil
 }
 
+func (l *limitedListener) Close() error {
+	l.close()
+	return l.Listener.Close()
+}
+
 type limitedConn struct {
 	net.Conn
 	release func()
--- /dev/null
+++ b/internal/transport/caller/limit_test.go
@@ -0,0 +1,67 @@
+package caller
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"time"
+)
+
+const patience = 20 * time.Second
+
+// Guards against a stop that waits for callers to close their connections, and
+// against connections above the limit.
+func TestLimitedListener(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := limitListener(inner, 2)
+	var accepted []net.Conn
+	for range 2 {
+		client, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = client.Close() }()
+		conn, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		accepted = append(accepted, conn)
+	}
+	third, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = third.Close() }()
+	results := make(chan error, 1)
+	accept := func() { _, err := l.Accept(); results <- err }
+	go accept()
+	select {
+	case <-results:
+		t.Fatal("a third connection was accepted")
+	case <-time.After(50 * time.Millisecond):
+	}
+	_ = accepted[0].Close()
+	_ = accepted[0].Close()
+	if err := result(t, results); err != nil {
+		t.Fatal(err)
+	}
+	go accept()
+	_ = l.Close()
+	if err := result(t, results); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("error %v after Close", err)
+	}
+}
+
+func result(t *testing.T, results chan error) error {
+	t.Helper()
+	select {
+	case err := <-results:
+		return err
+	case <-time.After(patience):
+		t.Fatal("Accept did not return")
+		return nil
+	}
+}
