Add the program measure with the capacity table and the path latency

Cause: no figure showed whether the target size of section 3 is within reach. Change: measure capacity measures slopes of the repository's own code at three sizes or more and computes what a daemon costs today, with the neighbours of section 4.1 and with a proposal; measure path compares the direct call with the ways through one and two instances. make capacity and make latency run them.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := bin
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: help build test race lint format model fuzz generate demo bench capacity clean
+.PHONY: help build test race lint format model fuzz generate demo bench capacity latency clean
 
 help: ## List the tasks.
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -29,5 +29,11 @@
 demo: build ## Start a deployment, send load, kill and drain, print a table.
 	./$(BIN)/standin demo --deployment deployments/sundarban
 
+capacity: build ## Measure and write docs/CAPACITY.md.
+	./$(BIN)/measure capacity --write docs/CAPACITY.md
+
+latency: build ## Measure the latency that instances add to a request.
+	./$(BIN)/measure path
+
 clean: ## Remove built files.
 	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,14 @@
+// Command measure measures the cost of the code. It is not part of the product.
+package main
+
+import (
+	"os"
+
+	"tamarackrun/internal/program/measure"
+	"tamarackrun/internal/standin/fleet"
+	"tamarackrun/internal/standin/path"
+)
+
+func main() {
+	os.Exit(measure.Run(os.Args[1:], os.Stdout, os.Stderr, fleet.Identities, path.NewCommand()))
+}
--- /dev/null
+++ b/internal/program/measure/fleetwide.go
@@ -0,0 +1,132 @@
+package measure
+
+import "fmt"
+
+// Calls are the platform's calls of one plan, per second over the fleet.
+type Calls struct {
+	Plan string
+	// Waiting watches count as one call each.
+	Waiting, WatchStarts, ManifestReads, ListReads, ChunkReads float64
+	ReadSum                                                    float64
+	ConfigurationWrites, TermWrites, ShareWrites, LedgerWrites float64
+	WriteSum                                                   float64
+}
+
+func (x model) calls() []Calls {
+	watchers := []float64{x.i.Daemons, x.relays(), x.relays()}
+	list := []float64{x.i.ListSeconds, x.i.ListSeconds, x.i.SlowListSeconds}
+	changed := []float64{x.chunks(), x.chunks(), 3}
+	var calls []Calls
+	for n, name := range []string{"today's code", "relays of section 10", "proposal"} {
+		c := Calls{Plan: name, Waiting: watchers[n], WatchStarts: watchers[n] / x.i.WatchSeconds,
+			ManifestReads: watchers[n] / x.i.ManifestSeconds, ListReads: x.i.Daemons / list[n],
+			ChunkReads:          x.changes() * watchers[n] * changed[n],
+			ConfigurationWrites: x.changes() * (1 + changed[n]), TermWrites: x.i.Daemons / x.i.TermSeconds,
+			ShareWrites:  x.memberChanges() * x.i.Organisations * x.i.Holders / x.i.Daemons,
+			LedgerWrites: x.i.RestartsPerDay / secondsPerDay}
+		c.ReadSum = c.Waiting + c.WatchStarts + c.ManifestReads + c.ListReads + c.ChunkReads
+		c.WriteSum = c.ConfigurationWrites + c.TermWrites + c.ShareWrites + c.LedgerWrites
+		calls = append(calls, c)
+	}
+	return calls
+}
+
+// Step is one part of the time until a change is in force.
+type Step struct {
+	Name    string
+	Seconds float64
+}
+
+// Path is the time until a change is in force at all daemons.
+type Path struct {
+	Name  string
+	Steps []Step
+	Sum   float64
+	// Unbounded says that steady reads exceed the platform's limit, so that
+	// the sum is a lower bound.
+	Unbounded bool
+}
+
+func (x model) paths() []Path {
+	calls := x.calls()
+	spare := func(n int) float64 { return x.i.PlatformReads - calls[n].ReadSum }
+	burst := func(n int, readers, objects float64) float64 {
+		sequential := objects * (2*x.i.DelaySeconds + x.i.CallSeconds)
+		if spare(n) <= 0 {
+			return sequential
+		}
+		return max(sequential, readers*objects/spare(n))
+	}
+	write := Step{"writing the chunks and the manifest, one after the other", (x.chunks() + 1) * x.i.CallSeconds}
+	wake := Step{"watch answered across regions", x.i.DelaySeconds + x.i.CallSeconds}
+	parse := Step{"parsing and preparing look-ups", x.parse() + x.m.PlacesSeconds.At(x.i.Blocks) + x.m.AnswersSeconds.At(x.i.Daemons)}
+	gossip := Step{fmt.Sprintf("%.0f hops of heartbeats from the relays, each doubling the daemons that know", x.hops(x.relays())),
+		x.hops(x.relays()) * (x.i.HeartbeatSeconds + 2*x.i.DelaySeconds)}
+	place := Step{"placing homes", x.i.Servers * x.m.HomeSeconds.At(x.i.Daemons)}
+	fetchers := x.daemonsPerDomain()/x.i.RelaysPerDomain - 1
+	learn := Step{"next heartbeat of a neighbour with the new version, and one more hop for those without a relay as neighbour",
+		2 * (x.i.HeartbeatSeconds + 2*x.i.DelaySeconds)}
+	paths := []Path{
+		{Name: "today's code: each daemon watches and reads", Steps: []Step{write, wake,
+			{"reading all chunks within the platform's spare reads", burst(0, x.i.Daemons, x.chunks())}, parse, place}},
+		{Name: "relays of section 10: 3 per failure domain", Steps: []Step{write, wake,
+			{"relays read all chunks", burst(1, x.relays(), x.chunks())}, learn,
+			{fmt.Sprintf("%.0f daemons of a failure domain fetch from each of its relays", fetchers),
+				fetchers * x.document() * x.m.FetchSeconds.Slope}, parse, place}},
+		{Name: "proposal: small chunks, changed sections only", Steps: []Step{
+			{"writing a chunk and two levels of manifest", 3 * x.i.CallSeconds}, wake,
+			{"relays read three objects", burst(2, x.relays(), 3)}, gossip,
+			{"fetching three objects from relays", 3*2*x.i.DelaySeconds + fetchers*x.smallChange()*x.m.FetchSeconds.Slope},
+			{"preparing look-ups, if client blocks changed", x.m.PlacesSeconds.At(x.i.Blocks) + x.m.AnswersSeconds.At(x.i.Daemons)},
+			{"placing homes", x.i.Servers * x.m.HomeSeconds.At(x.daemonsPerDomain())}}},
+	}
+	silent := paths[0]
+	silent.Name = "today's code, on a daemon whose watch is silent"
+	silent.Steps = append([]Step{{"bound of the watch", x.i.WatchSeconds}}, silent.Steps...)
+	paths = append(paths, silent)
+	paths[0].Unbounded, paths[3].Unbounded = spare(0) <= 0, spare(0) <= 0
+	for n := range paths {
+		for _, s := range paths[n].Steps {
+			paths[n].Sum += s.Seconds
+		}
+	}
+	return paths
+}
+
+// Effect is what a change of the fleet costs.
+type Effect struct{ Event, Rate, Effect string }
+
+func (x model) effects() []Effect {
+	day := func(n float64) string { return fmt.Sprintf("%.0f per day", n) }
+	held := x.i.Organisations * x.i.Holders / x.i.Daemons
+	serversEach := x.i.Servers / x.i.Daemons
+	swaps := x.memberChanges() * secondsPerDay
+	perDomain, perRegion := x.daemonsPerDomain(), x.daemonsPerRegion()
+	return []Effect{
+		{"planned restart", day(x.i.RestartsPerDay), fmt.Sprintf(
+			"%.0f servers change their home and run on a third of their slots for 10 s: %.3f%% of all slots on average; %.0f shares are handed back; reading the document again takes %s at start, together %s per day from peers or the store",
+			serversEach, 100*x.i.RestartsPerDay*serversEach*10*2/3/(secondsPerDay*x.i.Servers), held, bytesText(x.document()), bytesText(x.document()*x.i.RestartsPerDay))},
+		{"instance failure", day(x.i.FailuresPerDay), fmt.Sprintf(
+			"found after %.0f s; %.2f%% of the look-ups answered before name it first, for at most %.0f s; %.0f organisations lose 1/%.0f of their rate for 10 min and 1/%.0f for up to 4 h: on average %.1f organisations at any time",
+			x.i.SilenceSeconds, 100/x.i.Daemons, x.i.SilenceSeconds+x.i.LifetimeSecond, held, x.i.Holders, 2*x.i.Holders,
+			x.i.FailuresPerDay*held*4/24)},
+		{"instance failure, proposal", day(x.i.FailuresPerDay), fmt.Sprintf(
+			"known everywhere after %.0f s and %.0f hops of %.1f s; until then a daemon learns of it from its own failed exchanges, as the neighbours of section 4.1 also have it",
+			x.i.SilenceSeconds, x.hops(x.i.Neighbours), x.i.HeartbeatSeconds)},
+		{"both together", day(x.i.RestartsPerDay + x.i.FailuresPerDay), fmt.Sprintf(
+			"%.0f swaps of the look-up table of %s, %.4f%% of a core", swaps, secondsText(x.m.AnswersSeconds.At(x.i.Daemons)),
+			100*x.memberChanges()*x.m.AnswersSeconds.At(x.i.Daemons))},
+		{"lost rack", "every month or two", fmt.Sprintf(
+			"%.0f of the %.0f instances of a failure domain; the others get %.2f times their clients, found after %.0f s; %.0f servers change their home",
+			x.i.RackInstances, perDomain, perDomain/(perDomain-x.i.RackInstances), x.i.SilenceSeconds, x.i.RackInstances*serversEach)},
+		{"lost failure domain", "every other month", fmt.Sprintf(
+			"%.0f instances; each answer of 8 still names 4 instances elsewhere; the rest of the region gets %.2f times its clients; its %.0f backend servers are lost with it",
+			perDomain, perRegion/(perRegion-perDomain), x.i.Servers/x.i.Domains)},
+		{"an hour without a region", "at times", fmt.Sprintf(
+			"%.0f instances (%.1f%%); after 10 s they refuse routes with cutOff = refuse; %.0f configurations are missed and one read catches up; the shares of its instances, about %.1f%% of each rate, halve after 10 min; it comes back without a write burst, since terms last 4 h",
+			perRegion, 100/x.i.Regions, x.i.ChangesPerDay/24, 100/x.i.Regions)},
+		{"an hour without a region, platform", "at times", fmt.Sprintf(
+			"%.0f reclaimers fence its terms after 10 min, at once %.0f writes and %.0f share writes; at %.0f writes/s this takes %.1f s",
+			x.i.Daemons-perRegion, perRegion, perRegion*held, x.i.PlatformWrites, (perRegion+perRegion*held)/x.i.PlatformWrites)},
+	}
+}
--- /dev/null
+++ b/internal/program/measure/measurements.go
@@ -0,0 +1,330 @@
+package measure
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"tamarackrun"
+	"tamarackrun/internal/coordination/home"
+	"tamarackrun/internal/coordination/lookup"
+	"tamarackrun/internal/coordination/rate"
+	"tamarackrun/internal/protocol/document"
+	"tamarackrun/internal/protocol/event"
+	"tamarackrun/internal/protocol/frame"
+	"tamarackrun/internal/protocol/manifest"
+	"tamarackrun/internal/protocol/wire"
+	"tamarackrun/internal/state/configuration"
+	"tamarackrun/internal/state/history"
+	"tamarackrun/internal/state/roster"
+)
+
+// Sizes at which the quantities are measured.
+var (
+	blockSizes   = []int{4_700, 47_000, 470_000}
+	sectionSizes = []int{500, 1_000, 2_000, 4_000}
+	memberSizes  = []int{90, 270, 810}
+	serverSizes  = []int{0, 6, 24, 96}
+	chunkSizes   = []int{10_000, 100_000, 1_000_000}
+	eventSizes   = []int{2_000, 8_000, history.Capacity}
+	bucketSizes  = []int{2_000, 8_000, 32_000}
+)
+
+// target is the place of section 3.
+var target = place{domains: 30, regions: 11, sites: 200}
+
+// Measurements are all measured series. Times are processor seconds.
+type Measurements struct {
+	TableBytes, FindSeconds, AnswerSeconds, PlacesSeconds           Series
+	DocumentBytes, ParseSeconds, ParsePeak, SnapshotBytes           Series
+	ChunkCount, ChangedBytes                                        Series
+	SectionParse, SectionSnapshot, SectionText                      Series
+	AnswersSeconds, AnswersBytes, RefreshSeconds, HomeSeconds       Series
+	RosterBytes, ListBytes, ListSeconds                             Series
+	SmallHeartbeat                                                  Series
+	HeartbeatEncode, HeartbeatBytes, HeartbeatSegments, HeartbeatCP Series
+	FetchSeconds, EventBytes, EventSeconds, BucketBytes             Series
+	// Read is one read of the manifest.
+	ReadBytes, ReadSegments, ReadSeconds float64
+	Cores                                int
+}
+
+// List returns the series in the order of the page.
+func (m *Measurements) List() []Series {
+	return []Series{m.TableBytes, m.FindSeconds, m.AnswerSeconds, m.PlacesSeconds, m.DocumentBytes, m.ChunkCount,
+		m.ChangedBytes, m.ParseSeconds, m.ParsePeak, m.SnapshotBytes, m.SectionText, m.SectionParse, m.SectionSnapshot,
+		m.AnswersSeconds, m.AnswersBytes, m.RefreshSeconds, m.HomeSeconds, m.RosterBytes, m.ListBytes, m.ListSeconds,
+		m.SmallHeartbeat, m.HeartbeatEncode, m.HeartbeatBytes, m.HeartbeatSegments, m.HeartbeatCP, m.FetchSeconds, m.EventBytes,
+		m.EventSeconds, m.BucketBytes}
+}
+
+// measureAll takes about half a minute.
+func measureAll(identities Identities) (*Measurements, error) {
+	m := &Measurements{Cores: runtime.NumCPU()}
+	m.measureBlocks()
+	m.measureSections()
+	m.measureMembers()
+	m.measureState()
+	if err := m.measureLinks(identities); err != nil {
+		return nil, err
+	}
+	var err error
+	m.ReadBytes, m.ReadSegments, m.ReadSeconds, err = storeReads(int(m.ChunkCount.At(470_000)))
+	return m, err
+}
+
+func mustParse(text string) *configuration.Snapshot {
+	c, problems := document.Parse("sample", []byte(text))
+	if len(problems) > 0 {
+		panic("the sample document is invalid: " + problems[0].String())
+	}
+	return c
+}
+
+func mustPlaces(c *configuration.Snapshot) *lookup.Places {
+	places, err := lookup.NewPlaces(c)
+	if err != nil {
+		panic(err)
+	}
+	return places
+}
+
+// measureBlocks measures what grows with the client blocks.
+func (m *Measurements) measureBlocks() {
+	texts, snapshots := map[int]string{}, map[int]*configuration.Snapshot{}
+	for _, n := range blockSizes {
+		texts[n] = documentText(target, n, 1, 1)
+		snapshots[n] = mustParse(texts[n])
+	}
+	series := func(name, unit string, value func(n int) float64) Series {
+		return measureSeries(name, "client blocks", unit, blockSizes, value)
+	}
+	candidates := sampleCandidates(sampleMembers(target, 810))
+	tableOf := func(n int) *lookup.Table { return lookup.NewTable(mustPlaces(snapshots[n]), candidates) }
+	m.TableBytes = series("client block table, heap", "bytes", func(n int) float64 {
+		return heapOf(func() any { return mustPlaces(snapshots[n]) })
+	})
+	m.FindSeconds = series("decision of one look-up", "s", func(n int) float64 {
+		table, clients, i := tableOf(n), sampleClients(snapshots[n], 1<<16), 0
+		return cpuOf(func() { table.Find(clients[i&(1<<16-1)]); i++ })
+	})
+	m.AnswerSeconds = series("decision and encoding of one look-up", "s", func(n int) float64 {
+		table, clients, i, buffer := tableOf(n), sampleClients(snapshots[n], 1<<16), 0, make([]byte, 0, 4096)
+		return cpuOf(func() { buffer = table.AppendAnswer(buffer[:0], clients[i&(1<<16-1)]); i++ })
+	})
+	m.PlacesSeconds = series("building the client block table", "s", func(n int) float64 {
+		return cpuOf(func() { mustPlaces(snapshots[n]) })
+	})
+	m.DocumentBytes = series("document", "bytes", func(n int) float64 { return float64(len(texts[n])) })
+	m.ChunkCount = series("chunks of the document", "chunks", func(n int) float64 {
+		hashes, _ := manifest.Split([]byte(texts[n]))
+		return float64(len(hashes))
+	})
+	m.ChangedBytes = series("chunks that a new section at the start of the document changes", "bytes", func(n int) float64 {
+		return changedBytes(texts[n])
+	})
+	m.ParseSeconds = series("parsing the document", "s", func(n int) float64 { return cpuOf(func() { mustParse(texts[n]) }) })
+	m.ParsePeak = series("parsing the document, peak of the heap", "bytes", func(n int) float64 {
+		return peakOf(func() { mustParse(texts[n]) })
+	})
+	m.SnapshotBytes = series("snapshot, heap", "bytes", func(n int) float64 {
+		return heapOf(func() any { return mustParse(texts[n]) })
+	})
+}
+
+// changedBytes returns the size of the chunks that an instance lacks after a
+// section was added at the start.
+func changedBytes(text string) float64 {
+	old, _ := manifest.Split([]byte(text))
+	have := map[string]bool{}
+	for _, hash := range old {
+		have[hash] = true
+	}
+	changed := 0
+	hashes, chunks := manifest.Split([]byte("[base/organisation/added]\nrate = 1\nburst = 1\n" + text))
+	for i, hash := range hashes {
+		if !have[hash] {
+			changed += len(chunks[i])
+		}
+	}
+	return float64(changed)
+}
+
+// measureSections measures what grows with the other sections.
+func (m *Measurements) measureSections() {
+	texts := map[int]string{}
+	for _, n := range sectionSizes {
+		// Each organisation has a section for itself and one for its key.
+		texts[n] = documentText(target, 0, n/4, n/2)
+	}
+	series := func(name, unit string, value func(n int) float64) Series {
+		return measureSeries(name, "sections", unit, sectionSizes, value)
+	}
+	m.SectionText = series("text of organisations, keys and servers", "bytes", func(n int) float64 { return float64(len(texts[n])) })
+	m.SectionParse = series("parsing organisations, keys and servers", "s", func(n int) float64 {
+		return cpuOf(func() { mustParse(texts[n]) })
+	})
+	m.SectionSnapshot = series("snapshot of organisations, keys and servers, heap", "bytes", func(n int) float64 {
+		return heapOf(func() any { return mustParse(texts[n]) })
+	})
+}
+
+// measureMembers measures what grows with the instances.
+func (m *Measurements) measureMembers() {
+	c := mustParse(documentText(target, 4_700, 1, 100))
+	places, servers := mustPlaces(c), c.ServersOf("service")
+	series := func(name, unit string, value func(n int) float64) Series {
+		return measureSeries(name, "instances", unit, memberSizes, value)
+	}
+	m.AnswersSeconds = series("preparing all look-up answers", "s", func(n int) float64 {
+		candidates := sampleCandidates(sampleMembers(target, n))
+		return cpuOf(func() { lookup.NewTable(places, candidates) })
+	})
+	m.AnswersBytes = series("prepared look-up answers, heap", "bytes", func(n int) float64 {
+		candidates := sampleCandidates(sampleMembers(target, n))
+		return heapOf(func() any { return lookup.NewTable(places, candidates) })
+	})
+	m.RefreshSeconds = series("checking whether the look-up table is current", "s", func(n int) float64 {
+		r := sampleRoster(n)
+		table := lookup.NewTable(places, sampleCandidates(r.Members()))
+		return cpuOf(func() { table.Equal(places, sampleCandidates(r.Members())) })
+	})
+	m.HomeSeconds = series("placing one backend server", "s", func(n int) float64 {
+		members, i := sampleMembers(target, n), 0
+		return cpuOf(func() { home.Of(c, servers[i%len(servers)], members); i++ })
+	})
+	m.RosterBytes = series("roster with the loads of 6 servers each, heap", "bytes", func(n int) float64 {
+		return heapOf(func() any { return sampleRoster(n) })
+	})
+	m.ListBytes = series("the platform's list", "bytes", func(n int) float64 {
+		value, err := json.Marshal(sampleListings(n))
+		if err != nil {
+			panic(err)
+		}
+		return float64(len(value))
+	})
+	m.ListSeconds = series("decoding the platform's list", "s", func(n int) float64 { return decodeCost(sampleListings(n)) })
+}
+
+func decodeCost(list []tamarackrun.Listing) float64 {
+	value, err := json.Marshal(list)
+	if err != nil {
+		panic(err)
+	}
+	return cpuOf(func() {
+		var decoded []tamarackrun.Listing
+		if err := json.Unmarshal(value, &decoded); err != nil {
+			panic(err)
+		}
+	})
+}
+
+func sampleListings(n int) []tamarackrun.Listing {
+	var list []tamarackrun.Listing
+	for _, m := range sampleMembers(target, n) {
+		list = append(list, m.Listing)
+	}
+	return list
+}
+
+func sampleRoster(n int) *roster.Roster {
+	members := sampleMembers(target, n)
+	r := roster.New(members[0].Listing, fixedClock{})
+	r.Update(sampleListings(n))
+	for _, m := range members {
+		r.Heartbeat(m.Listing.Name, m.State, fixedClock{}.Now())
+	}
+	return r
+}
+
+// measureState measures events and buckets.
+func (m *Measurements) measureState() {
+	newHistory := func() *history.History {
+		return &history.History{Instance: "entry-000", Scope: tally.NoopScope,
+			Logger: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: io.Discard}}}
+	}
+	record := func(h *history.History, n int) {
+		h.Record(event.RequestRefused, fmt.Sprint("request-", n), "reason", string(tamarackrun.RateExceeded))
+	}
+	m.EventBytes = measureSeries("events in the history, heap", "events", "bytes", eventSizes, func(n int) float64 {
+		return heapOf(func() any {
+			h := newHistory()
+			for i := range n {
+				record(h, i)
+			}
+			return h
+		})
+	})
+	m.EventSeconds = measureSeries("recording one event", "events before", "s", eventSizes, func(n int) float64 {
+		h := newHistory()
+		for i := range n {
+			record(h, i)
+		}
+		return cpuOf(func() { record(h, n) })
+	})
+	m.BucketBytes = measureSeries("token buckets, heap", "organisations", "bytes", bucketSizes, func(n int) float64 {
+		return heapOf(func() any {
+			buckets := map[string]*rate.Bucket{}
+			for i := range n {
+				buckets[fmt.Sprint("organisation-", i)] = new(rate.Bucket)
+			}
+			return buckets
+		})
+	})
+}
+
+// measureLinks measures exchanges over a secured link on loopback.
+func (m *Measurements) measureLinks(identities Identities) error {
+	l, err := newLink(identities)
+	if err != nil {
+		return err
+	}
+	defer l.close()
+	series := func(name, unit string, value func(n int) float64) Series {
+		return measureSeries(name, "reported backend servers", unit, serverSizes, value)
+	}
+	m.SmallHeartbeat = series("encoded heartbeat with a 64-bit incarnation and no names", "bytes", func(n int) float64 {
+		state := &wire.PeerState{Incarnation: "8 bytes.", Phase: roster.Ready, ConfigurationVersion: 123_456, ProofAgeMillis: 1234}
+		for range n {
+			state.Servers = append(state.Servers, &wire.ServerLoad{InFlight: 2, Queued: 1, Slots: 3})
+		}
+		var encoded bytes.Buffer
+		if err := frame.Write(&encoded, &wire.Envelope{Kind: &wire.Envelope_Heartbeat{Heartbeat: &wire.Heartbeat{State: state}}}); err != nil {
+			panic(err)
+		}
+		return float64(encoded.Len())
+	})
+	m.HeartbeatEncode = series("encoding one heartbeat", "s", func(n int) float64 { return encodeCost(l.heartbeat(n)) })
+	m.HeartbeatBytes = series("bytes of a heartbeat and its reply, TLS and yamux included", "bytes", func(n int) float64 {
+		bytes, _ := l.countHeartbeat(n)
+		return bytes
+	})
+	m.HeartbeatSegments = series("segments of a heartbeat and its reply", "segments", func(n int) float64 {
+		_, segments := l.countHeartbeat(n)
+		return segments
+	})
+	m.HeartbeatCP = series("one heartbeat and its reply, both ends", "s", func(n int) float64 {
+		message := l.heartbeat(n)
+		return cpuOf(func() { l.exchange(l.direct, message) })
+	})
+	m.FetchSeconds = measureSeries("fetching a chunk from a peer, both ends", "bytes", "s", chunkSizes, func(n int) float64 {
+		l.server.chunk = make([]byte, n)
+		return cpuOf(func() {
+			l.exchange(l.direct, &wire.Envelope{Kind: &wire.Envelope_Fetch{Fetch: &wire.Fetch{Hash: "hash"}}})
+		})
+	})
+	return nil
+}
+
+func encodeCost(message *wire.Envelope) float64 {
+	return cpuOf(func() {
+		if err := frame.Write(io.Discard, message); err != nil {
+			panic(err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/program/measure/series.go
@@ -0,0 +1,131 @@
+package measure
+
+import (
+	"runtime"
+	"runtime/metrics"
+	"syscall"
+	"time"
+)
+
+// Series holds a quantity measured at several sizes and the straight line with
+// the least squared deviation, weighted by 1/value so that small sizes count.
+type Series struct {
+	Name string
+	// Of is what the sizes count, Unit what the values count.
+	Of, Unit      string
+	Sizes, Values []float64
+	Slope, Base   float64
+}
+
+// measureSeries measures the quantity at each size.
+func measureSeries(name, of, unit string, sizes []int, value func(size int) float64) Series {
+	s := Series{Name: name, Of: of, Unit: unit}
+	for _, n := range sizes {
+		s.Sizes, s.Values = append(s.Sizes, float64(n)), append(s.Values, value(n))
+	}
+	s.fit()
+	return s
+}
+
+func (s *Series) fit() {
+	var w, x, y, xx, xy float64
+	for i := range s.Sizes {
+		weight := 1 / max(s.Values[i], 1e-9)
+		w += weight
+		x += weight * s.Sizes[i]
+		y += weight * s.Values[i]
+		xx += weight * s.Sizes[i] * s.Sizes[i]
+		xy += weight * s.Sizes[i] * s.Values[i]
+	}
+	if d := w*xx - x*x; d != 0 {
+		s.Slope = (w*xy - x*y) / d
+	}
+	s.Base = (y - s.Slope*x) / w
+}
+
+// At returns the value for a size: the measured one if it was measured, else
+// the line's.
+func (s Series) At(size float64) float64 {
+	for i := range s.Sizes {
+		if s.Sizes[i] == size {
+			return s.Values[i]
+		}
+	}
+	return max(0, s.Base+s.Slope*size)
+}
+
+// cpuSeconds returns the processor time that this process has used. Unlike
+// the wall time it does not count other programs of a busy machine.
+func cpuSeconds() float64 {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	seconds := func(t syscall.Timeval) float64 { return float64(t.Sec) + float64(t.Usec)/1e6 }
+	return seconds(u.Utime) + seconds(u.Stime)
+}
+
+const (
+	// measureTime is the least processor time of one measured value.
+	measureTime = 100 * time.Millisecond
+	// firstBatch is the first number of repetitions; it doubles until
+	// measureTime is reached.
+	firstBatch = 1
+)
+
+// cpuOf returns the processor seconds of one call of the task, including its
+// part of the garbage collection.
+func cpuOf(task func()) float64 {
+	task()
+	for batch := firstBatch; ; batch *= 2 {
+		began := cpuSeconds()
+		for range batch {
+			task()
+		}
+		if used := cpuSeconds() - began; used >= measureTime.Seconds() {
+			return used / float64(batch)
+		}
+	}
+}
+
+func heapBytes() float64 {
+	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	metrics.Read(sample)
+	return float64(sample[0].Value.Uint64())
+}
+
+// heapOf returns the bytes of memory that the made value holds.
+func heapOf(make func() any) float64 {
+	runtime.GC()
+	runtime.GC()
+	before := heapBytes()
+	value := make()
+	runtime.GC()
+	runtime.GC()
+	after := heapBytes()
+	runtime.KeepAlive(value)
+	return max(0, after-before)
+}
+
+// peakOf returns the most bytes of heap above the start while the task runs,
+// with the collector's default settings.
+func peakOf(task func()) float64 {
+	runtime.GC()
+	before, most := heapBytes(), 0.0
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			most = max(most, heapBytes())
+			select {
+			case <-stop:
+				return
+			case <-time.After(500 * time.Microsecond):
+			}
+		}
+	}()
+	task()
+	close(stop)
+	<-ended
+	return max(0, most-before)
+}
