--- a/internal/transport/caller/limit_test.go
+++ b/internal/transport/caller/limit_test.go
@@ -39,8 +39,8 @@
 	accept := func() { _, err := l.Accept(); results <- err }
 	go accept()
 	select {
-	case <-results:
-		t.Fatal("a third connection was accepted")
+	case err := <-results:
+		t.Fatalf("a third Accept returned, error %v", err)
 	case <-time.After(50 * time.Millisecond):
 	}
 	_ = accepted[0].Close()
