--- a/internal/transport/caller/caller.go
+++ b/internal/transport/caller/caller.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path"
 	"strings"
 	"time"
 
@@ -23,12 +24,13 @@
 
 // Limits of a request.
 const (
-	MaxBody        = 1 << 20
-	maxHeader      = 32 << 10
-	headerTimeout  = 5 * time.Second
-	bodyTimeout    = 10 * time.Second
-	idleTimeout    = 30 * time.Second
-	maxConnections = 4096
+	MaxBody             = 1 << 20
+	maxHeader           = 32 << 10
+	headerTimeout       = 5 * time.Second
+	bodyTimeout         = 10 * time.Second
+	defaultPieceTimeout = 10 * time.Second
+	idleTimeout         = 30 * time.Second
+	maxConnections      = 4096
 )
 
 // Steerer runs one request of a caller. The answer's rules are those of
@@ -46,6 +48,10 @@
 	// Leaving says that answers close their connections, because the instance
 	// is about to stop.
 	Leaving func() bool
+	// PieceTimeout ends answers to callers that do not read a piece in this
+	// time, since an answer holds a slot of its backend server. New sets it to
+	// 10 s.
+	PieceTimeout time.Duration
 
 	listener net.Listener
 	server   *http.Server
@@ -58,7 +64,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	s := &Server{listener: limitListener(listener, maxConnections)}
+	s := &Server{listener: limitListener(listener, maxConnections), PieceTimeout: defaultPieceTimeout}
 	s.server = &http.Server{
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
@@ -74,7 +80,7 @@
 		WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.RouteUnknown))
 	})
 	mux.HandleFunc("/", s.steer)
-	s.server.Handler = s.closing(mux)
+	s.server.Handler = s.closing(refuseUnclean(mux))
 	err := s.server.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -94,6 +100,23 @@
 	})
 }
 
+// refuseUnclean refuses paths such as /a//b or /a/../b. The mux would answer
+// them with a redirect, after which a POST becomes a GET in many clients, and a
+// backend server may read such a path as another route's.
+func refuseUnclean(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		clean := path.Clean(r.URL.Path)
+		if clean != "/" && strings.HasSuffix(r.URL.Path, "/") {
+			clean += "/"
+		}
+		if !strings.HasPrefix(r.RequestURI, "/") || clean != r.URL.Path {
+			WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.Malformed))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (s *Server) steer(w http.ResponseWriter, r *http.Request) {
 	id := rand.Text()
 	body, refusal := readBody(w, r)
@@ -101,7 +124,7 @@
 		WriteOutcome(w, id, tamarackrun.Refused(refusal))
 		return
 	}
-	answer := &answerWriter{w: w, id: id}
+	answer := &answerWriter{w: w, id: id, timeout: s.PieceTimeout}
 	outcome := s.Steerer.Steer(r, id, body, answer)
 	if !answer.began {
 		WriteOutcome(w, id, outcome)
@@ -114,7 +137,7 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, tamarackrun.Reason) {
-	if r.Header.Get("Upgrade") != "" || len(r.Trailer) > 0 || !strings.HasPrefix(r.RequestURI, "/") {
+	if r.Header.Get("Upgrade") != "" || len(r.Trailer) > 0 {
 		return nil, tamarackrun.Malformed
 	}
 	control := http.NewResponseController(w)
@@ -136,9 +159,10 @@
 
 // answerWriter passes an answer to the caller.
 type answerWriter struct {
-	w     http.ResponseWriter
-	id    string
-	began bool
+	w       http.ResponseWriter
+	id      string
+	timeout time.Duration
+	began   bool
 }
 
 // hopHeaders concern one connection and are not passed on. RFC 9110, section
@@ -162,13 +186,19 @@
 }
 
 func (a *answerWriter) Body(piece []byte) error {
+	control := http.NewResponseController(a.w)
+	_ = control.SetWriteDeadline(time.Now().Add(a.timeout))
 	if _, err := a.w.Write(piece); err != nil {
 		return err
 	}
-	return http.NewResponseController(a.w).Flush()
+	return control.Flush()
 }
 
-func (a *answerWriter) End() error { return nil }
+// End removes the deadline, so that a later answer on the connection has its
+// own.
+func (a *answerWriter) End() error {
+	return http.NewResponseController(a.w).SetWriteDeadline(time.Time{})
+}
 
 func setOutcome(w http.ResponseWriter, id string, o tamarackrun.Outcome) {
 	w.Header().Set(OutcomeHeader, o.Kind.String())
