--- a/internal/program/measure/fleetwide.go
+++ b/internal/program/measure/fleetwide.go
@@ -60,10 +60,10 @@
 	write := Step{"writing the chunks and the manifest, one after the other", (x.chunks() + 1) * x.i.CallSeconds}
 	wake := Step{"watch answered across regions", x.i.DelaySeconds + x.i.CallSeconds}
 	parse := Step{"parsing and preparing look-ups", x.parse() + x.m.PlacesSeconds.At(x.i.Blocks) + x.m.AnswersSeconds.At(x.i.Daemons)}
-	gossip := Step{fmt.Sprintf("%.0f hops of heartbeats from the relays, each doubling the daemons that know", x.hops(x.relays())),
-		x.hops(x.relays()) * (x.i.HeartbeatSeconds + 2*x.i.DelaySeconds)}
+	gossip := Step{fmt.Sprintf("%.0f hops from the relays, each doubling the daemons that know: a heartbeat, then three objects from the sender", x.hops(x.relays())),
+		x.hops(x.relays()) * (x.i.HeartbeatSeconds + 4*2*x.i.DelaySeconds + x.smallChange()*x.m.FetchSeconds.Slope)}
 	place := Step{"placing homes", x.i.Servers * x.m.HomeSeconds.At(x.i.Daemons)}
-	fetchers := x.daemonsPerDomain()/x.i.RelaysPerDomain - 1
+	fetchers := x.fetchers()
 	learn := Step{"next heartbeat of a neighbour with the new version, and one more hop for those without a relay as neighbour",
 		2 * (x.i.HeartbeatSeconds + 2*x.i.DelaySeconds)}
 	paths := []Path{
@@ -76,7 +76,6 @@
 		{Name: "proposal: small chunks, changed sections only", Steps: []Step{
 			{"writing a chunk and two levels of manifest", 3 * x.i.CallSeconds}, wake,
 			{"relays read three objects", burst(2, x.relays(), 3)}, gossip,
-			{"fetching three objects from relays", 3*2*x.i.DelaySeconds + fetchers*x.smallChange()*x.m.FetchSeconds.Slope},
 			{"preparing look-ups, if client blocks changed", x.m.PlacesSeconds.At(x.i.Blocks) + x.m.AnswersSeconds.At(x.i.Daemons)},
 			{"placing homes", x.i.Servers * x.m.HomeSeconds.At(x.daemonsPerDomain())}}},
 	}
--- a/internal/program/measure/input.go
+++ b/internal/program/measure/input.go
@@ -15,6 +15,7 @@
 	Neighbours, RelaysPerDomain, Holders        float64
 	TermSeconds                                 float64
 	Organisations, Servers, Sections            float64
+	ServiceServers                              float64
 	ClientChangePart, SectionsPerChange         float64
 	RackInstances, DelaySeconds, CallSeconds    float64
 	PacketHeader, OtherMemory                   float64
@@ -73,6 +74,7 @@
 	{"interval of term renewals", 150, "s", assumption, func(i *Inputs) *float64 { return &i.TermSeconds }},
 	{"organisations, each with one key", 2000, "", assumption, func(i *Inputs) *float64 { return &i.Organisations }},
 	{"backend servers (6 for each daemon)", 4860, "", assumption, func(i *Inputs) *float64 { return &i.Servers }},
+	{"backend servers of one service", 100, "", assumption, func(i *Inputs) *float64 { return &i.ServiceServers }},
 	{"INI sections, with those of client blocks", 9500, "", assumption, func(i *Inputs) *float64 { return &i.Sections }},
 	{"part of changes that touch client blocks", 0.1, "", assumption, func(i *Inputs) *float64 { return &i.ClientChangePart }},
 	{"sections edited by one change", 1, "", assumption, func(i *Inputs) *float64 { return &i.SectionsPerChange }},
--- a/internal/program/measure/model.go
+++ b/internal/program/measure/model.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 )
 
 // Row is one line of the capacity table: what one job costs one daemon.
@@ -105,6 +106,18 @@
 		Cores: rate * x.m.ReadSeconds, Bytes: rate * x.readBytes(), Mechanism: "watch bounded to 10 s, read every 2 s"}
 }
 
+// fetchers is the number of daemons that fetch from one relay of section 10.
+func (x model) fetchers() float64 { return x.daemonsPerDomain()/x.i.RelaysPerDomain - 1 }
+
+// passOn is the row of a relay that takes new configurations and sends them to
+// the other daemons of its failure domain.
+func (x model) passOn(r Row) Row {
+	r.Role, r.Messages = "taking a new configuration and passing it on", fmt.Sprintf("%s, each sent %.0f times", r.Messages, x.fetchers())
+	r.Cores += x.fetchers() * r.Bytes * x.m.FetchSeconds.Slope / 2
+	r.Bytes *= x.fetchers()
+	return r
+}
+
 // accept is the row of taking new configurations.
 func (x model) accept(bytes, parse, peak float64, mechanism string) Row {
 	cores := parse + x.i.ClientChangePart*x.m.PlacesSeconds.At(x.i.Blocks) + bytes*x.m.FetchSeconds.Slope/2
@@ -157,9 +170,11 @@
 			x.list(x.i.ListSeconds, "whole list every second"),
 			x.accept(x.m.ChangedBytes.At(x.i.Blocks), x.parse(), x.parsePeak(), "changed chunks from peers, whole document parsed"),
 			x.homes(x.m.HomeSeconds.At(x.i.Daemons), 1/x.i.PlaceSeconds, "all servers against all members every second")}}
+	relayRows := slices.Clone(page.Rows[1:])
+	relayRows[1] = x.passOn(relayRows[1])
 	relay := Plan{Name: "The same, a relay", Text: "A relay is also asked by all daemons of the other regions.",
 		Rows: append([]Row{x.heartbeats("heartbeats, neighbours", x.i.Neighbours+foreignRelays,
-			x.i.Neighbours+x.i.Daemons-x.daemonsPerRegion(), "one yamux stream per heartbeat"), x.manifest()}, page.Rows[1:]...)}
+			x.i.Neighbours+x.i.Daemons-x.daemonsPerRegion(), "one yamux stream per heartbeat"), x.manifest()}, relayRows...)}
 	plans := []Plan{today, page, relay, x.proposal("Proposal, not a relay", false), x.proposal("Proposal, a relay", true)}
 	for n := range plans {
 		plans[n].Rows = append(plans[n].Rows, x.common()...)
@@ -195,7 +210,7 @@
 				Memory: x.m.RosterBytes.At(x.i.Daemons), Mechanism: "64-bit incarnation, no names, no stream per heartbeat"},
 			x.list(x.i.SlowListSeconds, "whole list every 300 s"),
 			x.accept(x.smallChange(), x.parse()*x.i.SectionsPerChange*x.i.ChunkBytes/x.document(), 0,
-				"small chunks at section boundaries, only changed sections parsed"),
+				"small chunks at section boundaries, fetched from the neighbour that told of them, only changed sections parsed"),
 			x.homes(x.m.HomeSeconds.At(x.daemonsPerDomain()), x.memberChanges()+x.changes()*(1-x.i.ClientChangePart),
 				"after changes only, against the members of the server's failure domain")}}
 	if relay {
