Let fleets of more than 8 instances become ready in tests

Cause: an answer names at most 8 instances, but the fleet waited for all. Change: it waits for as many as an answer can name. Conclusion: no limit on the size of fleets in tests.

--- a/internal/coordination/lookup/lookup.go
+++ b/internal/coordination/lookup/lookup.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// maxInstances bounds an answer, so that it stays small in a large fleet.
-	maxInstances = 8
+	// MaxInstances bounds an answer, so that it stays small in a large fleet.
+	MaxInstances = 8
 	// In a large fleet an answer holds at most this many instances of the
 	// site's failure domain and of the rest of its region, so that it still
 	// names working instances when one of them fails as a whole.
@@ -344,7 +344,7 @@
 	size          int
 }
 
-var groupLimits = [2 * groups]int{sameDomain: maxSameDomain, sameRegion: maxSameRegion, elsewhere: maxInstances}
+var groupLimits = [2 * groups]int{sameDomain: maxSameDomain, sameRegion: maxSameRegion, elsewhere: MaxInstances}
 
 // list returns the answer of the current order for a failure domain. It takes
 // a bounded number of each group and then fills up with the best remaining, of
@@ -357,23 +357,23 @@
 		if len(c.picked[g]) < groupLimits[g] {
 			c.picked[g] = append(c.picked[g], i)
 			c.size++
-		} else if len(c.extra[g]) < maxInstances {
+		} else if len(c.extra[g]) < MaxInstances {
 			c.extra[g] = append(c.extra[g], i)
 		}
-		if c.size >= maxInstances && len(c.picked[sameDomain]) == min(maxSameDomain, sizes[sameDomain]) &&
+		if c.size >= MaxInstances && len(c.picked[sameDomain]) == min(maxSameDomain, sizes[sameDomain]) &&
 			len(c.picked[sameRegion]) == min(maxSameRegion, sizes[sameRegion]) {
 			break
 		}
 	}
 	for g := range c.picked {
-		n := min(max(0, maxInstances-c.size), len(c.extra[g]))
+		n := min(max(0, MaxInstances-c.size), len(c.extra[g]))
 		c.picked[g] = append(c.picked[g], c.extra[g][:n]...)
 		c.size += n
 	}
 	b.balance(domain, &c.picked)
-	list := make([]uint16, 0, min(maxInstances, c.size))
+	list := make([]uint16, 0, min(MaxInstances, c.size))
 	for _, p := range c.picked {
-		list = append(list, p[:min(len(p), maxInstances-len(list))]...)
+		list = append(list, p[:min(len(p), MaxInstances-len(list))]...)
 	}
 	return list
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/lookup"
 	"tamarackrun/internal/protocol/manifest"
 	"tamarackrun/internal/standin/caller"
 	"tamarackrun/internal/standin/platform"
@@ -287,7 +288,8 @@
 	return fmt.Sprintf("authorityFile = %s\ncertificateFile = %s\nkeyFile = %s", f.Authority.File, certificate, key), nil
 }
 
-// AwaitReady waits until every instance lists every other as serving.
+// AwaitReady waits until every instance lists every other as serving, or as
+// many as an answer can name.
 func (f *Fleet) AwaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
@@ -295,7 +297,7 @@
 		for {
 			c := f.Caller("")
 			answer, err := c.Lookup(ctx, i.Listing.CallerAddress)
-			if err == nil && len(answer.Instances) == len(f.Instances) {
+			if err == nil && len(answer.Instances) == min(len(f.Instances), lookup.MaxInstances) {
 				break
 			}
 			if ctx.Err() != nil {
