--- a/internal/coordination/rate/fleet_test.go
+++ b/internal/coordination/rate/fleet_test.go
@@ -74,7 +74,7 @@
 	// cutUntil ends a partition from all others and the store, storeCutUntil
 	// one from the store alone, in which loans go on.
 	cutUntil, storeCutUntil time.Duration
-	load     float64
+	load                    float64
 }
 
 type item struct {
--- a/internal/program/instance/rates_bench_test.go
+++ b/internal/program/instance/rates_bench_test.go
@@ -52,6 +52,9 @@
 	b.ReportMetric(sent, "requests")
 	b.ReportMetric(100*max(0, refused-ideal)/sent, "%refused")
 	b.ReportMetric(100*(refusedBy(l.arrivals, limit, 7)-ideal)/sent, "%baseline")
+	c := f.Platform.Counts()
+	b.ReportMetric(float64(c.Reads), "reads")
+	b.ReportMetric(float64(c.Writes), "writes")
 	b.Logf("%v, ideal refuses %g", l.outcomes, ideal)
 }
 
