Refuse requests that would show a key to a backend server

A key in a query, path, cookie, body or forwarded header reached the backend server and whatever it logs; a key withdrawn while an answer was copied went on working until the answer's end.

Requests with a misplaced key are refused as keyInUrl or keyInBody, also behind up to three levels of URL escapes. Undeclared trailers are refused after the body was read.

Orders whose answer has not begun are not cancelled, so that their outcome stays known.

--- /dev/null
+++ b/internal/program/instance/keys.go
@@ -0,0 +1,195 @@
+package instance
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"tamarackrun"
+	"tamarackrun/internal/protocol/document"
+	"tamarackrun/internal/protocol/event"
+	"tamarackrun/internal/protocol/secret"
+	"tamarackrun/internal/state/configuration"
+)
+
+// keyCheckInterval is how often the key of a running request is checked.
+const keyCheckInterval = time.Second
+
+const bearerScheme = "bearer "
+
+// presentedKeys returns the different keys that the caller sent.
+func presentedKeys(header http.Header) []string {
+	var keys []string
+	add := func(key string) {
+		if key = strings.TrimSpace(key); key != "" && !slices.Contains(keys, key) {
+			keys = append(keys, key)
+		}
+	}
+	for _, v := range header.Values("Tamarackrun-Key") {
+		add(v)
+	}
+	for _, v := range header.Values("Authorization") {
+		if len(v) > len(bearerScheme) && strings.EqualFold(v[:len(bearerScheme)], bearerScheme) {
+			add(v[len(bearerScheme):])
+		}
+	}
+	return keys
+}
+
+// presentedKey returns the key that the caller sent, or "" if there is not
+// exactly one.
+func presentedKey(header http.Header) string {
+	if keys := presentedKeys(header); len(keys) == 1 {
+		return keys[0]
+	}
+	return ""
+}
+
+// authenticate settles the organisation of a request from its key.
+func (in *Instance) authenticate(c *configuration.Snapshot, route configuration.Route, r *http.Request, body []byte) (string, tamarackrun.Outcome) {
+	keys := presentedKeys(r.Header)
+	if len(keys) > 1 {
+		return "", tamarackrun.Refused(tamarackrun.Malformed)
+	}
+	presented := presentedKey(r.Header)
+	if reason := misplacedKey(c, route, r, body, presented); reason != "" {
+		return "", tamarackrun.Refused(reason)
+	}
+	if presented == "" {
+		if route.Open {
+			return "", tamarackrun.Done
+		}
+		return "", tamarackrun.Refused(tamarackrun.KeyMissing)
+	}
+	key, ok := c.Keys[document.HashKey(presented)]
+	switch {
+	case !ok:
+		return "", tamarackrun.Refused(tamarackrun.KeyUnknown)
+	case key.Withdrawn:
+		return "", tamarackrun.Refused(tamarackrun.KeyWithdrawn)
+	case len(route.Organisations) > 0 && !slices.Contains(route.Organisations, key.Organisation):
+		return "", tamarackrun.Refused(tamarackrun.RouteForbidden)
+	}
+	return key.Organisation, tamarackrun.Done
+}
+
+// misplacedKey returns the reason to refuse a request that would show a key to
+// a backend server, or "". Cookies are checked even if the route does not pass
+// them on, since a key there is a fault of the caller that others may see.
+func misplacedKey(c *configuration.Snapshot, route configuration.Route, r *http.Request, body []byte, presented string) tamarackrun.Reason {
+	finder := secret.Finder{Presented: presented, Known: func(word string) bool {
+		_, ok := c.Keys[document.HashKey(word)]
+		return ok
+	}}
+	if finder.In(r.URL.RequestURI()) {
+		return tamarackrun.KeyInURL
+	}
+	// A + is a space in a query.
+	if r.URL.RawQuery != "" && finder.In(strings.ReplaceAll(r.URL.RawQuery, "+", " ")) {
+		return tamarackrun.KeyInURL
+	}
+	for _, values := range []http.Header{forwardedHeader(r.Header, route), {"Cookie": r.Header.Values("Cookie")}} {
+		for _, list := range values {
+			if slices.ContainsFunc(list, finder.In) {
+				return tamarackrun.KeyInURL
+			}
+		}
+	}
+	if presented != "" && bytes.Contains(body, []byte(presented)) {
+		return tamarackrun.KeyInBody
+	}
+	return ""
+}
+
+// defaultHeaders are the request headers that backend servers get. All others
+// need to be listed by the route, so that no header that may hold a key passes.
+var defaultHeaders = []string{"Accept", "Accept-Language", "Content-Type", "Content-Language", "If-Match",
+	"If-None-Match", "If-Modified-Since", "If-Unmodified-Since", "Range", "User-Agent"}
+
+func forwardedHeader(header http.Header, route configuration.Route) http.Header {
+	forwarded := http.Header{}
+	for _, names := range [][]string{defaultHeaders, route.Headers} {
+		for _, name := range names {
+			name = http.CanonicalHeaderKey(name)
+			if document.ReservedHeader(name) {
+				continue
+			}
+			if values := header.Values(name); len(values) > 0 {
+				forwarded[name] = append([]string{}, values...)
+			}
+		}
+	}
+	return forwarded
+}
+
+// keyGuard ends a running request when its key is withdrawn.
+type keyGuard struct {
+	tamarackrun.AnswerWriter
+	in *Instance
+	// ctx is the context of the request.
+	ctx       context.Context
+	cancel    context.CancelFunc
+	began     atomic.Bool
+	withdrawn atomic.Bool
+}
+
+// guardKey watches the key of a request that begins. Requests without a valid
+// key are refused elsewhere and need no watch.
+func (in *Instance) guardKey(ctx context.Context, key string, answer tamarackrun.AnswerWriter) *keyGuard {
+	g := &keyGuard{AnswerWriter: answer, in: in}
+	g.ctx, g.cancel = context.WithCancel(ctx)
+	if key != "" {
+		hash := document.HashKey(key)
+		if c := in.snapshot.Load(); c != nil {
+			go g.watch(hash, c.Keys[hash].Organisation)
+		}
+	}
+	return g
+}
+
+// watch checks the key until the request ends. Before the answer begins only
+// the flag is set, so that a request that must not run twice does not lose its
+// answer: the outcome of an order stays known.
+func (g *keyGuard) watch(hash [32]byte, organisation string) {
+	for {
+		pause(g.ctx, keyCheckInterval)
+		if g.ctx.Err() != nil {
+			return
+		}
+		key, ok := g.in.snapshot.Load().Keys[hash]
+		if !ok || key.Withdrawn || key.Organisation != organisation {
+			g.withdrawn.Store(true)
+			if g.began.Load() {
+				g.cancel()
+				return
+			}
+		}
+	}
+}
+
+// Head begins the answer.
+func (g *keyGuard) Head(status int, header http.Header) error {
+	g.began.Store(true)
+	return g.AnswerWriter.Head(status, header)
+}
+
+// Body passes on a piece unless the key was withdrawn.
+func (g *keyGuard) Body(piece []byte) error {
+	if g.ctx.Err() != nil {
+		return g.ctx.Err()
+	}
+	return g.AnswerWriter.Body(piece)
+}
+
+// finish ends the watch and records that it ended the request.
+func (g *keyGuard) finish(id string, outcome tamarackrun.Outcome) tamarackrun.Outcome {
+	g.cancel()
+	if g.withdrawn.Load() && outcome.Kind != tamarackrun.Ran {
+		g.in.history.Record(event.KeyEndedStream, id, "outcome", outcome.String())
+	}
+	return outcome
+}
--- a/internal/program/instance/steering.go
+++ b/internal/program/instance/steering.go
@@ -7,12 +7,10 @@
 	"net/http"
 	"sort"
 	"strconv"
-	"strings"
 	"time"
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/home"
-	"tamarackrun/internal/protocol/document"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/frame"
 	"tamarackrun/internal/protocol/wire"
@@ -25,7 +23,8 @@
 
 // Steer runs one request of a caller.
 func (in *Instance) Steer(r *http.Request, id string, body []byte, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
-	outcome := in.steer(r, id, body, answer)
+	guard := in.guardKey(r.Context(), presentedKey(r.Header), answer)
+	outcome := guard.finish(id, in.steer(r.WithContext(guard.ctx), id, body, guard))
 	in.history.CountOutcome("entry", outcome)
 	switch outcome.Kind {
 	case tamarackrun.Ran:
@@ -50,7 +49,7 @@
 		}
 		return tamarackrun.Refused(tamarackrun.RouteUnknown)
 	}
-	organisation, outcome := in.authenticate(c, route, r)
+	organisation, outcome := in.authenticate(c, route, r, body)
 	if outcome != tamarackrun.Done {
 		return outcome
 	}
@@ -78,64 +77,6 @@
 	return min(route.Timeout, time.Duration(millis)*time.Millisecond)
 }
 
-// presentedKey returns the key that the caller sent.
-func presentedKey(header http.Header) string {
-	if key := header.Get("Tamarackrun-Key"); key != "" {
-		return key
-	}
-	key, _ := strings.CutPrefix(header.Get("Authorization"), "Bearer ")
-	return key
-}
-
-// authenticate settles the organisation of a request from its key.
-func (in *Instance) authenticate(c *configuration.Snapshot, route configuration.Route, r *http.Request) (string, tamarackrun.Outcome) {
-	presented := presentedKey(r.Header)
-	if presented == "" {
-		if route.Open {
-			return "", tamarackrun.Done
-		}
-		return "", tamarackrun.Refused(tamarackrun.KeyMissing)
-	}
-	key, ok := c.Keys[document.HashKey(presented)]
-	switch {
-	case !ok:
-		return "", tamarackrun.Refused(tamarackrun.KeyUnknown)
-	case key.Withdrawn:
-		return "", tamarackrun.Refused(tamarackrun.KeyWithdrawn)
-	}
-	if len(route.Organisations) > 0 {
-		allowed := false
-		for _, o := range route.Organisations {
-			allowed = allowed || o == key.Organisation
-		}
-		if !allowed {
-			return "", tamarackrun.Refused(tamarackrun.RouteForbidden)
-		}
-	}
-	return key.Organisation, tamarackrun.Done
-}
-
-// defaultHeaders are the request headers that backend servers get. All others
-// need to be listed by the route, so that no header that may hold a key passes.
-var defaultHeaders = []string{"Accept", "Accept-Language", "Content-Type", "Content-Language", "If-Match",
-	"If-None-Match", "If-Modified-Since", "If-Unmodified-Since", "Range", "User-Agent"}
-
-func forwardedHeader(header http.Header, route configuration.Route) http.Header {
-	forwarded := http.Header{}
-	for _, names := range [][]string{defaultHeaders, route.Headers} {
-		for _, name := range names {
-			name = http.CanonicalHeaderKey(name)
-			if name == "Authorization" || strings.HasPrefix(name, "Tamarackrun-") {
-				continue
-			}
-			if values := header.Values(name); len(values) > 0 {
-				forwarded[name] = append([]string{}, values...)
-			}
-		}
-	}
-	return forwarded
-}
-
 // attempt dispatches a request until it ran or no further attempt is allowed.
 func (in *Instance) attempt(ctx context.Context, c *configuration.Snapshot, route configuration.Route, request tamarackrun.Request, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
 	tried := map[string]bool{}
--- a/internal/protocol/document/document.go
+++ b/internal/protocol/document/document.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"sort"
 	"strconv"
@@ -399,6 +400,11 @@
 	if route.Path != "" && (route.Path[0] != '/' || strings.HasPrefix(route.Path, "/v1/")) {
 		s.fail("path", "value %q must start with / and not with /v1/, which is the system's own", route.Path)
 	}
+	for _, h := range route.Headers {
+		if ReservedHeader(h) {
+			s.fail("headers", "value %q is never passed on to backend servers", h)
+		}
+	}
 	for _, m := range route.Methods {
 		if !allowedMethods[m] {
 			s.fail("methods", "value %q is not one of DELETE, GET, HEAD, PATCH, POST, PUT", m)
@@ -419,6 +425,18 @@
 	c.Routes = append(c.Routes, route)
 }
 
+// reservedHeaders carry keys, concern one connection or are set by the system.
+var reservedHeaders = map[string]bool{"Authorization": true, "Proxy-Authorization": true, "Connection": true,
+	"Content-Length": true, "Expect": true, "Host": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true}
+
+// ReservedHeader says whether a request header is never passed on to backend
+// servers.
+func ReservedHeader(name string) bool {
+	name = http.CanonicalHeaderKey(name)
+	return reservedHeaders[name] || strings.HasPrefix(name, "Tamarackrun-")
+}
+
 var allowedMethods = map[string]bool{"DELETE": true, "GET": true, "HEAD": true, "PATCH": true, "POST": true, "PUT": true}
 
 func readClients(c *configuration.Snapshot, s *section) {
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -29,6 +29,7 @@
 	RequestRetried        tamarackrun.EventID = 2005
 	RequestUncertain      tamarackrun.EventID = 2006
 	AttemptResolved       tamarackrun.EventID = 2007
+	KeyEndedStream        tamarackrun.EventID = 2401
 )
 
 // Description is one row of the catalogue.
@@ -65,6 +66,7 @@
 	{RequestRetried, "requestRetried", "info", "a request is dispatched again"},
 	{RequestUncertain, "requestUncertain", "warn", "the outcome of a request is unknown"},
 	{AttemptResolved, "attemptResolved", "info", "the state of an attempt was settled with its home instance"},
+	{KeyEndedStream, "keyEndedStream", "warn", "a running request ends because its key was withdrawn"},
 }
 
 // Lookup returns the description of an event.
--- /dev/null
+++ b/internal/protocol/secret/secret.go
@@ -0,0 +1,97 @@
+// Package secret finds callers' keys in parts of a request where they must not
+// be.
+package secret
+
+import (
+	"strings"
+)
+
+// maxRounds bounds the repeated decoding of URL escapes.
+const maxRounds = 4
+
+// Finder looks for the key that came with a request and for all keys whose
+// hashes are known.
+type Finder struct {
+	// Presented is the key that came with the request, or empty.
+	Presented string
+	// Known says whether a word is a key, by its hash.
+	Known func(word string) bool
+}
+
+// In says whether the text holds a key, as it stands or with URL escapes.
+func (f Finder) In(text string) bool {
+	for range maxRounds {
+		if f.inPlain(text) {
+			return true
+		}
+		decoded := unescape(text)
+		if decoded == text {
+			return false
+		}
+		text = decoded
+	}
+	// A text that still has escapes after all rounds is refused, since a
+	// server could decode it further.
+	return true
+}
+
+func (f Finder) inPlain(text string) bool {
+	if f.Presented != "" && strings.Contains(text, f.Presented) {
+		return true
+	}
+	// The whole text covers keys that hold separators.
+	if text != "" && f.Known(text) {
+		return true
+	}
+	for _, part := range strings.FieldsFunc(text, func(c rune) bool { return strings.ContainsRune("&;,= \t\"", c) }) {
+		if f.Known(part) || f.anyWord(part) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f Finder) anyWord(part string) bool {
+	words := strings.FieldsFunc(part, func(c rune) bool {
+		return (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && c != '-' && c != '_'
+	})
+	for _, w := range words {
+		if w != part && f.Known(w) {
+			return true
+		}
+	}
+	return false
+}
+
+// unescape decodes %XX once and leaves everything else, so that malformed
+// escapes do not hide the well-formed ones beside them.
+func unescape(text string) string {
+	if !strings.Contains(text, "%") {
+		return text
+	}
+	var b strings.Builder
+	for i := 0; i < len(text); i++ {
+		if text[i] == '%' && i+2 < len(text) {
+			high, low := hexDigit(text[i+1]), hexDigit(text[i+2])
+			if high >= 0 && low >= 0 {
+				b.WriteByte(byte(high<<4 | low))
+				i += 2
+				continue
+			}
+		}
+		b.WriteByte(text[i])
+	}
+	return b.String()
+}
+
+func hexDigit(c byte) int {
+	switch {
+	case c >= '0' && c <= '9':
+		return int(c - '0')
+	case c >= 'a' && c <= 'f':
+		return int(c-'a') + 10
+	case c >= 'A' && c <= 'F':
+		return int(c-'A') + 10
+	}
+	return -1
+}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -26,6 +26,8 @@
 	TruncateAnswers int `json:"truncateAnswers"`
 	// WorkMillis is the time that a request takes.
 	WorkMillis int `json:"workMillis"`
+	// StreamMillis is the time over which the answer is sent in pieces.
+	StreamMillis int `json:"streamMillis"`
 	// ColdMillis is added while fewer than ColdRequests requests were served.
 	ColdMillis   int `json:"coldMillis"`
 	ColdRequests int `json:"coldRequests"`
@@ -184,5 +186,16 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	stream(w, r, time.Duration(f.StreamMillis)*time.Millisecond)
 	_, _ = io.WriteString(w, answer)
 }
+
+const streamInterval = 50 * time.Millisecond
+
+// stream sends short pieces for the time.
+func stream(w http.ResponseWriter, r *http.Request, d time.Duration) {
+	for began := time.Now(); time.Since(began) < d && r.Context().Err() == nil; time.Sleep(streamInterval) {
+		_, _ = io.WriteString(w, "piece\n")
+		w.(http.Flusher).Flush()
+	}
+}
--- a/internal/transport/caller/caller.go
+++ b/internal/transport/caller/caller.go
@@ -114,7 +114,7 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, tamarackrun.Reason) {
-	if r.Header.Get("Upgrade") != "" || len(r.Trailer) > 0 || !strings.HasPrefix(r.RequestURI, "/") {
+	if len(r.Header.Values("Upgrade")) > 0 || len(r.Trailer) > 0 || !strings.HasPrefix(r.RequestURI, "/") {
 		return nil, tamarackrun.Malformed
 	}
 	control := http.NewResponseController(w)
@@ -124,6 +124,10 @@
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
 	switch {
+	case err == nil && len(r.Trailer) > 0:
+		// Trailers that no Trailer header announced are known only after the
+		// body was read.
+		return nil, tamarackrun.Malformed
 	case err == nil:
 		return body, ""
 	case errors.As(err, &tooLarge):
@@ -198,6 +202,7 @@
 	tamarackrun.KeyUnknown:      http.StatusUnauthorized,
 	tamarackrun.KeyWithdrawn:    http.StatusUnauthorized,
 	tamarackrun.KeyInURL:        http.StatusBadRequest,
+	tamarackrun.KeyInBody:       http.StatusBadRequest,
 	tamarackrun.RouteUnknown:    http.StatusNotFound,
 	tamarackrun.RouteForbidden:  http.StatusForbidden,
 	tamarackrun.MethodForbidden: http.StatusMethodNotAllowed,
--- a/outcome.go
+++ b/outcome.go
@@ -36,6 +36,7 @@
 	KeyUnknown       Reason = "keyUnknown"
 	KeyWithdrawn     Reason = "keyWithdrawn"
 	KeyInURL         Reason = "keyInUrl"
+	KeyInBody        Reason = "keyInBody"
 	RouteUnknown     Reason = "routeUnknown"
 	RouteForbidden   Reason = "routeForbidden"
 	MethodForbidden  Reason = "methodForbidden"
