--- /dev/null
+++ b/internal/coordination/spread/spread.go
@@ -0,0 +1,54 @@
+// Package spread chooses the instances that watch the manifest for their
+// failure domain and pass new versions on.
+package spread
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tamarackrun/internal/state/roster"
+)
+
+// RelayCount is the number of relays of a failure domain: two may fail at the
+// same time.
+const RelayCount = 3
+
+// Relays returns the names of the relays of a failure domain among the
+// members, best first. Instances with different member lists may choose
+// different relays; a superfluous relay only reads more.
+func Relays(members []roster.Member, domain string) []string {
+	type ranked struct {
+		name  string
+		score uint64
+	}
+	var all []ranked
+	for _, m := range members {
+		if m.Serving() && m.Listing.FailureDomain == domain {
+			all = append(all, ranked{m.Listing.Name, xxhash.Sum64String(domain + "\x00" + m.Listing.Name)})
+		}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].score != all[j].score {
+			return all[i].score > all[j].score
+		}
+		return all[i].name < all[j].name
+	})
+	var names []string
+	for _, r := range all[:min(RelayCount, len(all))] {
+		names = append(names, r.name)
+	}
+	return names
+}
+
+// Watches says whether an instance watches the manifest itself: relays do, and
+// so does an instance whose failure domain has no relay that it can reach.
+func Watches(members []roster.Member, self, domain string) bool {
+	relays := Relays(members, domain)
+	for _, r := range relays {
+		if r == self {
+			return true
+		}
+	}
+	return len(relays) == 0
+}
--- a/internal/program/instance/configuration.go
+++ b/internal/program/instance/configuration.go
@@ -2,18 +2,28 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"tamarackrun"
 	"tamarackrun/internal/protocol/document"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/manifest"
+	"tamarackrun/internal/protocol/wire"
 )
 
-// storeRetryDelay is the pause after a failed call to the platform.
-const storeRetryDelay = 500 * time.Millisecond
+const (
+	// storeRetryDelay is the pause after a failed call to the platform.
+	storeRetryDelay = 500 * time.Millisecond
+	// readInterval is the time from one read of the manifest to the next. Each
+	// read proves that the configuration is current.
+	readInterval = 2 * time.Second
+)
 
 func pause(ctx context.Context, d time.Duration) {
 	select {
@@ -22,25 +32,72 @@
 	}
 }
 
-// watchConfiguration follows the manifest in the platform.
-func (in *Instance) watchConfiguration(ctx context.Context) {
-	reachable := true
-	for ctx.Err() == nil {
-		var after int64
-		if c := in.snapshot.Load(); c != nil {
-			after = c.Version
-		}
-		object, err := in.store.Watch(ctx, manifest.ObjectName, after)
-		failed := err != nil && !errors.Is(err, tamarackrun.ErrUnchanged) && !errors.Is(err, tamarackrun.ErrNotFound)
-		if failed && ctx.Err() == nil && reachable {
-			in.history.Record(event.StoreUnreachable, "", "error", err.Error())
-		}
-		if !failed && !reachable {
-			in.history.Record(event.StoreReachable, "")
+// held is an accepted version in the form in which peers may ask for it.
+type held struct {
+	version  int64
+	manifest []byte
+	chunks   map[string][]byte
+}
+
+// follower puts new versions of the configuration in force.
+type follower struct {
+	in *Instance
+	// held changes together with the instance's snapshot.
+	held atomic.Pointer[held]
+	// reachable says that the latest call to the store was answered.
+	reachable atomic.Bool
+
+	// learning says that a version is being fetched from a peer.
+	learning atomic.Bool
+
+	// mu allows one acceptance at a time.
+	mu sync.Mutex
+	// rejected is the highest version that could not be read.
+	rejected int64
+}
+
+func newFollower(in *Instance) *follower {
+	f := &follower{in: in}
+	f.reachable.Store(true)
+	return f
+}
+
+// chunkSource returns the content of a hash. The content is checked by the
+// caller.
+type chunkSource func(ctx context.Context, hash string) ([]byte, error)
+
+func (f *follower) fromStore(ctx context.Context, hash string) ([]byte, error) {
+	chunk, err := f.in.store.Get(ctx, manifest.ChunkName(hash))
+	return chunk.Value, err
+}
+
+// fromPeer asks the peer first and then the store.
+func (f *follower) fromPeer(address string) chunkSource {
+	return func(ctx context.Context, hash string) ([]byte, error) {
+		reply, err := f.in.mesh.Call(ctx, address, fetchMessage(hash))
+		if c := reply.GetChunk(); err == nil && c.GetFound() && hasHash(c.Value, hash) {
+			return c.Value, nil
 		}
-		reachable = !failed
+		return f.fromStore(ctx, hash)
+	}
+}
+
+func hasHash(value []byte, hash string) bool {
+	sum := sha256.Sum256(value)
+	return hex.EncodeToString(sum[:]) == hash
+}
+
+func fetchMessage(hash string) *wire.Envelope {
+	return &wire.Envelope{Kind: &wire.Envelope_Fetch{Fetch: &wire.Fetch{Hash: hash}}}
+}
+
+// watch follows the manifest in the platform.
+func (f *follower) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		object, err := f.in.store.Watch(ctx, manifest.ObjectName, f.in.version())
+		f.noteStore(ctx, err)
 		if err == nil {
-			err = in.accept(ctx, object)
+			err = f.accept(ctx, object.Version, object.Value, f.fromStore)
 		}
 		if err != nil && !errors.Is(err, tamarackrun.ErrUnchanged) {
 			pause(ctx, storeRetryDelay)
@@ -48,42 +105,111 @@
 	}
 }
 
-// accept puts a manifest in force if its version is higher than the present
-// one.
-func (in *Instance) accept(ctx context.Context, object tamarackrun.Object) error {
-	m, err := manifest.Decode(object.Value)
+// read reads the manifest again and again: a watch that is silent looks like a
+// configuration that does not change.
+func (f *follower) read(ctx context.Context) {
+	for ctx.Err() == nil {
+		sent := f.in.clock.Now()
+		object, err := f.in.store.Get(ctx, manifest.ObjectName)
+		f.noteStore(ctx, err)
+		if err == nil {
+			err = f.accept(ctx, object.Version, object.Value, f.fromStore)
+		}
+		if err == nil && f.in.version() == object.Version {
+			f.in.proofs.add(sent)
+		}
+		pause(ctx, readInterval-(f.in.clock.Now()-sent))
+	}
+}
+
+// noteStore records changes of the store's state.
+func (f *follower) noteStore(ctx context.Context, err error) {
+	failed := err != nil && !errors.Is(err, tamarackrun.ErrUnchanged) && !errors.Is(err, tamarackrun.ErrNotFound)
+	if ctx.Err() != nil || f.reachable.Swap(!failed) == !failed {
+		return
+	}
+	if failed {
+		f.in.history.Record(event.StoreUnreachable, "", "error", err.Error())
+	} else {
+		f.in.history.Record(event.StoreReachable, "")
+	}
+}
+
+// learn asks a peer for a version that it reported, if that is higher than the
+// own one. While another peer is being asked it does nothing; the next heartbeat
+// comes soon.
+func (f *follower) learn(ctx context.Context, address string, version int64) {
+	if version <= f.in.version() || !f.learning.CompareAndSwap(false, true) {
+		return
+	}
+	defer f.learning.Store(false)
+	reply, err := f.in.mesh.Call(ctx, address, fetchMessage(""))
+	if c := reply.GetChunk(); err == nil && c.GetFound() {
+		_ = f.accept(ctx, int64(c.Version), c.Value, f.fromPeer(address))
+	}
+}
+
+// serveFetch answers a peer.
+func (f *follower) serveFetch(hash string) *wire.Envelope {
+	chunk := &wire.Chunk{}
+	if h := f.held.Load(); h != nil {
+		chunk.Version = uint64(h.version)
+		if hash == "" {
+			chunk.Value, chunk.Found = h.manifest, true
+		} else {
+			chunk.Value, chunk.Found = h.chunks[hash]
+		}
+	}
+	return &wire.Envelope{Kind: &wire.Envelope_Chunk{Chunk: chunk}}
+}
+
+// accept puts a version in force if it is higher than the present one.
+func (f *follower) accept(ctx context.Context, version int64, encoded []byte, source chunkSource) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version <= f.in.version() {
+		return nil
+	}
+	m, err := manifest.Decode(encoded)
 	if err != nil {
-		return in.reject(object.Version, err)
+		return f.reject(version, err)
 	}
+	h := &held{version: version, manifest: encoded, chunks: map[string][]byte{}}
 	text, err := manifest.Join(m, func(hash string) ([]byte, error) {
-		chunk, err := in.store.Get(ctx, manifest.ChunkName(hash))
-		return chunk.Value, err
+		chunk, err := source(ctx, hash)
+		h.chunks[hash] = chunk
+		return chunk, err
 	})
 	if err != nil {
 		return err
 	}
 	snapshot, problems := document.Parse("stored document", text)
 	if len(problems) > 0 {
-		return in.reject(object.Version, errors.New(problems[0].String()))
-	}
-	versioned := snapshot.WithVersion(object.Version)
-	for {
-		current := in.snapshot.Load()
-		if current != nil && current.Version >= object.Version {
-			return nil
-		}
-		if in.snapshot.CompareAndSwap(current, &versioned) {
-			break
-		}
+		return f.reject(version, errors.New(problems[0].String()))
 	}
-	in.history.Record(event.ConfigurationAccepted, "", "version", strconv.FormatInt(object.Version, 10))
-	in.rates.share(&versioned)
-	in.homes.place(&versioned)
-	in.publishState()
+	versioned := snapshot.WithVersion(version)
+	f.held.Store(h)
+	f.in.snapshot.Store(&versioned)
+	f.in.history.Record(event.ConfigurationAccepted, "", "version", strconv.FormatInt(version, 10))
+	f.in.rates.share(&versioned)
+	f.in.homes.place(&versioned)
+	f.in.publishState()
 	return nil
 }
 
-func (in *Instance) reject(version int64, err error) error {
-	in.history.Record(event.ConfigurationRejected, "", "version", strconv.FormatInt(version, 10), "error", err.Error())
+// reject records a version that cannot be read, once.
+func (f *follower) reject(version int64, err error) error {
+	if version > f.rejected {
+		f.rejected = version
+		f.in.history.Record(event.ConfigurationRejected, "", "version", strconv.FormatInt(version, 10), "error", err.Error())
+	}
 	return err
 }
+
+// version returns the version in force, or 0.
+func (in *Instance) version() int64 {
+	if c := in.snapshot.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
--- a/internal/program/instance/control.go
+++ b/internal/program/instance/control.go
@@ -1,13 +1,17 @@
 package instance
 
 import (
+	"bytes"
 	"context"
 	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"sort"
+	"strconv"
 
 	"tamarackrun"
 	"tamarackrun/internal/protocol/document"
+	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/manifest"
 	"tamarackrun/internal/protocol/wire"
 	"tamarackrun/internal/transport/operator"
@@ -35,33 +39,151 @@
 // Ready says whether the instance serves callers.
 func (in *Instance) Ready() bool { return in.snapshot.Load() != nil && !in.leaving.Load() }
 
-// Apply checks a document and makes it the version after base.
-func (in *Instance) Apply(ctx context.Context, team string, base int64, text []byte) (operator.ApplyResult, error) {
-	if _, problems := document.Parse("document", text); len(problems) > 0 {
-		return operator.ApplyResult{Problems: problems}, nil
+// Apply merges a document with the one in force and stores the result. When
+// another operator is first, the merge is repeated over the new version, with
+// the same base.
+func (in *Instance) Apply(ctx context.Context, request operator.ApplyRequest) (operator.ApplyResult, error) {
+	for {
+		version, current, err := manifest.Read(ctx, in.store)
+		if err != nil {
+			return operator.ApplyResult{}, err
+		}
+		if request.Base == operator.InForce {
+			request.Base = version
+		}
+		base := current
+		if request.Base != version {
+			if base, err = manifest.At(ctx, in.store, request.Base); err != nil {
+				return operator.ApplyResult{}, err
+			}
+		}
+		result, err := in.applyOver(ctx, request, base, version, current)
+		if !errors.Is(err, tamarackrun.ErrConflict) || ctx.Err() != nil {
+			return result, err
+		}
 	}
-	version, err := manifest.Write(ctx, in.store, text, team, base)
-	return operator.ApplyResult{Version: version}, err
 }
 
-// Document returns the document in the platform.
-func (in *Instance) Document(ctx context.Context) (version int64, text []byte, err error) {
-	object, err := in.store.Get(ctx, manifest.ObjectName)
-	if errors.Is(err, tamarackrun.ErrNotFound) {
-		return 0, nil, nil
+// applyOver merges over one version and returns tamarackrun.ErrConflict if that
+// is no longer the latest one.
+func (in *Instance) applyOver(ctx context.Context, request operator.ApplyRequest, base []byte, version int64, current []byte) (operator.ApplyResult, error) {
+	team, refusal := mergeTeam(request, version, current)
+	if refusal != nil {
+		return operator.ApplyResult{Problems: []document.Problem{*refusal}}, nil
 	}
+	merged := document.Merge(base, current, request.Text, team, request.File)
+	if len(merged.Problems) > 0 || len(merged.Conflicts) > 0 {
+		return operator.ApplyResult{Problems: merged.Problems, Conflicts: merged.Conflicts}, nil
+	}
+	if version > 0 && bytes.Equal(merged.Text, current) {
+		return operator.ApplyResult{Version: version}, nil
+	}
+	accepted, err := manifest.Write(ctx, in.store, merged.Text, request.Team, version)
 	if err != nil {
-		return 0, nil, err
+		return operator.ApplyResult{}, err
+	}
+	in.history.Record(event.ConfigurationApplied, "", "team", request.Team, "base", strconv.FormatInt(request.Base, 10),
+		"version", strconv.FormatInt(accepted, 10))
+	return operator.ApplyResult{Version: accepted, Changed: merged.Changed}, nil
+}
+
+// mergeTeam returns the team as which a request is merged. The bootstrap key
+// may apply the first document, and later ones while there is no team; the
+// first document may come from nobody else.
+func mergeTeam(request operator.ApplyRequest, version int64, current []byte) (string, *document.Problem) {
+	if request.Team != bootstrapTeam {
+		return request.Team, nil
 	}
-	m, err := manifest.Decode(object.Value)
+	if version > 0 {
+		if snapshot, problems := document.Parse("", current); len(problems) > 0 || len(snapshot.Teams) > 0 {
+			return "", &document.Problem{File: request.File, Line: 1,
+				Message: "the bootstrap key may apply a document only until the document in force defines teams"}
+		}
+	}
+	return document.AnyTeam, nil
+}
+
+// Document returns a version of the document. While the platform is out it
+// returns the version that this instance holds.
+func (in *Instance) Document(ctx context.Context, version int64) (found int64, text []byte, err error) {
+	if version != operator.InForce {
+		text, err = manifest.At(ctx, in.store, version)
+		return version, text, err
+	}
+	found, text, err = manifest.Read(ctx, in.store)
+	if h := in.follower.held.Load(); err != nil && h != nil {
+		m, decodeErr := manifest.Decode(h.manifest)
+		if decodeErr != nil {
+			return 0, nil, decodeErr
+		}
+		text, err = manifest.Join(m, func(hash string) ([]byte, error) { return h.chunks[hash], nil })
+		return h.version, text, err
+	}
+	return found, text, err
+}
+
+// drainRecord is the content of the object drain/NAME.
+type drainRecord struct {
+	Draining bool   `json:"draining"`
+	Team     string `json:"team"`
+}
+
+// Drain writes drain/NAME. A write whose answer was lost is repeated, since the
+// content is the same.
+func (in *Instance) Drain(ctx context.Context, team, name string, undo bool) error {
+	if !in.drainable(name) {
+		return &operator.NameError{Name: name, Allowed: "the name of a backend server, instance, failure domain or region"}
+	}
+	value, err := json.Marshal(drainRecord{!undo, team})
 	if err != nil {
-		return 0, nil, err
+		return err
+	}
+	for {
+		object, err := in.store.Get(ctx, drainPrefix+name)
+		if err != nil && !errors.Is(err, tamarackrun.ErrNotFound) {
+			return err
+		}
+		var current drainRecord
+		if json.Unmarshal(object.Value, &current) == nil && current.Draining == !undo || object.Version == 0 && undo {
+			return nil
+		}
+		if _, err = in.store.Put(ctx, drainPrefix+name, value, object.Version); err == nil {
+			in.history.Record(event.DrainRequested, "", "name", name, "undo", strconv.FormatBool(undo), "team", team)
+			return nil
+		}
+		if ctx.Err() != nil {
+			return err
+		}
+		pause(ctx, storeRetryDelay)
+	}
+}
+
+const drainPrefix = "drain/"
+
+func (in *Instance) drainable(name string) bool {
+	c := in.snapshot.Load()
+	if c == nil {
+		return false
 	}
-	text, err = manifest.Join(m, func(hash string) ([]byte, error) {
-		chunk, err := in.store.Get(ctx, manifest.ChunkName(hash))
-		return chunk.Value, err
-	})
-	return object.Version, text, err
+	_, server := c.Servers[name]
+	_, domain := c.Domains[name]
+	_, region := c.Regions[name]
+	_, member := in.roster.Member(name)
+	return server || domain || region || member
+}
+
+// DeclareLost tells this instance alone that a region is lost, so that its
+// silence is no sign of a partition.
+func (in *Instance) DeclareLost(region string, undo bool) error {
+	c := in.snapshot.Load()
+	if c == nil {
+		return &operator.NameError{Name: region, Allowed: "nothing before a configuration is in force"}
+	}
+	if _, ok := c.Regions[region]; !ok || region == c.RegionOf(in.Settings.FailureDomain) {
+		return &operator.NameError{Name: region, Allowed: "the name of another region than the instance's own"}
+	}
+	in.proofs.declareLost(region, !undo)
+	return nil
 }
 
 // Explain collects the events of a request from all instances.
@@ -85,15 +207,22 @@
 
 // statusReport is what `tamarackrun status` shows.
 type statusReport struct {
-	Instance             string         `json:"instance"`
-	ConfigurationVersion int64          `json:"configurationVersion"`
-	Members              []memberReport `json:"members"`
+	Instance             string `json:"instance"`
+	ConfigurationVersion int64  `json:"configurationVersion"`
+	// Freshness is fresh, storeOut or cutOff.
+	Freshness string `json:"freshness"`
+	ProofAge  string `json:"proofAge"`
+	// LostRegions were declared lost at this instance.
+	LostRegions []string       `json:"lostRegions,omitempty"`
+	Members     []memberReport `json:"members"`
 }
 
 type memberReport struct {
 	Name                 string             `json:"name"`
+	FailureDomain        string             `json:"failureDomain"`
 	Reachable            bool               `json:"reachable"`
 	Serving              bool               `json:"serving"`
+	CutOff               bool               `json:"cutOff"`
 	Incarnation          string             `json:"incarnation,omitempty"`
 	ConfigurationVersion uint64             `json:"configurationVersion"`
 	Servers              []*wire.ServerLoad `json:"servers,omitempty"`
@@ -101,13 +230,11 @@
 
 // Status reports the fleet as this instance sees it.
 func (in *Instance) Status(context.Context) any {
-	report := statusReport{Instance: in.Settings.Name}
-	if c := in.snapshot.Load(); c != nil {
-		report.ConfigurationVersion = c.Version
-	}
+	report := statusReport{Instance: in.Settings.Name, ConfigurationVersion: in.version(),
+		Freshness: in.proofs.current().String(), ProofAge: ageText(in.proofs.age()), LostRegions: in.proofs.lostRegions()}
 	for _, m := range in.roster.Members() {
-		report.Members = append(report.Members, memberReport{m.Listing.Name, m.Reachable, m.Serving(),
-			m.State.GetIncarnation(), m.State.GetConfigurationVersion(), m.State.GetServers()})
+		report.Members = append(report.Members, memberReport{m.Listing.Name, m.Listing.FailureDomain, m.Reachable, m.Serving(),
+			m.State.GetCutOff(), m.State.GetIncarnation(), m.State.GetConfigurationVersion(), m.State.GetServers()})
 	}
 	return report
 }
--- /dev/null
+++ b/internal/program/instance/freshness_test.go
@@ -0,0 +1,263 @@
+package instance_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"tamarackrun/internal/standin/fleet"
+	"tamarackrun/internal/standin/platform"
+)
+
+// await polls until the condition holds. The limit is generous, since it
+// decides nothing but the end of a failing test.
+func await(t *testing.T, limit time.Duration, what string, condition func() bool) {
+	t.Helper()
+	for began := time.Now(); !condition(); time.Sleep(50 * time.Millisecond) {
+		if time.Since(began) > limit {
+			t.Fatalf("%s: not within %v", what, limit)
+		}
+	}
+}
+
+// reasonAt sends a request with tea's key and returns the reason, or the
+// outcome if there is none.
+func reasonAt(t *testing.T, f *fleet.Fleet, i *fleet.Instance, target string) string {
+	t.Helper()
+	r := f.Caller("tea").SendTo(t.Context(), i.Listing.CallerAddress, "GET", target, nil, nil)
+	if r.Err != nil {
+		return r.Err.Error()
+	}
+	if r.Reason == "" {
+		return r.Outcome
+	}
+	return r.Outcome + " " + r.Reason
+}
+
+// cutOffServices has routes of both rules, and one that needs no key.
+var cutOffServices = []fleet.Service{
+	{Name: "browse", Servers: 4, Slots: 9, Route: "methods = GET\nidempotent = yes"},
+	{Name: "checks", Servers: 4, Slots: 9, Route: "methods = GET\nidempotent = yes\ncutOff = serve"},
+	{Name: "open", Servers: 4, Slots: 9, Route: "methods = GET\nidempotent = yes\nopen = yes"},
+}
+
+const (
+	bound       = 10 * time.Second
+	awaitLimit  = 60 * time.Second
+	beyondBound = bound + 4*time.Second
+)
+
+// Guards against refusals in an outage of the store that no instance can see
+// past: nothing can be withdrawn, so traffic must go on.
+func TestTrafficGoesOnWhenTheStoreIsOut(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: cutOffServices})
+	f.Platform.SetFaults(platform.Faults{Outage: true})
+	// The duration is the point of this test: it has to exceed the bound.
+	for began := time.Now(); time.Since(began) < beyondBound; time.Sleep(100 * time.Millisecond) {
+		for _, i := range f.Instances {
+			if got := reasonAt(t, f, i, "/browse/a"); got != "ran" {
+				t.Fatalf("%s: %s after %v of outage", i.Listing.Name, got, time.Since(began))
+			}
+		}
+	}
+	for _, i := range f.Instances {
+		_, status := control(t, i, http.MethodGet, "/v1/status", fleet.OperatorKey, "")
+		if diff := cmp.Diff("storeOut", stateOf(status)); diff != "" {
+			t.Errorf("%s: state (-want +got):\n%s", i.Listing.Name, diff)
+		}
+	}
+	f.Platform.SetFaults(platform.Faults{})
+	for _, i := range f.Instances {
+		await(t, awaitLimit, "fresh again", func() bool {
+			_, status := control(t, i, http.MethodGet, "/v1/status", fleet.OperatorKey, "")
+			return stateOf(status) == "fresh"
+		})
+	}
+}
+
+func stateOf(status string) string {
+	_, rest, _ := strings.Cut(status, `"freshness":"`)
+	state, _, _ := strings.Cut(rest, `"`)
+	return state
+}
+
+// Guards against an instance that serves keyed requests although a key may have
+// been withdrawn behind its back, and against look-ups that still name it.
+func TestCutOffInstanceRefusesAndLearnsOnReturn(t *testing.T) {
+	t.Parallel()
+	for name, state := range map[string]fleet.LinkState{"cut": fleet.Cut, "silent": fleet.Silent} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, fleet.Options{Services: cutOffServices, Links: true, Instances: 4, Regions: []int{2, 2}})
+			alone, others := f.Instances[0], f.Instances[1:]
+			f.Isolate(state, alone)
+			cut := time.Now()
+			putDocument(t, f, withoutKey(f, "tea"))
+			await(t, awaitLimit, "refusal as cut off", func() bool {
+				return reasonAt(t, f, alone, "/browse/a") == "notRun cutOff"
+			})
+			t.Logf("refused %v after the cut", time.Since(cut))
+			for began := time.Now(); time.Since(began) < 3*time.Second; time.Sleep(50 * time.Millisecond) {
+				if got := reasonAt(t, f, alone, "/browse/b"); got != "notRun cutOff" {
+					t.Fatalf("keyed request while cut off: %s", got)
+				}
+			}
+			// The alone instance is home of all servers that it serves, so
+			// routes that go on still find a server.
+			if got := reasonAt(t, f, alone, "/checks/a"); got != "ran" {
+				t.Errorf("route with cutOff = serve: %s", got)
+			}
+			anonymous := f.Caller("").SendTo(t.Context(), alone.Listing.CallerAddress, "GET", "/open/a", nil, nil)
+			if diff := cmp.Diff("ran", anonymous.Outcome); diff != "" {
+				t.Errorf("open route (-want +got):\n%s", diff)
+			}
+			for _, i := range append(others, alone) {
+				answer, err := f.Caller("").Lookup(t.Context(), i.Listing.CallerAddress)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, listed := range answer.Instances {
+					if listed.Name == alone.Listing.Name {
+						t.Errorf("%s still names the cut-off instance", i.Listing.Name)
+					}
+				}
+			}
+			for _, i := range others {
+				if got := reasonAt(t, f, i, "/browse/a"); got != "notRun keyWithdrawn" {
+					t.Errorf("%s: %s", i.Listing.Name, got)
+				}
+			}
+			f.Isolate(fleet.Open, alone)
+			await(t, awaitLimit, "new version after the return", func() bool {
+				got := reasonAt(t, f, alone, "/browse/a")
+				if got != "notRun keyWithdrawn" && got != "notRun cutOff" {
+					t.Fatalf("after the return: %s", got)
+				}
+				return got == "notRun keyWithdrawn"
+			})
+			for _, i := range f.Instances {
+				_, status := control(t, i, http.MethodGet, "/v1/status", fleet.OperatorKey, "")
+				if !strings.Contains(status, `"configurationVersion":2`) {
+					t.Errorf("%s: %s", i.Listing.Name, status)
+				}
+			}
+		})
+	}
+}
+
+// Guards against an instance that refuses because it alone lost the store while
+// its peers prove its version, and against a watch that is silent for ever.
+func TestPeersProveAndPassOnVersions(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: cutOffServices, Links: true})
+	alone := f.Instances[0]
+	f.StoreLink(alone).Set(fleet.Cut)
+	for began := time.Now(); time.Since(began) < beyondBound; time.Sleep(100 * time.Millisecond) {
+		if got := reasonAt(t, f, alone, "/browse/a"); got != "ran" {
+			t.Fatalf("%s after %v", got, time.Since(began))
+		}
+	}
+	putDocument(t, f, withoutKey(f, "tea"))
+	changed := time.Now()
+	await(t, awaitLimit, "new version without the store", func() bool {
+		return reasonAt(t, f, alone, "/browse/a") == "notRun keyWithdrawn"
+	})
+	t.Logf("version passed on by peers after %v", time.Since(changed))
+}
+
+// Guards against waiting for a watch that never answers.
+func TestSilentWatchesDelayNothing(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: cutOffServices})
+	f.Platform.SetFaults(platform.Faults{SilentWatches: true})
+	// The second version is seen by watches that began before they went
+	// silent.
+	putDocument(t, f, f.Document)
+	putDocument(t, f, withoutKey(f, "tea"))
+	changed := time.Now()
+	for _, i := range f.Instances {
+		await(t, awaitLimit, "new version", func() bool { return reasonAt(t, f, i, "/browse/a") == "notRun keyWithdrawn" })
+	}
+	t.Logf("in force on all instances after %v", time.Since(changed))
+}
+
+// Guards against a loss of the configuration, or a return to an older one, when
+// instances start while the store is out.
+func TestRestartsDuringAnOutage(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: cutOffServices})
+	putDocument(t, f, withoutKey(f, "tea"))
+	for _, i := range f.Instances {
+		await(t, awaitLimit, "new version", func() bool { return reasonAt(t, f, i, "/browse/a") == "notRun keyWithdrawn" })
+	}
+	f.Platform.SetFaults(platform.Faults{Outage: true})
+	for _, i := range f.Instances {
+		i.Kill()
+		if err := f.StartInstance(i); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.AwaitReady(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if got := reasonAt(t, f, i, "/browse/a"); got != "notRun keyWithdrawn" {
+			t.Errorf("%s after its restart: %s", i.Listing.Name, got)
+		}
+	}
+}
+
+// Guards against an instance that serves without any configuration.
+func TestNotReadyWithoutStoreAndPeers(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: cutOffServices})
+	f.Platform.SetFaults(platform.Faults{Outage: true})
+	for _, i := range f.Instances {
+		i.Kill()
+	}
+	alone := f.Instances[0]
+	if err := f.StartInstance(alone); err != nil {
+		t.Fatal(err)
+	}
+	await(t, awaitLimit, "answer", func() bool { return reasonAt(t, f, alone, "/browse/a") == "notRun notReady" })
+	if status, _ := control(t, alone, http.MethodGet, "/readyz", "", ""); status != http.StatusServiceUnavailable {
+		t.Errorf("readyz answers %d", status)
+	}
+	f.Platform.SetFaults(platform.Faults{})
+	await(t, awaitLimit, "ready", func() bool {
+		status, _ := control(t, alone, http.MethodGet, "/readyz", "", "")
+		return status == http.StatusOK
+	})
+}
+
+// Guards against refusals for ever when the region of the store is gone: an
+// operator declares it lost at one instance, and only that one goes on.
+func TestDeclaredLostRegion(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: cutOffServices, Instances: 4, Regions: []int{2, 2}})
+	f.Platform.SetFaults(platform.Faults{Outage: true})
+	var left []*fleet.Instance
+	for _, i := range f.Instances {
+		if strings.HasPrefix(i.Listing.FailureDomain, "r1") {
+			i.Kill()
+		} else {
+			left = append(left, i)
+		}
+	}
+	for _, i := range left {
+		await(t, awaitLimit, "refusal as cut off", func() bool { return reasonAt(t, f, i, "/browse/a") == "notRun cutOff" })
+	}
+	status, body := control(t, left[0], http.MethodPost, "/v1/lost/r1", fleet.OperatorKey, "")
+	if status != http.StatusOK {
+		t.Fatalf("status %d: %s", status, body)
+	}
+	await(t, awaitLimit, "traffic at the instance that was told", func() bool { return reasonAt(t, f, left[0], "/browse/a") == "ran" })
+	if got := reasonAt(t, f, left[1], "/browse/a"); got != "notRun cutOff" {
+		t.Errorf("the instance that was not told: %s", got)
+	}
+	if status, body := control(t, left[0], http.MethodPost, "/v1/lost/r9", fleet.OperatorKey, ""); status != http.StatusUnprocessableEntity {
+		t.Errorf("unknown region: status %d: %s", status, body)
+	}
+}
--- a/internal/program/instance/instance.go
+++ b/internal/program/instance/instance.go
@@ -58,6 +58,8 @@
 	leaving  atomic.Bool
 	homes    *homes
 	rates    *rates
+	follower *follower
+	proofs   *proofs
 }
 
 // New opens the listeners. The clean-up function closes them.
@@ -118,6 +120,7 @@
 	in.homes = newHomes(in)
 	client.Observe = in.homes.observe
 	in.rates = newRates(in)
+	in.follower, in.proofs = newFollower(in), newProofs(in)
 	return cleanup, nil
 }
 
@@ -169,7 +172,9 @@
 			}
 		})
 	}
-	start(in.watchConfiguration)
+	start(in.follower.watch)
+	start(in.follower.read)
+	start(in.proofs.run)
 	start(in.pollRoster)
 	start(in.sendHeartbeats)
 	start(in.homes.run)
@@ -209,10 +214,10 @@
 
 func (in *Instance) state() *wire.PeerState {
 	state := &wire.PeerState{Name: in.Settings.Name, Incarnation: in.incarnation,
-		FailureDomain: in.Settings.FailureDomain, Phase: in.phase(), Servers: in.homes.loads()}
-	if c := in.snapshot.Load(); c != nil {
-		state.ConfigurationVersion = uint64(c.Version)
-	}
+		FailureDomain: in.Settings.FailureDomain, Phase: in.phase(), Servers: in.homes.loads(),
+		ConfigurationVersion: uint64(in.version()), ProofAgeMillis: in.proofs.ageMillis(), CutOff: in.proofs.refuses(),
+		CallerAddress: in.Settings.CallerAddress, PeerAddress: in.Settings.PeerAddress,
+		ControlAddress: in.Settings.ControlAddress}
 	return state
 }
 
--- a/internal/program/instance/keys.go
+++ b/internal/program/instance/keys.go
@@ -73,6 +73,8 @@
 		return "", tamarackrun.Refused(tamarackrun.KeyWithdrawn)
 	case len(route.Organisations) > 0 && !slices.Contains(route.Organisations, key.Organisation):
 		return "", tamarackrun.Refused(tamarackrun.RouteForbidden)
+	case route.CutOff == configuration.RefuseWhenCutOff && in.proofs.refuses():
+		return "", tamarackrun.Refused(tamarackrun.CutOff)
 	}
 	return key.Organisation, tamarackrun.Done
 }
--- a/internal/program/instance/peers.go
+++ b/internal/program/instance/peers.go
@@ -21,12 +21,15 @@
 func (in *Instance) ServePeer(ctx context.Context, first *wire.Envelope, stream tamarackrun.Stream) {
 	switch kind := first.Kind.(type) {
 	case *wire.Envelope_Heartbeat:
+		in.roster.Learn(kind.Heartbeat.State)
 		_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_HeartbeatReply{
 			HeartbeatReply: &wire.HeartbeatReply{State: in.state()}}})
 	case *wire.Envelope_Dispatch:
 		request := frame.ToRequest(kind.Dispatch, in.clock.Now())
 		sender := frame.NewSender(stream)
 		_ = sender.Finish(in.homes.Dispatch(ctx, request, sender))
+	case *wire.Envelope_Fetch:
+		_ = stream.Send(in.follower.serveFetch(kind.Fetch.Hash))
 	case *wire.Envelope_Explain:
 		_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_Report{
 			Report: &wire.Report{Events: in.history.Of(kind.Explain.Request)}}})
@@ -58,15 +61,17 @@
 }
 
 func (in *Instance) heartbeat(ctx context.Context, m roster.Member) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	limited, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	sent := in.clock.Now()
-	reply, err := in.mesh.Call(ctx, m.Listing.PeerAddress, &wire.Envelope{Kind: &wire.Envelope_Heartbeat{
+	reply, err := in.mesh.Call(limited, m.Listing.PeerAddress, &wire.Envelope{Kind: &wire.Envelope_Heartbeat{
 		Heartbeat: &wire.Heartbeat{State: in.state()}}})
 	if state := reply.GetHeartbeatReply().GetState(); err == nil && state.GetName() == m.Listing.Name {
 		if in.roster.Heartbeat(m.Listing.Name, state, sent) {
 			in.history.Record(event.PeerReachable, "", "peer", m.Listing.Name, "incarnation", state.Incarnation)
 		}
+		in.proofs.fromPeer(state, sent)
+		in.follower.learn(ctx, m.Listing.PeerAddress, int64(state.ConfigurationVersion))
 		return
 	}
 	// A connection that is silent for one heartbeat may never answer again,
--- a/internal/protocol/document/document.go
+++ b/internal/protocol/document/document.go
@@ -2,6 +2,7 @@
 package document
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -23,6 +24,9 @@
 	Line    int
 	Section string
 	Key     string
+	// Value is the faulty value; it is empty for hashes, where an operator may
+	// have pasted a key.
+	Value string
 	// Message says what is wrong and what is allowed.
 	Message string
 }
@@ -33,6 +37,9 @@
 	if p.Key != "" {
 		where += " " + p.Key
 	}
+	if p.Value != "" {
+		where += fmt.Sprintf(" = %q", p.Value)
+	}
 	return where + ": " + p.Message
 }
 
@@ -41,8 +48,11 @@
 
 // Parse reads a document. The snapshot is valid only if there are no problems.
 func Parse(file string, text []byte) (*configuration.Snapshot, []Problem) {
-	p := &parser{file: file, lines: scanLines(text)}
-	p.checkDuplicates()
+	p := &parser{file: file}
+	if p.problems = checkLines(file, text); len(p.problems) > 0 {
+		return nil, p.problems
+	}
+	p.lines = scanLines(text)
 	parsed, err := ini.LoadSources(ini.LoadOptions{
 		// A value may hold ; or # (a URL with a fragment), so only whole
 		// lines are comments.
@@ -51,85 +61,53 @@
 		IgnoreContinuation:       true,
 		PreserveSurroundedQuote:  true,
 		SpaceBeforeInlineComment: true,
-	}, text)
+		KeyValueDelimiters:       "=",
+		// By default a section a.b inherits the keys of a section a.
+		ChildSectionDelimiter: "\x00",
+	}, bytes.TrimPrefix(text, []byte(byteOrderMark)))
 	if err != nil {
 		p.add("", "", "not an INI document: "+err.Error())
 		return nil, p.problems
 	}
 	snapshot := p.build(parsed)
 	if len(p.problems) > 0 {
-		sort.SliceStable(p.problems, func(i, j int) bool { return p.problems[i].Line < p.problems[j].Line })
+		sort.SliceStable(p.problems, func(i, j int) bool {
+			a, b := p.problems[i], p.problems[j]
+			return a.Line < b.Line || a.Line == b.Line && a.Message < b.Message
+		})
 		return nil, p.problems
 	}
 	return snapshot, nil
 }
 
-// lineOfKey locates a key for error messages; the INI library keeps no lines.
-type lineOfKey struct {
-	section, key string
-	line         int
-}
-
-func scanLines(text []byte) []lineOfKey {
-	var found []lineOfKey
-	section := ""
-	for n, line := range strings.Split(string(text), "\n") {
-		line = strings.TrimSpace(line)
-		switch {
-		case line == "" || line[0] == ';' || line[0] == '#':
-		case line[0] == '[' && strings.HasSuffix(line, "]"):
-			section = strings.TrimSpace(line[1 : len(line)-1])
-			found = append(found, lineOfKey{section, "", n + 1})
-		default:
-			key, _, _ := strings.Cut(line, "=")
-			found = append(found, lineOfKey{section, strings.TrimSpace(key), n + 1})
-		}
-	}
-	return found
-}
-
 type parser struct {
 	file     string
-	lines    []lineOfKey
+	lines    []line
 	problems []Problem
 }
 
 func (p *parser) add(section, key, message string) {
-	p.problems = append(p.problems, Problem{p.file, p.lineOf(section, key), section, key, message})
+	l := p.find(section, key)
+	value := l.value
+	if key == "" || strings.HasSuffix(strings.ToLower(key), "hash") {
+		value = ""
+	}
+	p.problems = append(p.problems, Problem{p.file, l.line, section, key, value, message})
 }
 
-func (p *parser) lineOf(section, key string) int {
+// find returns the line of a key, or of its section.
+func (p *parser) find(section, key string) line {
 	for _, l := range p.lines {
 		if l.section == section && l.key == key {
-			return l.line
+			return l
 		}
 	}
 	for _, l := range p.lines {
 		if l.section == section && l.key == "" {
-			return l.line
+			return line{section: section, line: l.line}
 		}
 	}
-	return 1
-}
-
-// checkDuplicates reports sections and keys given twice; the INI library
-// merges them and keeps the last value.
-func (p *parser) checkDuplicates() {
-	type name struct{ section, key string }
-	seen := map[name]int{}
-	for _, l := range p.lines {
-		n := name{l.section, l.key}
-		if first, ok := seen[n]; ok {
-			what := "key"
-			if l.key == "" {
-				what = "section"
-			}
-			p.problems = append(p.problems, Problem{p.file, l.line, l.section, l.key,
-				fmt.Sprintf("%s given twice, first in line %d", what, first)})
-			continue
-		}
-		seen[n] = l.line
-	}
+	return line{line: 1}
 }
 
 // section reads the typed values of one INI section and reports faults.
@@ -167,7 +145,7 @@
 	value := s.text(key, strconv.Itoa(fallback))
 	n, err := strconv.Atoi(value)
 	if err != nil || n < low || n > high {
-		s.fail(key, "value %q is not a whole number from %d to %d", value, low, high)
+		s.fail(key, "is not a whole number from %d to %d", low, high)
 	}
 	return n
 }
@@ -176,7 +154,7 @@
 	value := s.text(key, strconv.FormatFloat(fallback, 'g', -1, 64))
 	n, err := strconv.ParseFloat(value, 64)
 	if err != nil || !(n >= low && n <= high) {
-		s.fail(key, "value %q is not a number from %g to %g", value, low, high)
+		s.fail(key, "is not a number from %g to %g", low, high)
 	}
 	return n
 }
@@ -196,7 +174,7 @@
 			return value
 		}
 	}
-	s.fail(key, "value %q is not one of %s", value, strings.Join(allowed, ", "))
+	s.fail(key, "is not one of %s", strings.Join(allowed, ", "))
 	return fallback
 }
 
@@ -204,7 +182,7 @@
 	value := s.text(key, fallback.String())
 	d, err := time.ParseDuration(value)
 	if err != nil || d < low || d > high {
-		s.fail(key, "value %q is not a duration from %v to %v, such as 500ms or 5s", value, low, high)
+		s.fail(key, "is not a duration from %v to %v, such as 500ms or 5s", low, high)
 	}
 	return d
 }
@@ -329,6 +307,9 @@
 		c.Teams[s.name] = configuration.Team{Name: s.name, OperatorKeyHash: s.hash("operatorKeyHash")}
 	},
 	"fleet": func(c *configuration.Snapshot, s *section) {
+		if s.name != "fleet" {
+			s.fail("", "the fleet section must be named fleet")
+		}
 		c.Fleet = configuration.Fleet{
 			StoreRegion:    s.text("storeRegion", ""),
 			LookupLifetime: s.duration("lookupLifetime", defaultLookupLifetime, time.Second, time.Minute),
@@ -373,7 +354,7 @@
 			Domain: s.required("domain"), Address: s.required("address"),
 			Slots: s.integer("slots", 0, 0, 100_000)}
 		if _, err := netip.ParseAddrPort(server.Address); server.Address != "" && err != nil {
-			s.fail("address", "value %q is not IP:PORT with an IP number", server.Address)
+			s.fail("address", "is not IP:PORT with an IP number")
 		}
 		c.Servers[s.name] = server
 	},
@@ -398,7 +379,7 @@
 		Organisations: s.words("organisations"),
 	}
 	if route.Path != "" && (route.Path[0] != '/' || strings.HasPrefix(route.Path, "/v1/")) {
-		s.fail("path", "value %q must start with / and not with /v1/, which is the system's own", route.Path)
+		s.fail("path", "must start with / and not with /v1/, which is the system's own")
 	}
 	for _, h := range route.Headers {
 		if ReservedHeader(h) {
@@ -455,11 +436,15 @@
 // checkReferences reports names that no section defines.
 func (b *builder) checkReferences() {
 	c := b.snapshot
+	b.checkTeams()
+	b.checkUnique()
 	check := func(kind, name, key, target string, known bool) {
 		if target != "" && !known {
-			b.p.add(b.taken[kind+"/"+name], key, fmt.Sprintf("value %q is not defined in the document", target))
+			b.p.add(b.taken[kind+"/"+name], key, fmt.Sprintf("%s %q is not defined in the document", key, target))
 		}
 	}
+	_, ok := c.Regions[c.Fleet.StoreRegion]
+	check("fleet", "fleet", "storeRegion", c.Fleet.StoreRegion, ok)
 	for _, d := range c.Domains {
 		_, ok := c.Regions[d.Region]
 		check("domain", d.Name, "region", d.Region, ok)
@@ -471,12 +456,16 @@
 	for name, v := range c.Servers {
 		service, ok := c.Services[v.Service]
 		check("server", v.Name, "service", v.Service, ok)
-		_, ok = c.Domains[v.Domain]
-		check("server", v.Name, "domain", v.Domain, ok)
+		_, known := c.Domains[v.Domain]
+		check("server", v.Name, "domain", v.Domain, known)
 		if v.Slots == 0 {
 			v.Slots = service.Slots
 			c.Servers[name] = v
 		}
+		if ok && v.Slots > service.Connections {
+			b.p.add(b.taken["server/"+name], "slots", fmt.Sprintf(
+				"%d slots need as many connections, but service %q allows %d", v.Slots, service.Name, service.Connections))
+		}
 	}
 	for _, r := range c.Routes {
 		_, ok := c.Services[r.Service]
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -15,6 +15,10 @@
 	ConfigurationRejected tamarackrun.EventID = 1102
 	StoreUnreachable      tamarackrun.EventID = 1103
 	StoreReachable        tamarackrun.EventID = 1104
+	FreshnessChanged      tamarackrun.EventID = 1105
+	RegionLost            tamarackrun.EventID = 1106
+	ConfigurationApplied  tamarackrun.EventID = 1107
+	DrainRequested        tamarackrun.EventID = 1108
 	PeerReachable         tamarackrun.EventID = 1201
 	PeerUnreachable       tamarackrun.EventID = 1202
 	HomeGained            tamarackrun.EventID = 1301
@@ -52,6 +56,10 @@
 	{ConfigurationRejected, "configurationRejected", "error", "a stored configuration could not be read; the previous one stays in force"},
 	{StoreUnreachable, "storeUnreachable", "warn", "the platform's object store does not answer"},
 	{StoreReachable, "storeReachable", "info", "the platform's object store answers again"},
+	{FreshnessChanged, "freshnessChanged", "warn", "the state of the configuration changed between fresh, storeOut and cutOff"},
+	{RegionLost, "regionLost", "warn", "an operator declared a region lost at this instance, or took that back"},
+	{ConfigurationApplied, "configurationApplied", "info", "an operator's document was accepted through this instance"},
+	{DrainRequested, "drainRequested", "info", "an operator asked for a drain, or took that back"},
 	{PeerReachable, "peerReachable", "info", "heartbeats with a peer succeed"},
 	{PeerUnreachable, "peerUnreachable", "warn", "a peer did not answer heartbeats"},
 	{HomeGained, "homeGained", "info", "the instance became home of a backend server"},
--- a/internal/protocol/manifest/manifest.go
+++ b/internal/protocol/manifest/manifest.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"tamarackrun"
 )
@@ -21,6 +22,12 @@
 	chunkPrefix = "configuration/chunk/"
 	// chunkSize keeps chunks below the platform's limit of 1 MB.
 	chunkSize = 900_000
+	// commitAttempts and commitDelay bound the time in which a write whose
+	// answer was lost is repeated: about 7 s if each attempt fails at once.
+	commitAttempts = 8
+	commitDelay    = 250 * time.Millisecond
+	// maxAncestors bounds the walk to the version that an operator edited.
+	maxAncestors = 500
 )
 
 // Manifest names the chunks of one accepted document.
@@ -28,10 +35,13 @@
 	// Chunks are the SHA-256 hashes of the parts of the document, in order.
 	Chunks []string `json:"chunks"`
 	Author string   `json:"author"`
-	// Base is the version that the author edited.
+	// Base is the version that this one replaced.
 	Base int64 `json:"base"`
 	// Nonce tells whose write took effect when the answer was lost.
 	Nonce string `json:"nonce"`
+	// Parent is the hash of the chunk that holds the replaced manifest; it is
+	// empty for the first one.
+	Parent string `json:"parent,omitempty"`
 }
 
 // HashError says that a chunk's content does not have its hash.
@@ -40,9 +50,34 @@
 // Error names the chunk.
 func (e *HashError) Error() string { return "chunk " + e.Hash + " has another content" }
 
+// UnknownError says that it is not known whether a write took effect.
+type UnknownError struct{ Cause error }
+
+// Error says what to do.
+func (e *UnknownError) Error() string {
+	return "it is not known whether the document was accepted; apply it again, which is harmless: " + e.Cause.Error()
+}
+
+// Unwrap returns the error of the latest attempt.
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// VersionError says that a version is not among the ancestors that can be read.
+type VersionError struct{ Version int64 }
+
+// Error names the version.
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("version %d of the document is unknown or too old", e.Version)
+}
+
 // ChunkName returns the object name of a chunk.
 func ChunkName(hash string) string { return chunkPrefix + hash }
 
+// HashOf returns the name of a content.
+func HashOf(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
+
 // Decode reads a manifest.
 func Decode(value []byte) (Manifest, error) {
 	var m Manifest
@@ -54,8 +89,7 @@
 func Split(text []byte) (hashes []string, chunks [][]byte) {
 	for len(text) > 0 {
 		n := min(chunkSize, len(text))
-		hash := sha256.Sum256(text[:n])
-		hashes, chunks = append(hashes, hex.EncodeToString(hash[:])), append(chunks, text[:n])
+		hashes, chunks = append(hashes, HashOf(text[:n])), append(chunks, text[:n])
 		text = text[n:]
 	}
 	return hashes, chunks
@@ -70,7 +104,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if sum := sha256.Sum256(chunk); hex.EncodeToString(sum[:]) != hash {
+		if HashOf(chunk) != hash {
 			return nil, &HashError{hash}
 		}
 		text = append(text, chunk...)
@@ -78,44 +112,168 @@
 	return text, nil
 }
 
+// Read returns the latest document and its version, or version 0 if there is
+// none.
+func Read(ctx context.Context, store tamarackrun.ObjectStore) (version int64, text []byte, err error) {
+	object, err := store.Get(ctx, ObjectName)
+	if errors.Is(err, tamarackrun.ErrNotFound) {
+		return 0, nil, nil
+	}
+	if err != nil {
+		return 0, nil, err
+	}
+	m, err := Decode(object.Value)
+	if err != nil {
+		return 0, nil, err
+	}
+	text, err = joinFrom(ctx, store, m)
+	return object.Version, text, err
+}
+
+func joinFrom(ctx context.Context, store tamarackrun.ObjectStore, m Manifest) ([]byte, error) {
+	return Join(m, func(hash string) ([]byte, error) {
+		chunk, err := store.Get(ctx, ChunkName(hash))
+		return chunk.Value, err
+	})
+}
+
+// At returns the document of an earlier version; version 0 is empty.
+func At(ctx context.Context, store tamarackrun.ObjectStore, version int64) ([]byte, error) {
+	if version == 0 {
+		return nil, nil
+	}
+	var found Manifest
+	err := walk(ctx, store, func(v int64, m Manifest) bool {
+		if v == version {
+			found = m
+		}
+		return v > version
+	})
+	if err != nil {
+		return nil, err
+	}
+	if found.Nonce == "" {
+		return nil, &VersionError{version}
+	}
+	return joinFrom(ctx, store, found)
+}
+
+// walk visits the latest manifest and its ancestors while visit returns true.
+func walk(ctx context.Context, store tamarackrun.ObjectStore, visit func(version int64, m Manifest) bool) error {
+	object, err := store.Get(ctx, ObjectName)
+	if err != nil {
+		return err
+	}
+	version, value := object.Version, object.Value
+	for range maxAncestors {
+		m, err := Decode(value)
+		if err != nil {
+			return err
+		}
+		if !visit(version, m) || m.Parent == "" {
+			return nil
+		}
+		parent, err := store.Get(ctx, ChunkName(m.Parent))
+		if err != nil {
+			return err
+		}
+		if HashOf(parent.Value) != m.Parent {
+			return &HashError{m.Parent}
+		}
+		version, value = m.Base, parent.Value
+	}
+	return nil
+}
+
 // Write stores a document as the version after base. It returns
-// tamarackrun.ErrConflict if another write was accepted first. A write whose
-// answer was lost is resolved by reading the manifest back.
+// tamarackrun.ErrConflict if another write was accepted first, and
+// *UnknownError if that cannot be settled.
 func Write(ctx context.Context, store tamarackrun.ObjectStore, text []byte, author string, base int64) (int64, error) {
 	hashes, chunks := Split(text)
+	m := Manifest{Chunks: hashes, Author: author, Base: base, Nonce: rand.Text()}
+	if base > 0 {
+		current, err := store.Get(ctx, ObjectName)
+		if err != nil {
+			return 0, err
+		}
+		if current.Version != base {
+			return 0, tamarackrun.ErrConflict
+		}
+		m.Parent = HashOf(current.Value)
+		hashes, chunks = append(hashes, m.Parent), append(chunks, current.Value)
+	}
 	for i, hash := range hashes {
-		_, err := store.Put(ctx, ChunkName(hash), chunks[i], 0)
-		// A conflict means that the chunk is there already; its name is its
-		// content.
-		if err != nil && !errors.Is(err, tamarackrun.ErrConflict) {
-			if _, readErr := store.Get(ctx, ChunkName(hash)); readErr != nil {
-				return 0, err
-			}
+		if err := putChunk(ctx, store, hash, chunks[i]); err != nil {
+			return 0, err
 		}
 	}
-	m := Manifest{Chunks: hashes, Author: author, Base: base, Nonce: rand.Text()}
 	value, err := json.Marshal(m)
 	if err != nil {
 		return 0, err
 	}
-	object, err := store.Put(ctx, ObjectName, value, base)
+	return commit(ctx, store, value, m)
+}
+
+// putChunk writes a chunk. A conflict means that it is there already, since its
+// name is its content.
+func putChunk(ctx context.Context, store tamarackrun.ObjectStore, hash string, content []byte) error {
+	_, err := store.Put(ctx, ChunkName(hash), content, 0)
 	if err == nil || errors.Is(err, tamarackrun.ErrConflict) {
-		return object.Version, err
+		return nil
+	}
+	if _, readErr := store.Get(ctx, ChunkName(hash)); readErr != nil {
+		return err
 	}
-	return readBack(ctx, store, m, err)
+	return nil
 }
 
-func readBack(ctx context.Context, store tamarackrun.ObjectStore, m Manifest, cause error) (int64, error) {
-	object, err := store.Get(ctx, ObjectName)
-	if err != nil {
-		return 0, fmt.Errorf("the state of the write is unknown: %w", cause)
-	}
-	current, err := Decode(object.Value)
-	if err == nil && current.Nonce == m.Nonce {
-		return object.Version, nil
+// commit writes the manifest. A write whose answer was lost is repeated, which
+// is harmless under its condition: a conflict then says that the first try or
+// another writer succeeded, and the nonce tells which.
+func commit(ctx context.Context, store tamarackrun.ObjectStore, value []byte, m Manifest) (int64, error) {
+	var cause error
+	for n := range commitAttempts {
+		if n > 0 && !wait(ctx, time.Duration(n)*commitDelay) {
+			break
+		}
+		object, err := store.Put(ctx, ObjectName, value, m.Base)
+		if err == nil {
+			return object.Version, nil
+		}
+		cause = err
+		if !errors.Is(err, tamarackrun.ErrConflict) {
+			continue
+		}
+		version, err := find(ctx, store, m)
+		if err == nil && version == 0 {
+			return 0, tamarackrun.ErrConflict
+		}
+		if err == nil {
+			return version, nil
+		}
+		cause = err
 	}
-	if object.Version > m.Base {
-		return 0, tamarackrun.ErrConflict
+	return 0, &UnknownError{cause}
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
 	}
-	return 0, cause
+}
+
+// find returns the version at which the manifest was accepted, or 0. Others may
+// have replaced it since.
+func find(ctx context.Context, store tamarackrun.ObjectStore, m Manifest) (int64, error) {
+	var found int64
+	err := walk(ctx, store, func(version int64, other Manifest) bool {
+		if other.Nonce == m.Nonce {
+			found = version
+		}
+		return found == 0 && version > m.Base
+	})
+	return found, err
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -68,6 +68,13 @@
 	Organisations map[string]Rate
 	// Extra is appended to the document.
 	Extra string
+	// Links leads the connections between instances and from instances to the
+	// platform through links that a test can cut.
+	Links bool
+	// LogLevel of the instances; empty means info.
+	LogLevel string
+	// BootstrapKey authenticates the first apply; empty forbids it.
+	BootstrapKey string
 }
 
 // Rate is an organisation's rate and burst.
@@ -94,6 +101,7 @@
 	// parallel tests do not meet on a port.
 	ip       string
 	cleanups []func()
+	links    map[route]*Link
 }
 
 // Build compiles the program into the directory and returns its file.
@@ -109,7 +117,7 @@
 // Start starts a fleet and waits until all instances are ready and know one
 // another. The clean-up function ends everything.
 func Start(ctx context.Context, o Options) (*Fleet, func(), error) {
-	f := &Fleet{Options: o, Servers: map[string]*server.Server{},
+	f := &Fleet{Options: o, links: map[route]*Link{}, Servers: map[string]*server.Server{},
 		ip: fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))}
 	if err := f.start(ctx); err != nil {
 		f.stop()
@@ -151,6 +159,11 @@
 			CallerAddress: f.address(callerPort + n), PeerAddress: f.address(peerPort + n),
 			ControlAddress: f.address(controlPort + n)}})
 	}
+	if f.Options.Links {
+		if err := f.openLinks(); err != nil {
+			return err
+		}
+	}
 	f.PublishInstances()
 	for _, i := range f.Instances {
 		if err := f.StartInstance(i); err != nil {
@@ -196,9 +209,13 @@
 	return domains
 }
 
+func hash(key string) string {
+	h := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(h[:])
+}
+
 func (f *Fleet) startServers() error {
 	var b strings.Builder
-	hash := func(key string) string { h := sha256.Sum256([]byte(key)); return hex.EncodeToString(h[:]) }
 	fmt.Fprintf(&b, "[base/team/base]\noperatorKeyHash = %s\n[base/fleet/fleet]\nstoreRegion = r1\nlookupLifetime = 1s\n", hash(OperatorKey))
 	domains := f.domains()
 	for r := range f.Options.Regions {
@@ -239,17 +256,25 @@
 insecure = yes
 [control]
 address = %s
-[platform]
+%s[platform]
 url = http://%s
 [log]
-level = info
+level = %s
 `
 
 // StartInstance starts or restarts one instance without waiting for it.
 func (f *Fleet) StartInstance(i *Instance) error {
 	l := i.Listing
 	i.settings = filepath.Join(f.Options.Directory, l.Name+".ini")
-	text := fmt.Sprintf(settingsFormat, l.Name, l.FailureDomain, l.CallerAddress, l.PeerAddress, l.ControlAddress, f.PlatformAddress())
+	bootstrap, level := "", "info"
+	if f.Options.BootstrapKey != "" {
+		bootstrap = "bootstrapKeyHash = " + hash(f.Options.BootstrapKey) + "\n"
+	}
+	if f.Options.LogLevel != "" {
+		level = f.Options.LogLevel
+	}
+	text := fmt.Sprintf(settingsFormat, l.Name, l.FailureDomain, l.CallerAddress, l.PeerAddress, l.ControlAddress,
+		bootstrap, f.platformOf(i), level)
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -79,6 +79,19 @@
 	}
 }
 
+// Learn adds an instance that sent a heartbeat and that the platform's list did
+// not show yet. During an outage of the platform an instance that starts has no
+// other way to find its peers.
+func (r *Roster) Learn(state *wire.PeerState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.members[state.GetName()]; known || state.GetName() == "" || state.GetPeerAddress() == "" {
+		return
+	}
+	r.members[state.Name] = Member{Listing: tamarackrun.Listing{Name: state.Name, FailureDomain: state.FailureDomain,
+		CallerAddress: state.CallerAddress, PeerAddress: state.PeerAddress, ControlAddress: state.ControlAddress}}
+}
+
 // SetSelf publishes the own state.
 func (r *Roster) SetSelf(state *wire.PeerState) {
 	r.mu.Lock()
--- a/internal/transport/operator/operator.go
+++ b/internal/transport/operator/operator.go
@@ -5,14 +5,15 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
 
-	"tamarackrun"
 	"tamarackrun/internal/protocol/document"
+	"tamarackrun/internal/protocol/manifest"
 	"tamarackrun/internal/protocol/wire"
 )
 
@@ -22,12 +23,40 @@
 	callTimeout   = 60 * time.Second
 )
 
+// InForce is the base of an apply that was edited from the version in force.
+const InForce int64 = -1
+
+// ApplyRequest is a document that a team applies.
+type ApplyRequest struct {
+	Team string
+	// Base is the version that the document was edited from, or InForce.
+	Base int64
+	// File names the document in problems.
+	File string
+	Text []byte
+}
+
 // ApplyResult is the answer to an apply.
 type ApplyResult struct {
-	// Version is the accepted version, or 0.
-	Version  int64              `json:"version"`
-	Problems []document.Problem `json:"problems,omitempty"`
-	Message  string             `json:"message,omitempty"`
+	// Version is the version in force after the apply, or 0 if the document
+	// was not accepted.
+	Version int64 `json:"version"`
+	// Changed names the sections that the apply changed; if it is empty,
+	// the version was in force before.
+	Changed   []string            `json:"changed,omitempty"`
+	Problems  []document.Problem  `json:"problems,omitempty"`
+	Conflicts []document.Conflict `json:"conflicts,omitempty"`
+	Message   string              `json:"message,omitempty"`
+	// Unknown says that the document may have been accepted.
+	Unknown bool `json:"unknown,omitempty"`
+}
+
+// NameError says that an operator named something that does not exist.
+type NameError struct{ Name, Allowed string }
+
+// Error says what is allowed.
+func (e *NameError) Error() string {
+	return fmt.Sprintf("%q is unknown; allowed is %s", e.Name, e.Allowed)
 }
 
 // Control is what an instance does for operators.
@@ -35,8 +64,14 @@
 	// Authorised returns the team of an operator key.
 	Authorised(key string) (team string, ok bool)
 	Ready() bool
-	Apply(ctx context.Context, team string, base int64, text []byte) (ApplyResult, error)
-	Document(ctx context.Context) (version int64, text []byte, err error)
+	Apply(ctx context.Context, request ApplyRequest) (ApplyResult, error)
+	// Document returns a version of the document, or the one in force.
+	Document(ctx context.Context, version int64) (found int64, text []byte, err error)
+	// Drain asks for the removal of a backend server, instance, failure domain
+	// or region, or takes that back.
+	Drain(ctx context.Context, team, name string, undo bool) error
+	// DeclareLost tells this instance that a region is lost.
+	DeclareLost(region string, undo bool) error
 	Explain(ctx context.Context, request string) (events []*wire.EventRecord, silent []string)
 	Status(ctx context.Context) any
 }
@@ -69,6 +104,11 @@
 	mux.Handle("GET /metrics", s.Metrics)
 	mux.HandleFunc("POST /v1/apply", s.authorised(s.apply))
 	mux.HandleFunc("GET /v1/document", s.authorised(s.document))
+	mux.HandleFunc("GET /v1/team", s.authorised(func(w http.ResponseWriter, _ *http.Request, team string) {
+		writeJSON(w, http.StatusOK, Team{team})
+	}))
+	mux.HandleFunc("POST /v1/drain/{name}", s.authorised(s.drain))
+	mux.HandleFunc("POST /v1/lost/{name}", s.authorised(s.declareLost))
 	mux.HandleFunc("GET /v1/explain/{request}", s.authorised(s.explain))
 	mux.HandleFunc("GET /v1/status", s.authorised(s.status))
 	s.server.Handler = mux
@@ -78,6 +118,11 @@
 	return nil
 }
 
+// Team is the answer to the question whose operator key was sent.
+type Team struct {
+	Team string `json:"team"`
+}
+
 type handler func(w http.ResponseWriter, r *http.Request, team string)
 
 func (s *Server) authorised(next handler) http.HandlerFunc {
@@ -105,10 +150,23 @@
 	_, _ = io.WriteString(w, "ready\n")
 }
 
+// versionParameter returns a version of the query, or InForce without one.
+func versionParameter(r *http.Request, name string) (int64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return InForce, nil
+	}
+	version, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || version < 0 {
+		return 0, fmt.Errorf("parameter %s = %q must be a version number", name, text)
+	}
+	return version, nil
+}
+
 func (s *Server) apply(w http.ResponseWriter, r *http.Request, team string) {
-	base, err := strconv.ParseInt(r.URL.Query().Get("base"), 10, 64)
+	base, err := versionParameter(r, "base")
 	if err != nil {
-		http.Error(w, "parameter base must be a version number", http.StatusBadRequest)
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDocument))
@@ -116,23 +174,33 @@
 		http.Error(w, "document could not be read: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	result, err := s.Control.Apply(r.Context(), team, base, text)
+	file := r.URL.Query().Get("file")
+	if file == "" {
+		file = "document"
+	}
+	result, err := s.Control.Apply(r.Context(), ApplyRequest{team, base, file, text})
+	var unknown *manifest.UnknownError
 	switch {
-	case errors.Is(err, tamarackrun.ErrConflict):
-		result.Message = "another document was accepted first"
-		writeJSON(w, http.StatusConflict, result)
 	case err != nil:
-		result.Message = err.Error()
+		result.Message, result.Unknown = err.Error(), errors.As(err, &unknown)
 		writeJSON(w, http.StatusServiceUnavailable, result)
 	case len(result.Problems) > 0:
 		writeJSON(w, http.StatusUnprocessableEntity, result)
+	case len(result.Conflicts) > 0:
+		result.Message = "another operator changed the same sections"
+		writeJSON(w, http.StatusConflict, result)
 	default:
 		writeJSON(w, http.StatusOK, result)
 	}
 }
 
 func (s *Server) document(w http.ResponseWriter, r *http.Request, _ string) {
-	version, text, err := s.Control.Document(r.Context())
+	version, err := versionParameter(r, "version")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	version, text, err := s.Control.Document(r.Context(), version)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -141,6 +209,27 @@
 	_, _ = w.Write(text)
 }
 
+func (s *Server) drain(w http.ResponseWriter, r *http.Request, team string) {
+	answerNamed(w, s.Control.Drain(r.Context(), team, r.PathValue("name"), r.URL.Query().Get("undo") == "yes"))
+}
+
+func (s *Server) declareLost(w http.ResponseWriter, r *http.Request, _ string) {
+	answerNamed(w, s.Control.DeclareLost(r.PathValue("name"), r.URL.Query().Get("undo") == "yes"))
+}
+
+// answerNamed answers a command that names something.
+func answerNamed(w http.ResponseWriter, err error) {
+	var name *NameError
+	switch {
+	case errors.As(err, &name):
+		http.Error(w, err.Error(), http.StatusUnprocessableEntity)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		_, _ = io.WriteString(w, "ok\n")
+	}
+}
+
 // Explanation is the answer to an explain.
 type Explanation struct {
 	Events []*wire.EventRecord `json:"events"`
