--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,10 @@
 generate: ## Regenerate the protobuf code (needs protoc and protoc-gen-go).
 	protoc --go_out=. --go_opt=module=tamarackrun internal/protocol/wire/wire.proto
 
+fuzz: ## Run each fuzz target for 20 s.
+	$(GO) test -run=NONE -fuzz=FuzzParse -fuzztime=20s -parallel=4 ./internal/protocol/document
+	$(GO) test -run=NONE -fuzz=FuzzRead -fuzztime=20s -parallel=4 ./internal/protocol/frame
+
 demo: build ## Start a deployment, send load, kill and drain, print a table.
 	./$(BIN)/standin demo --deployment deployments/sundarban
 
--- a/internal/program/command/command.go
+++ b/internal/program/command/command.go
@@ -27,8 +27,19 @@
 	exitInvalid = 2
 	// exitConflict says that another operator was first and nothing changed.
 	exitConflict = 3
+	// exitUnknown says that the change may have been accepted.
+	exitUnknown = 4
 )
 
+const rootHelp = `Steer calls to healthy backend servers across regions.
+
+Exit codes:
+  0  done
+  1  the command could not do its work
+  2  the input is wrong; nothing changed
+  3  another operator changed the same sections; nothing changed
+  4  it is not known whether the change was accepted; repeating it is harmless`
+
 // codedError is an error with the exit code that it leads to.
 type codedError struct {
 	code int
@@ -45,12 +56,22 @@
 // Run runs one command and returns the exit code.
 func Run(args []string, out, errOut io.Writer) int {
 	root := newRoot(out, errOut)
+	// An error before this point is one of the arguments.
+	began := false
+	root.PersistentPreRun = func(*cobra.Command, []string) { began = true }
 	root.SetArgs(args)
 	err := root.Execute()
 	if err == nil {
 		return exitDone
 	}
 	_, _ = fmt.Fprintln(errOut, "tamarackrun: "+err.Error())
+	if !began {
+		return exitInvalid
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
 	var c *codedError
 	if errors.As(err, &c) {
 		return c.code
@@ -62,6 +83,7 @@
 	root := &cobra.Command{
 		Use:           "tamarackrun",
 		Short:         "Steer calls to healthy backend servers across regions",
+		Long:          rootHelp,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
--- /dev/null
+++ b/internal/program/command/command_test.go
@@ -0,0 +1,360 @@
+package command
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"tamarackrun/internal/protocol/manifest"
+	"tamarackrun/internal/standin/fleet"
+	"tamarackrun/internal/standin/platform"
+)
+
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "tamarackrun-test-")
+	if err == nil {
+		defer func() { _ = os.RemoveAll(directory) }()
+		binary, err = fleet.Build(directory)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+const (
+	tinKey       = "fleet-operator-tin"
+	bootstrapKey = "fleet-bootstrap"
+	awaitLimit   = 30 * time.Second
+)
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+var tinPart = "; of tin\n[tin/team/tin]\noperatorKeyHash = " + hashOf(tinKey) + "\n[tin/organisation/can]\nrate = 10\nburst = 10\n"
+
+// console runs commands against a fleet.
+type console struct {
+	t     *testing.T
+	fleet *fleet.Fleet
+}
+
+func start(t *testing.T, extra string) *console {
+	t.Helper()
+	t.Parallel()
+	f, cleanup, err := fleet.Start(t.Context(), fleet.Options{
+		Directory: t.TempDir(), Binary: binary, Instances: 2, Regions: []int{1, 1}, Extra: extra, LogLevel: "debug",
+		BootstrapKey:  bootstrapKey,
+		Services:      []fleet.Service{{Name: "browse", Servers: 2, Slots: 3, Route: "methods = GET\nidempotent = yes"}},
+		Organisations: map[string]fleet.Rate{"tea": {Rate: 1000, Burst: 1000}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanup)
+	return &console{t, f}
+}
+
+// file writes a file and returns its name.
+func (c *console) file(text string) string {
+	c.t.Helper()
+	f, err := os.CreateTemp(c.t.TempDir(), "*.ini")
+	if err == nil {
+		_, err = f.WriteString(text)
+		_ = f.Close()
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return f.Name()
+}
+
+// result is what a command left.
+type result struct {
+	Code     int
+	Out, Err string
+}
+
+// run runs a command with an operator key at an instance.
+func (c *console) run(key string, instance int, args ...string) result {
+	c.t.Helper()
+	args = append(args, "--operator-key-file", c.file(key), "--instance", c.fleet.Instances[instance].Listing.ControlAddress)
+	var out, errOut bytes.Buffer
+	code := Run(args, &out, &errOut)
+	return result{code, out.String(), errOut.String()}
+}
+
+// expect runs a command that must end with the code.
+func (c *console) expect(code int, key string, instance int, args ...string) result {
+	c.t.Helper()
+	r := c.run(key, instance, args...)
+	if r.Code != code {
+		c.t.Fatalf("%v ended with %d, want %d:\n%s%s", args, r.Code, code, r.Out, r.Err)
+	}
+	return r
+}
+
+// stored returns the version and text in the store.
+func (c *console) stored() (int64, string) {
+	c.t.Helper()
+	version, text, err := manifest.Read(c.t.Context(), c.fleet.Store)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return version, string(text)
+}
+
+func (c *console) checkStored(version int64, text string) {
+	c.t.Helper()
+	gotVersion, got := c.stored()
+	if diff := cmp.Diff(version, gotVersion); diff != "" {
+		c.t.Errorf("version (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(text, got); diff != "" {
+		c.t.Errorf("document (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against an operator who undoes the work of another, or is refused
+// because of another team, in either order and through different instances.
+func TestOperatorsRace(t *testing.T) {
+	c := start(t, tinPart)
+	document := c.fleet.Document
+	byBase := strings.Replace(document, "rate = 1000", "rate = 900", 1)
+	byTin := strings.Replace(document, "rate = 10\n", "rate = 20\n", 1)
+	both := strings.Replace(byBase, "rate = 10\n", "rate = 20\n", 1)
+	c.expect(exitDone, fleet.OperatorKey, 0, "apply", c.file(byBase), "--base", "1")
+	c.expect(exitDone, tinKey, 1, "apply", c.file(byTin), "--base", "1")
+	c.checkStored(3, both)
+	c.expect(exitDone, fleet.OperatorKey, 0, "apply", c.file(strings.Replace(both, "rate = 900", "rate = 1000", 1)))
+	c.expect(exitDone, tinKey, 0, "apply", c.file(document), "--base", "4")
+	c.checkStored(5, document)
+	c.expect(exitDone, tinKey, 1, "apply", c.file(byTin), "--base", "1")
+	c.expect(exitDone, fleet.OperatorKey, 0, "apply", c.file(byBase), "--base", "1")
+	c.checkStored(7, both)
+
+	r := c.expect(exitConflict, fleet.OperatorKey, 1, "apply", c.file(strings.Replace(document, "rate = 1000", "rate = 800", 1)), "--base", "1")
+	for _, want := range []string{"conflict in [base/organisation/tea]", "--- base\n", "--- in force\n", "--- edited\n", "rate = 1000", "rate = 900", "rate = 800"} {
+		if !strings.Contains(r.Out, want) {
+			t.Errorf("the conflict does not show %q:\n%s", want, r.Out)
+		}
+	}
+	r = c.expect(exitInvalid, tinKey, 1, "apply", c.file(strings.Replace(both, "rate = 900", "rate = 1", 1)))
+	if !strings.Contains(r.Out, "[base/organisation/tea]: differs from the base version; only team base may change it (team tin applies)") {
+		t.Errorf("another team's section: %s", r.Out)
+	}
+	c.expect(exitInvalid, bootstrapKey, 0, "apply", c.file(byBase))
+	c.expect(exitInvalid, "wrong", 0, "apply", c.file(byBase))
+	c.expect(exitInvalid, fleet.OperatorKey, 0, "apply", c.file(byBase), "--base", "latest")
+	c.checkStored(7, both)
+}
+
+// Guards against two applies at the same moment of which one is lost.
+func TestOperatorsRaceAtOnce(t *testing.T) {
+	c := start(t, tinPart)
+	document := c.fleet.Document
+	files := map[string]string{
+		fleet.OperatorKey: c.file(strings.Replace(document, "rate = 1000", "rate = 900", 1)),
+		tinKey:            c.file(strings.Replace(document, "rate = 10\n", "rate = 20\n", 1)),
+	}
+	results, n := make(chan result), 0
+	for key, file := range files {
+		go func() { results <- c.run(key, n%2, "apply", file, "--base", "1") }()
+	}
+	for range files {
+		if r := <-results; r.Code != exitDone {
+			t.Errorf("%+v", r)
+		}
+	}
+	c.checkStored(3, strings.NewReplacer("rate = 1000", "rate = 900", "rate = 10\n", "rate = 20\n").Replace(document))
+}
+
+// Guards against a failure report for a write that took effect, and against a
+// change that is applied twice.
+func TestLostWriteAnswers(t *testing.T) {
+	c := start(t, "")
+	for n := 1; n <= 4; n++ {
+		text := strings.Replace(c.fleet.Document, "rate = 1000", fmt.Sprintf("rate = %d", 1000+n), 1)
+		c.fleet.Platform.SetFaults(platform.Faults{LoseAnswers: n})
+		c.expect(exitDone, fleet.OperatorKey, 0, "apply", c.file(text))
+		c.fleet.Platform.SetFaults(platform.Faults{})
+		c.checkStored(int64(n)+1, text)
+	}
+	r := c.expect(exitDone, fleet.OperatorKey, 0, "apply", c.file(strings.Replace(c.fleet.Document, "rate = 1000", "rate = 1004", 1)))
+	if !strings.Contains(r.Err, "nothing to change; version 5 is in force") {
+		t.Errorf("the same apply again: %+v", r)
+	}
+	c.fleet.Platform.SetFaults(platform.Faults{Outage: true})
+	c.expect(exitFailed, fleet.OperatorKey, 0, "apply", c.file(c.fleet.Document))
+	r = c.expect(exitDone, fleet.OperatorKey, 0, "get")
+	if !strings.Contains(r.Err, "version 5") || !strings.Contains(r.Out, "rate = 1004") {
+		t.Errorf("get during an outage: %+v", r)
+	}
+}
+
+// Guards against a document with a fault that changes anything.
+func TestFaultyDocumentsChangeNothing(t *testing.T) {
+	c := start(t, "")
+	document := c.fleet.Document
+	for name, text := range map[string]string{
+		"empty":              "",
+		"not INI":            "hello",
+		"key twice":          strings.Replace(document, "rate = 1000", "rate = 1000\nrate = 1", 1),
+		"section twice":      document + "[base/region/r1]\n",
+		"unknown kind":       document + "[base/zone/z]\n",
+		"unknown key":        document + "[base/region/r9]\ncolour = red\n",
+		"wrong type":         strings.Replace(document, "rate = 1000", "rate = fast", 1),
+		"out of range":       strings.Replace(document, "slots = 3", "slots = 0", 1),
+		"dangling reference": document + "[base/domain/z]\nregion = gone\n",
+		"no team":            document + "[other/region/z]\n",
+		"too many slots":     strings.Replace(document, "slots = 3", "slots = 300\nconnections = 2", 1),
+		"own team removed":   strings.TrimPrefix(document, "[base/team/base]\noperatorKeyHash = "+hashOf(fleet.OperatorKey)+"\n"),
+	} {
+		file := c.file(text)
+		r := c.run(fleet.OperatorKey, 0, "apply", file)
+		if r.Code != exitInvalid || !strings.Contains(r.Err, "nothing changed") ||
+			!strings.Contains(r.Out, filepath.Base(file)+":") && !strings.Contains(r.Out, "document in force:") {
+			t.Errorf("%s: %+v", name, r)
+		}
+	}
+	c.checkStored(1, document)
+}
+
+// Guards against a first document that nobody can apply, or that the bootstrap
+// key can replace later.
+func TestBootstrap(t *testing.T) {
+	c := start(t, "")
+	teamless := strings.TrimPrefix(c.fleet.Document, "[base/team/base]\noperatorKeyHash = "+hashOf(fleet.OperatorKey)+"\n")
+	object, err := c.fleet.Store.Get(t.Context(), manifest.ObjectName)
+	if err == nil {
+		_, err = manifest.Write(t.Context(), c.fleet.Store, []byte(teamless), "test", object.Version)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.expect(exitDone, bootstrapKey, 0, "apply", c.file(strings.Replace(teamless, "rate = 1000", "rate = 5", 1)))
+	c.expect(exitDone, bootstrapKey, 0, "apply", c.file(c.fleet.Document))
+	c.checkStored(4, c.fleet.Document)
+	c.expect(exitInvalid, bootstrapKey, 0, "apply", c.file(teamless))
+	c.checkStored(4, c.fleet.Document)
+}
+
+// Guards against a key that does not work when its command has ended well, that
+// works after it was withdrawn, or that is written anywhere.
+func TestKeyCommands(t *testing.T) {
+	c := start(t, "")
+	created := c.expect(exitDone, fleet.OperatorKey, 0, "key", "create", "tea", "--name", "tea-2")
+	key := strings.TrimSpace(created.Out)
+	caller := c.fleet.Caller("")
+	caller.Key = key
+	awaitReason := func(want string) {
+		t.Helper()
+		for _, i := range c.fleet.Instances {
+			for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+				got := caller.SendTo(t.Context(), i.Listing.CallerAddress, "GET", "/browse/a", nil, nil)
+				if got.Outcome+got.Reason == want {
+					break
+				}
+				if time.Since(began) > awaitLimit {
+					t.Fatalf("%s: %+v, want %s", i.Listing.Name, got, want)
+				}
+			}
+		}
+	}
+	awaitReason("ran")
+	c.expect(exitInvalid, fleet.OperatorKey, 0, "key", "create", "gone")
+	c.expect(exitInvalid, fleet.OperatorKey, 0, "key", "withdraw", "gone")
+	c.expect(exitDone, fleet.OperatorKey, 1, "key", "withdraw", "tea-2")
+	awaitReason("notRunkeyWithdrawn")
+	if _, text := c.stored(); strings.Contains(text, key) {
+		t.Error("the document holds the key")
+	}
+	for _, i := range c.fleet.Instances {
+		log, err := os.ReadFile(i.LogFile)
+		if err != nil || bytes.Contains(log, []byte(key)) || bytes.Contains(log, []byte(fleet.OperatorKey)) {
+			t.Errorf("log of %s holds a key, error %v", i.Listing.Name, err)
+		}
+	}
+}
+
+// Guards against commands that fail quietly or print what nobody can read.
+func TestReadingCommands(t *testing.T) {
+	c := start(t, tinPart)
+	r := c.fleet.Caller("tea").Send(t.Context(), "GET", "/browse/a", nil, nil)
+	for _, k := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"status"}, exitDone, "entry-2   r2-a    serving  1"},
+		{[]string{"status", "--output", "json"}, exitDone, `"freshness":"fresh"`},
+		{[]string{"status", "--output", "xml"}, exitInvalid, ""},
+		{[]string{"explain", r.ID}, exitDone, "requestFinished"},
+		{[]string{"explain", r.ID, "--output", "json"}, exitDone, `"request":"` + r.ID + `"`},
+		{[]string{"explain"}, exitInvalid, ""},
+		{[]string{"get", "--team", "tin"}, exitDone, tinPart},
+		{[]string{"get"}, exitDone, c.fleet.Document},
+		{[]string{"diff", c.file(strings.Replace(c.fleet.Document, "rate = 10\n", "rate = 20\n", 1))}, exitDone,
+			"[tin/organisation/can]\n  [tin/organisation/can]\n- rate = 10\n+ rate = 20\n  burst = 10\n"},
+		{[]string{"drain", "gone"}, exitInvalid, ""},
+		{[]string{"drain"}, exitInvalid, ""},
+		{[]string{"drain", "browse-01"}, exitDone, "ok\n"},
+		{[]string{"drain", "browse-01", "--undo"}, exitDone, "ok\n"},
+		{[]string{"drain", "--lost", "r2"}, exitInvalid, ""},
+		{[]string{"drain", "--lost", "region/r1"}, exitInvalid, ""},
+		{[]string{"drain", "--lost", "region/r2"}, exitDone, "ok\n"},
+		{[]string{"status"}, exitDone, "declared lost: r2"},
+		{[]string{"drain", "--lost", "region/r2", "--undo"}, exitDone, "ok\n"},
+	} {
+		got := c.expect(k.code, fleet.OperatorKey, 0, k.args...)
+		if !strings.Contains(got.Out, k.want) {
+			t.Errorf("%v prints %q, want %q", k.args, got.Out, k.want)
+		}
+	}
+	object, err := c.fleet.Store.Get(t.Context(), "drain/browse-01")
+	if diff := cmp.Diff(`{"draining":false,"team":"base"}`, string(object.Value)); err != nil || diff != "" {
+		t.Errorf("error %v, drain (-want +got):\n%s", err, diff)
+	}
+}
+
+// Guards against commands without an instance that need one, and against exit
+// codes that the help does not name.
+func TestLocalCommands(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.ini")
+	if err := os.WriteFile(bad, []byte("[a/region/r]\ndelayMs = soon\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"check", "../../../deployments/sundarban/document.ini"}, exitDone, "ok"},
+		{[]string{"check", bad}, exitInvalid, `bad.ini:2: [a/region/r] delayMs = "soon": is not a number from 0 to 1000`},
+		{[]string{"serve", "-c", bad}, exitInvalid, ""},
+		{[]string{"completion", "bash"}, exitDone, "bash completion"},
+		{[]string{"help"}, exitDone, "Exit codes:"},
+		{[]string{"unknown"}, exitInvalid, ""},
+		{[]string{"apply", bad, "--instance", "127.0.0.1:1", "--operator-key-file", bad}, exitInvalid, ""},
+	} {
+		var out, errOut bytes.Buffer
+		if code := Run(k.args, &out, &errOut); code != k.code || !strings.Contains(out.String(), k.want) {
+			t.Errorf("%v ends with %d, want %d, and prints %.200q and %q", k.args, code, k.code, out.String(), errOut.String())
+		}
+	}
+}
--- /dev/null
+++ b/internal/program/command/document.go
@@ -0,0 +1,321 @@
+package command
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/base32"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"tamarackrun/internal/protocol/document"
+	"tamarackrun/internal/transport/operator"
+)
+
+// keyBytes is the number of random bytes of a key.
+const keyBytes = 32
+
+// document returns the document in force.
+func (t *control) document() (version int64, text []byte, err error) {
+	header, text, err := t.expect(http.MethodGet, "/v1/document")
+	if err != nil {
+		return 0, nil, err
+	}
+	version, err = strconv.ParseInt(header.Get("Document-Version"), 10, 64)
+	return version, text, err
+}
+
+func newApply() *cobra.Command {
+	var t control
+	var base int64
+	c := &cobra.Command{
+		Use:   "apply FILE.ini [--base VERSION]",
+		Short: "Put the changes of one team in force",
+		Long: "Put the changes of one team in force.\n\n" +
+			"The changes are those between the base version and the file. Sections of other teams must be as in\n" +
+			"the base version; they stay as they are in force.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			return t.apply(c, base, args[0], text)
+		},
+	}
+	c.Flags().Int64Var(&base, "base", operator.InForce,
+		"version that the file was edited from, as printed by get; 0 for the first (default: the version in force)")
+	c.Flags().Lookup("base").DefValue = ""
+	return t.flags(c)
+}
+
+// apply applies a document and prints what became of it.
+func (t *control) apply(c *cobra.Command, base int64, file string, text []byte) error {
+	query := url.Values{"file": {file}}
+	if base != operator.InForce {
+		query.Set("base", strconv.FormatInt(base, 10))
+	}
+	status, _, content, err := t.call(http.MethodPost, "/v1/apply?"+query.Encode(), text)
+	var invalid *codedError
+	var path *os.PathError
+	var op *net.OpError
+	switch {
+	case errors.As(err, &invalid) || errors.As(err, &path):
+		return err
+	case errors.As(err, &op) && op.Op == "dial":
+		return fmt.Errorf("the instance cannot be reached; nothing changed: %w", err)
+	case err != nil:
+		return coded(exitUnknown, "no answer, so it is not known whether the document was accepted; "+
+			"apply it again, which is harmless: %w", err)
+	}
+	var result operator.ApplyResult
+	if json.Unmarshal(content, &result) != nil {
+		code := exitFailed
+		if status == http.StatusUnauthorized || status == http.StatusBadRequest {
+			code = exitInvalid
+		}
+		return coded(code, "the instance refused: %s; nothing changed", bytes.TrimSpace(content))
+	}
+	return reportApply(c, result)
+}
+
+func reportApply(c *cobra.Command, r operator.ApplyResult) error {
+	out := c.OutOrStdout()
+	for _, p := range r.Problems {
+		_, _ = fmt.Fprintln(out, p.String())
+	}
+	for _, k := range r.Conflicts {
+		printConflict(out, k)
+	}
+	switch {
+	case len(r.Problems) > 0:
+		return coded(exitInvalid, "%d problems; nothing changed", len(r.Problems))
+	case len(r.Conflicts) > 0:
+		return coded(exitConflict, "%d sections were changed by another operator too; nothing changed", len(r.Conflicts))
+	case r.Unknown:
+		return coded(exitUnknown, "%s", r.Message)
+	case r.Version == 0:
+		return coded(exitFailed, "%s; nothing changed", r.Message)
+	case len(r.Changed) == 0:
+		_, _ = fmt.Fprintf(c.ErrOrStderr(), "nothing to change; version %d is in force\n", r.Version)
+	default:
+		_, _ = fmt.Fprintf(c.ErrOrStderr(), "accepted as version %d; changed: %s\n", r.Version, strings.Join(r.Changed, ", "))
+	}
+	return nil
+}
+
+func printConflict(out io.Writer, k document.Conflict) {
+	_, _ = fmt.Fprintf(out, "conflict in [%s]\n", k.Section)
+	for _, side := range []struct{ name, text string }{{"base", k.Base}, {"in force", k.InForce}, {"edited", k.Edited}} {
+		text := side.text
+		if text == "" {
+			text = "(no such section)"
+		}
+		_, _ = fmt.Fprintf(out, "--- %s\n%s\n", side.name, strings.TrimRight(text, "\r\n"))
+	}
+}
+
+func newGet() *cobra.Command {
+	var t control
+	var team string
+	c := t.flags(&cobra.Command{
+		Use:   "get [--team TEAM]",
+		Short: "Print the document in force; its version goes to standard error",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			version, text, err := t.document()
+			if err != nil {
+				return err
+			}
+			_, _ = fmt.Fprintf(c.ErrOrStderr(), "version %d\n", version)
+			if team != "" {
+				text = teamPart(text, team)
+			}
+			_, err = c.OutOrStdout().Write(text)
+			return err
+		},
+	})
+	c.Flags().StringVar(&team, "team", "", "print only the sections of this team; such a part cannot be applied")
+	return c
+}
+
+func teamPart(text []byte, team string) []byte {
+	var part strings.Builder
+	_, sections := document.Split(text)
+	for _, s := range sections {
+		if s.Team() == team {
+			part.WriteString(s.Text)
+		}
+	}
+	return []byte(part.String())
+}
+
+func newDiff() *cobra.Command {
+	var t control
+	return t.flags(&cobra.Command{
+		Use:   "diff FILE.ini",
+		Short: "Show by section how a file differs from the document in force",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			edited, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			version, text, err := t.document()
+			if err != nil {
+				return err
+			}
+			_, _ = fmt.Fprintf(c.ErrOrStderr(), "version %d\n", version)
+			printDiff(c.OutOrStdout(), text, edited)
+			return nil
+		},
+	})
+}
+
+// printDiff prints the sections that differ, first those in force.
+func printDiff(out io.Writer, current, edited []byte) {
+	_, before := document.Split(current)
+	_, after := document.Split(edited)
+	texts := map[string][2]string{}
+	var names []string
+	for side, sections := range [][]document.Section{before, after} {
+		for _, s := range sections {
+			pair, ok := texts[s.Name]
+			if !ok {
+				names = append(names, s.Name)
+			}
+			pair[side] = s.Text
+			texts[s.Name] = pair
+		}
+	}
+	for _, name := range names {
+		if pair := texts[name]; pair[0] != pair[1] {
+			_, _ = fmt.Fprintf(out, "[%s]\n", name)
+			printLines(out, lines(pair[0]), lines(pair[1]))
+		}
+	}
+}
+
+func lines(text string) []string {
+	if text = strings.TrimRight(text, "\r\n"); text == "" {
+		return nil
+	}
+	return strings.Split(text, "\n")
+}
+
+// printLines prints two texts by their longest common subsequence of lines.
+func printLines(out io.Writer, a, b []string) {
+	// common[i][j] is the length for a[i:] and b[j:].
+	common := make([][]int, len(a)+1)
+	for i := range common {
+		common[i] = make([]int, len(b)+1)
+	}
+	for i := len(a) - 1; i >= 0; i-- {
+		for j := len(b) - 1; j >= 0; j-- {
+			if a[i] == b[j] {
+				common[i][j] = common[i+1][j+1] + 1
+			} else {
+				common[i][j] = max(common[i+1][j], common[i][j+1])
+			}
+		}
+	}
+	for i, j := 0, 0; i < len(a) || j < len(b); {
+		switch {
+		case i < len(a) && j < len(b) && a[i] == b[j]:
+			_, _ = fmt.Fprintln(out, "  "+a[i])
+			i, j = i+1, j+1
+		case j == len(b) || i < len(a) && common[i+1][j] >= common[i][j+1]:
+			_, _ = fmt.Fprintln(out, "- "+a[i])
+			i++
+		default:
+			_, _ = fmt.Fprintln(out, "+ "+b[j])
+			j++
+		}
+	}
+}
+
+func newKey() *cobra.Command {
+	c := &cobra.Command{Use: "key", Short: "Create and withdraw callers' keys"}
+	c.AddCommand(newKeyCreate(), newKeyWithdraw())
+	return c
+}
+
+func newKeyCreate() *cobra.Command {
+	var t control
+	var name string
+	c := t.flags(&cobra.Command{
+		Use:   "create ORGANISATION",
+		Short: "Create a key and print it once; only its hash is stored",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			key, suffix := newSecret(keyBytes), newSecret(5)
+			if name == "" {
+				name = args[0] + "-" + suffix
+			}
+			var team operator.Team
+			if _, err := t.read("/v1/team", &team); err != nil {
+				return err
+			}
+			version, text, err := t.document()
+			if err != nil {
+				return err
+			}
+			hash := document.HashKey(key)
+			text = document.Append(text, team.Team+"/key/"+name, "organisation = "+args[0], "hash = "+hex.EncodeToString(hash[:]))
+			if err := t.apply(c, version, inForceFile, text); err != nil && exitCode(err) != exitUnknown {
+				return err
+			} else if err != nil {
+				_, _ = fmt.Fprintln(c.OutOrStdout(), key)
+				return err
+			}
+			_, _ = fmt.Fprintf(c.ErrOrStderr(), "the key %s is printed once and stored nowhere\n", name)
+			_, err = fmt.Fprintln(c.OutOrStdout(), key)
+			return err
+		},
+	})
+	c.Flags().StringVar(&name, "name", "", "name of the key (default: the organisation and a random part)")
+	return c
+}
+
+// inForceFile names the document that the key commands edit.
+const inForceFile = "document in force"
+
+// newSecret returns n random bytes in lower-case letters and digits.
+func newSecret(n int) string {
+	b := make([]byte, n)
+	_, _ = rand.Read(b)
+	return strings.ToLower(base32.StdEncoding.WithPadding(base32.NoPadding).EncodeToString(b))
+}
+
+func newKeyWithdraw() *cobra.Command {
+	var t control
+	return t.flags(&cobra.Command{
+		Use:   "withdraw NAME",
+		Short: "Withdraw a key; it stops working within seconds",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			version, text, err := t.document()
+			if err != nil {
+				return err
+			}
+			_, sections := document.Split(text)
+			for _, s := range sections {
+				if strings.HasSuffix(s.Name, "/key/"+args[0]) {
+					text, _ = document.Set(text, s.Name, "withdrawn", "yes")
+					return t.apply(c, version, inForceFile, text)
+				}
+			}
+			return coded(exitInvalid, "key %q is not in the document; nothing changed", args[0])
+		},
+	})
+}
--- a/internal/program/command/operator.go
+++ b/internal/program/command/operator.go
@@ -6,7 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
+	"strings"
+	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -14,7 +17,7 @@
 	"tamarackrun/internal/transport/operator"
 )
 
-const callTimeout = 30 * time.Second
+const callTimeout = 60 * time.Second
 
 // control is the connection to the control port of an instance.
 type control struct {
@@ -34,11 +37,14 @@
 	if err != nil {
 		return 0, nil, nil, err
 	}
+	if key = bytes.TrimSpace(key); len(key) == 0 || bytes.ContainsAny(key, " \t\r\n") {
+		return 0, nil, nil, coded(exitInvalid, "%s must hold one operator key and nothing else", t.keyFile)
+	}
 	request, err := http.NewRequest(method, "http://"+t.address+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, nil, err
 	}
-	request.Header.Set("Tamarackrun-Operator-Key", string(bytes.TrimSpace(key)))
+	request.Header.Set("Tamarackrun-Operator-Key", string(key))
 	response, err := (&http.Client{Timeout: callTimeout}).Do(request)
 	if err != nil {
 		return 0, nil, nil, err
@@ -48,113 +54,126 @@
 	return response.StatusCode, response.Header, content, err
 }
 
-// read calls a path that must answer with status 200.
-func (t *control) read(path string) (http.Header, []byte, error) {
-	status, header, content, err := t.call(http.MethodGet, path, nil)
-	if err == nil && status != http.StatusOK {
-		err = fmt.Errorf("the instance answered with status %d: %s", status, bytes.TrimSpace(content))
+// expect calls a path that must answer with status 200.
+func (t *control) expect(method, path string) (http.Header, []byte, error) {
+	status, header, content, err := t.call(method, path, nil)
+	switch {
+	case err != nil:
+		return nil, nil, err
+	case status == http.StatusUnprocessableEntity || status == http.StatusBadRequest || status == http.StatusUnauthorized:
+		return nil, nil, coded(exitInvalid, "%s; nothing changed", bytes.TrimSpace(content))
+	case status != http.StatusOK:
+		return nil, nil, fmt.Errorf("the instance answered with status %d: %s", status, bytes.TrimSpace(content))
 	}
-	return header, content, err
+	return header, content, nil
 }
 
-func newOperatorCommands() []*cobra.Command {
-	return []*cobra.Command{newApply(), newGet(), newStatus(), newExplain()}
+// read calls a path and decodes its JSON answer.
+func (t *control) read(path string, target any) (raw []byte, err error) {
+	_, content, err := t.expect(http.MethodGet, path)
+	if err != nil {
+		return nil, err
+	}
+	return content, json.Unmarshal(content, target)
 }
 
-func newApply() *cobra.Command {
-	var t control
-	var base int64
-	c := &cobra.Command{
-		Use:   "apply FILE.ini --base VERSION",
-		Short: "Put a document in force",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			text, err := os.ReadFile(args[0])
-			if err != nil {
-				return err
-			}
-			_, _, content, err := t.call(http.MethodPost, fmt.Sprintf("/v1/apply?base=%d", base), text)
-			if err != nil {
-				return err
-			}
-			return reportApply(c, content)
-		},
-	}
-	c.Flags().Int64Var(&base, "base", 0, "version that the document was edited from; 0 for the first")
-	return t.flags(c)
+func newOperatorCommands() []*cobra.Command {
+	return []*cobra.Command{newApply(), newGet(), newDiff(), newStatus(), newExplain(), newKey(), newDrain()}
 }
 
-func reportApply(c *cobra.Command, content []byte) error {
-	var result operator.ApplyResult
-	if json.Unmarshal(content, &result) != nil {
-		return fmt.Errorf("the instance refused: %s", bytes.TrimSpace(content))
-	}
-	for _, p := range result.Problems {
-		_, _ = fmt.Fprintln(c.OutOrStdout(), p.String())
-	}
-	switch {
-	case len(result.Problems) > 0:
-		return coded(exitInvalid, "%d problems; nothing changed", len(result.Problems))
-	case result.Version == 0:
-		return coded(exitConflict, "%s; nothing changed", result.Message)
-	}
-	_, _ = fmt.Fprintf(c.OutOrStdout(), "accepted as version %d\n", result.Version)
-	return nil
+// outputFlag adds the choice between a table and JSON.
+func outputFlag(c *cobra.Command, output *string) *cobra.Command {
+	c.Flags().StringVar(output, "output", "table", "form of the output: table or json")
+	_ = c.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{"table", "json"}, cobra.ShellCompDirectiveNoFileComp))
+	return c
 }
 
-func newGet() *cobra.Command {
-	var t control
-	return t.flags(&cobra.Command{
-		Use:   "get",
-		Short: "Print the document in force; its version goes to standard error",
-		Args:  cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			header, content, err := t.read("/v1/document")
-			if err != nil {
-				return err
-			}
-			_, _ = fmt.Fprintf(c.ErrOrStderr(), "version %s\n", header.Get("Document-Version"))
-			_, err = c.OutOrStdout().Write(content)
-			return err
-		},
-	})
+// print writes the raw JSON or calls table.
+func print(out io.Writer, output string, raw []byte, table func(io.Writer) error) error {
+	switch output {
+	case "json":
+		_, err := out.Write(raw)
+		return err
+	case "table":
+		return table(out)
+	}
+	return coded(exitInvalid, "--output = %q must be table or json", output)
 }
 
 func newStatus() *cobra.Command {
 	var t control
-	return t.flags(&cobra.Command{
+	var output string
+	return outputFlag(t.flags(&cobra.Command{
 		Use:   "status",
 		Short: "Show the fleet as one instance sees it",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			_, content, err := t.read("/v1/status")
+			var status operator.Status
+			raw, err := t.read("/v1/status", &status)
 			if err != nil {
 				return err
 			}
-			_, err = c.OutOrStdout().Write(content)
-			return err
+			return print(c.OutOrStdout(), output, raw, func(out io.Writer) error { return printStatus(out, status) })
 		},
-	})
+	}), &output)
+}
+
+func printStatus(out io.Writer, s operator.Status) error {
+	_, _ = fmt.Fprintf(out, "instance %s, configuration version %d, %s, last proof %s ago\n",
+		s.Instance, s.ConfigurationVersion, s.Freshness, s.ProofAge)
+	if len(s.LostRegions) > 0 {
+		_, _ = fmt.Fprintf(out, "declared lost: %s\n", strings.Join(s.LostRegions, ", "))
+	}
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "\nINSTANCE\tDOMAIN\tSTATE\tVERSION")
+	for _, m := range s.Members {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", m.Name, m.FailureDomain, stateOf(m), m.ConfigurationVersion)
+	}
+	_, _ = fmt.Fprintln(w, "\nBACKEND SERVER\tHOME\tIN FLIGHT\tQUEUED\tSLOTS\tSTATE")
+	for _, m := range s.Members {
+		for _, l := range m.Servers {
+			state := "ready"
+			switch {
+			case l.Leaving:
+				state = "leaving"
+			case l.Ejected:
+				state = "ejected"
+			}
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\n", l.Name, m.Name, l.InFlight, l.Queued, l.Slots, state)
+		}
+	}
+	return w.Flush()
+}
+
+func stateOf(m operator.Member) string {
+	switch {
+	case !m.Reachable:
+		return "unreachable"
+	case m.CutOff:
+		return "cutOff"
+	case m.Serving:
+		return "serving"
+	default:
+		return "notServing"
+	}
 }
 
 func newExplain() *cobra.Command {
 	var t control
-	return t.flags(&cobra.Command{
+	var output string
+	return outputFlag(t.flags(&cobra.Command{
 		Use:   "explain REQUEST-ID",
 		Short: "Show what the fleet did with one request",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			_, content, err := t.read("/v1/explain/" + args[0])
-			if err != nil {
-				return err
-			}
 			var e operator.Explanation
-			if err := json.Unmarshal(content, &e); err != nil {
+			raw, err := t.read("/v1/explain/"+url.PathEscape(args[0]), &e)
+			if err != nil {
 				return err
 			}
-			return printExplanation(c.OutOrStdout(), e)
+			return print(c.OutOrStdout(), output, raw, func(out io.Writer) error { return printExplanation(out, e) })
 		},
-	})
+	}), &output)
 }
 
 func printExplanation(out io.Writer, e operator.Explanation) error {
@@ -176,3 +195,49 @@
 	}
 	return nil
 }
+
+func newDrain() *cobra.Command {
+	var t control
+	var undo bool
+	var lost string
+	c := &cobra.Command{
+		Use:   "drain NAME [--undo] | drain --lost region/NAME [--undo]",
+		Short: "Take a backend server, instance, failure domain or region out of service",
+		Long: "Take a backend server, instance, failure domain or region out of service.\n\n" +
+			"With --lost, tell one instance that a region is lost. It then takes the region's silence for no\n" +
+			"sign of a partition and goes on with routes that it refused as cut off. Repeat this at the control\n" +
+			"port of each instance that shall go on, and only if nothing in the region runs.",
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			path, err := drainPath(args, lost)
+			if err != nil {
+				return err
+			}
+			if undo {
+				path += "?undo=yes"
+			}
+			_, content, err := t.expect(http.MethodPost, path)
+			if err == nil {
+				_, err = c.OutOrStdout().Write(content)
+			}
+			return err
+		},
+	}
+	c.Flags().BoolVar(&undo, "undo", false, "take the drain or the declaration back")
+	c.Flags().StringVar(&lost, "lost", "", "region/NAME that is lost")
+	return t.flags(c)
+}
+
+func drainPath(args []string, lost string) (string, error) {
+	if (len(args) == 1) == (lost != "") {
+		return "", coded(exitInvalid, "give either NAME or --lost region/NAME")
+	}
+	if lost == "" {
+		return "/v1/drain/" + url.PathEscape(args[0]), nil
+	}
+	region, ok := strings.CutPrefix(lost, "region/")
+	if !ok || region == "" {
+		return "", coded(exitInvalid, "--lost = %q must be region/NAME", lost)
+	}
+	return "/v1/lost/" + url.PathEscape(region), nil
+}
--- a/internal/program/instance/control.go
+++ b/internal/program/instance/control.go
@@ -17,9 +17,6 @@
 	"tamarackrun/internal/transport/operator"
 )
 
-// bootstrapTeam may apply any section before the document defines teams.
-const bootstrapTeam = "bootstrap"
-
 // Authorised returns the team of an operator key.
 func (in *Instance) Authorised(key string) (team string, ok bool) {
 	hash := document.HashKey(key)
@@ -31,7 +28,7 @@
 		}
 	}
 	if in.Settings.BootstrapKeyHash == hex.EncodeToString(hash[:]) {
-		return bootstrapTeam, true
+		return document.BootstrapTeam, true
 	}
 	return "", false
 }
@@ -91,7 +88,7 @@
 // may apply the first document, and later ones while there is no team; the
 // first document may come from nobody else.
 func mergeTeam(request operator.ApplyRequest, version int64, current []byte) (string, *document.Problem) {
-	if request.Team != bootstrapTeam {
+	if request.Team != document.BootstrapTeam {
 		return request.Team, nil
 	}
 	if version > 0 {
@@ -205,36 +202,15 @@
 	return events, silent
 }
 
-// statusReport is what `tamarackrun status` shows.
-type statusReport struct {
-	Instance             string `json:"instance"`
-	ConfigurationVersion int64  `json:"configurationVersion"`
-	// Freshness is fresh, storeOut or cutOff.
-	Freshness string `json:"freshness"`
-	ProofAge  string `json:"proofAge"`
-	// LostRegions were declared lost at this instance.
-	LostRegions []string       `json:"lostRegions,omitempty"`
-	Members     []memberReport `json:"members"`
-}
-
-type memberReport struct {
-	Name                 string             `json:"name"`
-	FailureDomain        string             `json:"failureDomain"`
-	Reachable            bool               `json:"reachable"`
-	Serving              bool               `json:"serving"`
-	CutOff               bool               `json:"cutOff"`
-	Incarnation          string             `json:"incarnation,omitempty"`
-	ConfigurationVersion uint64             `json:"configurationVersion"`
-	Servers              []*wire.ServerLoad `json:"servers,omitempty"`
-}
-
 // Status reports the fleet as this instance sees it.
-func (in *Instance) Status(context.Context) any {
-	report := statusReport{Instance: in.Settings.Name, ConfigurationVersion: in.version(),
+func (in *Instance) Status(context.Context) operator.Status {
+	report := operator.Status{Instance: in.Settings.Name, ConfigurationVersion: in.version(),
 		Freshness: in.proofs.current().String(), ProofAge: ageText(in.proofs.age()), LostRegions: in.proofs.lostRegions()}
 	for _, m := range in.roster.Members() {
-		report.Members = append(report.Members, memberReport{m.Listing.Name, m.Listing.FailureDomain, m.Reachable, m.Serving(),
-			m.State.GetCutOff(), m.State.GetIncarnation(), m.State.GetConfigurationVersion(), m.State.GetServers()})
+		report.Members = append(report.Members, operator.Member{
+			Name: m.Listing.Name, FailureDomain: m.Listing.FailureDomain, Reachable: m.Reachable, Serving: m.Serving(),
+			CutOff: m.State.GetCutOff(), Incarnation: m.State.GetIncarnation(),
+			ConfigurationVersion: m.State.GetConfigurationVersion(), Servers: m.State.GetServers()})
 	}
 	return report
 }
--- a/internal/program/instance/keys.go
+++ b/internal/program/instance/keys.go
@@ -131,7 +131,8 @@
 // keyGuard ends a running request when its key is withdrawn.
 type keyGuard struct {
 	tamarackrun.AnswerWriter
-	in *Instance
+	in      *Instance
+	request *http.Request
 	// ctx is the context of the request.
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -141,10 +142,10 @@
 
 // guardKey watches the key of a request that begins. Requests without a valid
 // key are refused elsewhere and need no watch.
-func (in *Instance) guardKey(ctx context.Context, key string, answer tamarackrun.AnswerWriter) *keyGuard {
-	g := &keyGuard{AnswerWriter: answer, in: in}
-	g.ctx, g.cancel = context.WithCancel(ctx)
-	if key != "" {
+func (in *Instance) guardKey(r *http.Request, answer tamarackrun.AnswerWriter) *keyGuard {
+	g := &keyGuard{AnswerWriter: answer, in: in, request: r}
+	g.ctx, g.cancel = context.WithCancel(r.Context())
+	if key := presentedKey(r.Header); key != "" {
 		hash := document.HashKey(key)
 		if c := in.snapshot.Load(); c != nil {
 			go g.watch(hash, c.Keys[hash].Organisation)
@@ -153,22 +154,25 @@
 	return g
 }
 
-// watch checks the key until the request ends. Before the answer begins only
-// the flag is set, so that a request that must not run twice does not lose its
-// answer: the outcome of an order stays known.
+// watch checks the key until the request ends. A non-idempotent request whose
+// answer has not begun is not cancelled: it may be running, and its outcome
+// would become unknown.
 func (g *keyGuard) watch(hash [32]byte, organisation string) {
 	for {
 		pause(g.ctx, keyCheckInterval)
 		if g.ctx.Err() != nil {
 			return
 		}
-		key, ok := g.in.snapshot.Load().Keys[hash]
-		if !ok || key.Withdrawn || key.Organisation != organisation {
-			g.withdrawn.Store(true)
-			if g.began.Load() {
-				g.cancel()
-				return
-			}
+		c := g.in.snapshot.Load()
+		key, ok := c.Keys[hash]
+		if ok && !key.Withdrawn && key.Organisation == organisation {
+			continue
+		}
+		g.withdrawn.Store(true)
+		route, _, _ := c.RouteOf(g.request.Method, g.request.URL.Path)
+		if g.began.Load() || route.Idempotent {
+			g.cancel()
+			return
 		}
 	}
 }
@@ -190,8 +194,12 @@
 // finish ends the watch and records that it ended the request.
 func (g *keyGuard) finish(id string, outcome tamarackrun.Outcome) tamarackrun.Outcome {
 	g.cancel()
-	if g.withdrawn.Load() && outcome.Kind != tamarackrun.Ran {
-		g.in.history.Record(event.KeyEndedStream, id, "outcome", outcome.String())
+	if !g.withdrawn.Load() || outcome.Kind == tamarackrun.Ran {
+		return outcome
+	}
+	g.in.history.Record(event.KeyEndedStream, id, "outcome", outcome.String())
+	if outcome.Kind == tamarackrun.NotRun {
+		return tamarackrun.Refused(tamarackrun.KeyWithdrawn)
 	}
 	return outcome
 }
--- a/internal/program/instance/keys_test.go
+++ b/internal/program/instance/keys_test.go
@@ -17,6 +17,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"tamarackrun/internal/protocol/manifest"
+	"tamarackrun/internal/standin/caller"
 	"tamarackrun/internal/standin/fleet"
 	"tamarackrun/internal/standin/server"
 )
@@ -90,7 +91,7 @@
 // organisation.
 func TestKeysReachNoServerAndNoLog(t *testing.T) {
 	t.Parallel()
-	f := startFleet(t, fleet.Options{Services: []fleet.Service{
+	f := startFleet(t, fleet.Options{LogLevel: "debug", Services: []fleet.Service{
 		{Name: "browse", Servers: 3, Slots: 3, Route: "methods = GET, POST\nidempotent = yes\nheaders = X-Note, Cookie"},
 		{Name: "open", Servers: 3, Slots: 3, Route: "methods = GET\nidempotent = yes\nopen = yes"},
 	}, Organisations: map[string]fleet.Rate{"tea": {Rate: 1000, Burst: 1000}, "tin": {Rate: 1000, Burst: 1000}}})
@@ -215,14 +216,19 @@
 	return strings.Replace(f.Document, section, section+"withdrawn = yes\n", 1)
 }
 
-// Guards against a withdrawn key that goes on working, for new requests and for
-// an answer that is still being copied.
+// Guards against a withdrawn key that goes on working, for new requests, for a
+// request that a backend server works on and for an answer that is still being
+// copied.
 func TestWithdrawnKeyEndsStreamsAndRequests(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, fleet.Options{Services: []fleet.Service{
-		{Name: "browse", Servers: 3, Slots: 3, Route: "methods = GET\nidempotent = yes\ntimeout = 5m"}}})
-	for _, s := range f.Servers {
+		{Name: "browse", Servers: 3, Slots: 3, Route: "methods = GET\nidempotent = yes\ntimeout = 5m"},
+		{Name: "slow", Servers: 3, Slots: 3, Route: "methods = GET\nidempotent = yes\ntimeout = 5m"}}})
+	for name, s := range f.Servers {
 		s.SetFaults(server.Faults{StreamMillis: 240_000})
+		if strings.HasPrefix(name, "slow") {
+			s.SetFaults(server.Faults{WorkMillis: 240_000})
+		}
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
@@ -246,8 +252,18 @@
 		}()
 		<-begun
 	}
+	slow := make(chan caller.Result)
+	go func() {
+		c := f.Caller("tea")
+		c.Client.Timeout = time.Minute
+		slow <- c.SendTo(ctx, f.Instances[0].Listing.CallerAddress, "GET", "/slow/a", nil, nil)
+	}()
+	await(t, awaitLimit, "a slow request", func() bool { return f.Executions("") > len(f.Instances) })
 	putDocument(t, f, withoutKey(f, "tea"))
 	began := time.Now()
+	if r := <-slow; r.Outcome != "unknown" || r.Err != nil {
+		t.Errorf("the request in progress ended with %+v", r)
+	}
 	for range f.Instances {
 		s := <-ended
 		if s.err == nil || ctx.Err() != nil {
--- a/internal/program/instance/steering.go
+++ b/internal/program/instance/steering.go
@@ -23,7 +23,7 @@
 
 // Steer runs one request of a caller.
 func (in *Instance) Steer(r *http.Request, id string, body []byte, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
-	guard := in.guardKey(r.Context(), presentedKey(r.Header), answer)
+	guard := in.guardKey(r, answer)
 	outcome := guard.finish(id, in.steer(r.WithContext(guard.ctx), id, body, guard))
 	in.history.CountOutcome("entry", outcome)
 	switch outcome.Kind {
--- a/internal/protocol/document/document.go
+++ b/internal/protocol/document/document.go
@@ -43,6 +43,10 @@
 	return where + ": " + p.Message
 }
 
+// BootstrapTeam is the author of a document that was applied with the bootstrap
+// key of an instance's settings.
+const BootstrapTeam = "bootstrap"
+
 // HashKey returns the form in which a key is stored.
 func HashKey(key string) [32]byte { return sha256.Sum256([]byte(key)) }
 
@@ -304,6 +308,9 @@
 		if s.name != s.team {
 			s.fail("", "the team section of team %q must be [%s/team/%s]", s.team, s.team, s.team)
 		}
+		if s.name == BootstrapTeam {
+			s.fail("", "the team name %q is reserved for the bootstrap key", s.name)
+		}
 		c.Teams[s.name] = configuration.Team{Name: s.name, OperatorKeyHash: s.hash("operatorKeyHash")}
 	},
 	"fleet": func(c *configuration.Snapshot, s *section) {
--- a/internal/protocol/document/merge.go
+++ b/internal/protocol/document/merge.go
@@ -82,6 +82,15 @@
 
 // preamble merges the text before the first section, which all teams share.
 func (g *merger) preamble(base, current, edited string) string {
+	mark := ""
+	if strings.HasPrefix(current, byteOrderMark) || len(g.currentSections) == 0 && strings.HasPrefix(edited, byteOrderMark) {
+		mark = byteOrderMark
+	}
+	return mark + g.sharedComments(strings.TrimPrefix(base, byteOrderMark), strings.TrimPrefix(current, byteOrderMark),
+		strings.TrimPrefix(edited, byteOrderMark))
+}
+
+func (g *merger) sharedComments(base, current, edited string) string {
 	switch {
 	case canonical(base) == canonical(edited) && len(g.currentSections) > 0:
 		return current
@@ -227,6 +236,11 @@
 	}
 	g.merged.Text = []byte(text)
 	_, problems := Parse(g.file, g.merged.Text)
+	hasTeam := func(s Section) bool { return strings.HasPrefix(s.Name, s.Team()+"/team/") }
+	if slices.ContainsFunc(g.currentSections, hasTeam) && !slices.ContainsFunc(sections, func(o origin) bool { return hasTeam(o.Section) }) {
+		problems = append(problems, Problem{File: g.file, Line: 1,
+			Message: "the last team is missing; without a section [TEAM/team/TEAM] no team could apply again"})
+	}
 	for _, p := range problems {
 		for n := len(sections) - 1; n >= 0; n-- {
 			if starts[n] <= p.Line {
--- a/internal/protocol/document/section.go
+++ b/internal/protocol/document/section.go
@@ -27,28 +27,29 @@
 func Split(text []byte) (preamble string, sections []Section) {
 	lines := strings.SplitAfter(string(text), "\n")
 	// comments is the number of comment lines directly above the present one.
-	comments, current, start := 0, "", 1
+	comments, current, start, inSection := 0, "", 1, false
 	var b []string
 	flush := func(next string, at int) {
 		part := strings.Join(b, "")
-		if current == "" {
+		if !inSection {
 			preamble = part
 		} else {
 			sections = append(sections, Section{current, part, start})
 		}
-		b, current, start = nil, next, at
+		b, current, start, inSection = nil, next, at, true
 	}
 	for n, line := range lines {
 		name, isHeader := header(strings.TrimPrefix(line, byteOrderMark))
 		switch {
 		case isHeader:
-			mine := append([]string{}, b[len(b)-comments:]...)
+			above := append([]string{}, b[len(b)-comments:]...)
 			b = b[:len(b)-comments]
 			if n == 0 && strings.HasPrefix(line, byteOrderMark) {
 				b, line = append(b, byteOrderMark), strings.TrimPrefix(line, byteOrderMark)
 			}
 			flush(name, n+1-comments)
-			b, comments = append(mine, line), 0
+			b = append(b, above...)
+			b, comments = append(b, line), 0
 		default:
 			if comment(line) {
 				comments++
--- a/internal/protocol/manifest/manifest.go
+++ b/internal/protocol/manifest/manifest.go
@@ -189,6 +189,13 @@
 // tamarackrun.ErrConflict if another write was accepted first, and
 // *UnknownError if that cannot be settled.
 func Write(ctx context.Context, store tamarackrun.ObjectStore, text []byte, author string, base int64) (int64, error) {
+	return write(ctx, store, text, author, base, wait)
+}
+
+// waiter pauses between attempts; it returns false if there shall be no more.
+type waiter func(ctx context.Context, d time.Duration) bool
+
+func write(ctx context.Context, store tamarackrun.ObjectStore, text []byte, author string, base int64, wait waiter) (int64, error) {
 	hashes, chunks := Split(text)
 	m := Manifest{Chunks: hashes, Author: author, Base: base, Nonce: rand.Text()}
 	if base > 0 {
@@ -211,7 +218,7 @@
 	if err != nil {
 		return 0, err
 	}
-	return commit(ctx, store, value, m)
+	return commit(ctx, store, value, m, wait)
 }
 
 // putChunk writes a chunk. A conflict means that it is there already, since its
@@ -230,7 +237,7 @@
 // commit writes the manifest. A write whose answer was lost is repeated, which
 // is harmless under its condition: a conflict then says that the first try or
 // another writer succeeded, and the nonce tells which.
-func commit(ctx context.Context, store tamarackrun.ObjectStore, value []byte, m Manifest) (int64, error) {
+func commit(ctx context.Context, store tamarackrun.ObjectStore, value []byte, m Manifest, wait waiter) (int64, error) {
 	var cause error
 	for n := range commitAttempts {
 		if n > 0 && !wait(ctx, time.Duration(n)*commitDelay) {
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -41,7 +41,14 @@
 
 // Error says where the fault is and what is allowed.
 func (e *Error) Error() string {
-	return fmt.Sprintf("%s: [%s] %s = %q: %s", e.File, e.Section, e.Key, e.Value, e.Allowed)
+	where := e.File
+	if e.Section != "" {
+		where += ": [" + e.Section + "]"
+	}
+	if e.Key != "" {
+		where += fmt.Sprintf(" %s = %q", e.Key, e.Value)
+	}
+	return where + ": " + e.Allowed
 }
 
 // field describes one allowed key.
@@ -120,7 +127,7 @@
 	// AllowShadows keeps a key that is given twice visible; the default keeps
 	// the last value silently.
 	parsed, err := ini.LoadSources(ini.LoadOptions{
-		IgnoreInlineComment: true, IgnoreContinuation: true, AllowShadows: true,
+		KeyValueDelimiters: "=", ChildSectionDelimiter: "\x00", IgnoreInlineComment: true, IgnoreContinuation: true, AllowShadows: true,
 		AllowDuplicateShadowValues: true, PreserveSurroundedQuote: true,
 	}, text)
 	if err != nil {
@@ -134,7 +141,10 @@
 			return s, err
 		}
 	}
-	return s, s.readLinkMode(file, parsed)
+	if err := s.readLinkMode(file, parsed); err != nil {
+		return s, err
+	}
+	return s, s.checkAddresses(file)
 }
 
 func (f field) read(file string, parsed *ini.File, s *Settings) error {
@@ -151,6 +161,10 @@
 	}
 	if f.check != nil {
 		if allowed := f.check(value); allowed != "" {
+			if strings.HasSuffix(f.key, "Hash") {
+				// The operator may have pasted the key itself.
+				value = ""
+			}
 			return &Error{file, f.section, f.key, value, allowed}
 		}
 	}
@@ -158,6 +172,18 @@
 	return nil
 }
 
+// checkAddresses refuses one address for two ports.
+func (s *Settings) checkAddresses(file string) error {
+	taken := map[string]string{s.CallerAddress: "caller"}
+	for _, p := range []struct{ section, address string }{{"peer", s.PeerAddress}, {"control", s.ControlAddress}} {
+		if other, ok := taken[p.address]; ok {
+			return &Error{file, p.section, "address", p.address, "is already the address in [" + other + "]"}
+		}
+		taken[p.address] = p.section
+	}
+	return nil
+}
+
 func (s *Settings) readLinkMode(file string, parsed *ini.File) error {
 	value := parsed.Section("peer").Key("insecure").Value()
 	switch value {
@@ -187,15 +213,19 @@
 	}
 	for _, section := range parsed.Sections() {
 		name := section.Name()
-		if name == ini.DefaultSection && len(section.Keys()) == 0 {
-			continue
+		if name == ini.DefaultSection {
+			if len(section.Keys()) == 0 {
+				continue
+			}
+			k := section.Keys()[0]
+			return &Error{file, "", k.Name(), k.Value(), "stands before the first section"}
 		}
 		if !sections[name] {
 			return &Error{file, name, "", "", "unknown section; allowed are " + strings.Join(sortedKeys(sections), ", ")}
 		}
 		for _, key := range section.Keys() {
 			if !known[name+"."+key.Name()] {
-				return &Error{file, name, key.Name(), key.Value(), "unknown key"}
+				return &Error{file, name, key.Name(), key.Value(), "unknown key; allowed are " + strings.Join(keysOf(known, name), ", ")}
 			}
 			if values := key.ValueWithShadows(); len(values) > 1 {
 				return &Error{file, name, key.Name(), strings.Join(values, ", "), "key is given more than once"}
@@ -205,6 +235,16 @@
 	return nil
 }
 
+func keysOf(known map[string]bool, section string) []string {
+	var keys []string
+	for _, k := range sortedKeys(known) {
+		if key, ok := strings.CutPrefix(k, section+"."); ok {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 func sortedKeys(m map[string]bool) []string {
 	var keys []string
 	for k := range m {
--- a/internal/transport/operator/operator.go
+++ b/internal/transport/operator/operator.go
@@ -73,7 +73,7 @@
 	// DeclareLost tells this instance that a region is lost.
 	DeclareLost(region string, undo bool) error
 	Explain(ctx context.Context, request string) (events []*wire.EventRecord, silent []string)
-	Status(ctx context.Context) any
+	Status(ctx context.Context) Status
 }
 
 // Server is the control port.
@@ -230,6 +230,30 @@
 	}
 }
 
+// Status is the fleet as one instance sees it.
+type Status struct {
+	Instance             string `json:"instance"`
+	ConfigurationVersion int64  `json:"configurationVersion"`
+	// Freshness is fresh, storeOut or cutOff.
+	Freshness string `json:"freshness"`
+	ProofAge  string `json:"proofAge"`
+	// LostRegions were declared lost at this instance.
+	LostRegions []string `json:"lostRegions,omitempty"`
+	Members     []Member `json:"members"`
+}
+
+// Member is one instance of the fleet.
+type Member struct {
+	Name                 string             `json:"name"`
+	FailureDomain        string             `json:"failureDomain"`
+	Reachable            bool               `json:"reachable"`
+	Serving              bool               `json:"serving"`
+	CutOff               bool               `json:"cutOff"`
+	Incarnation          string             `json:"incarnation,omitempty"`
+	ConfigurationVersion uint64             `json:"configurationVersion"`
+	Servers              []*wire.ServerLoad `json:"servers,omitempty"`
+}
+
 // Explanation is the answer to an explain.
 type Explanation struct {
 	Events []*wire.EventRecord `json:"events"`
