Test the cut of a whole region and connections that go silent

Drain records have the form that homes read ({"leaving": bool}) and accept KIND/NAME. The body check is apart from authenticate, which other callers use without a body.

--- a/internal/program/command/command_test.go
+++ b/internal/program/command/command_test.go
@@ -315,6 +315,9 @@
 		{[]string{"drain"}, exitInvalid, ""},
 		{[]string{"drain", "browse-01"}, exitDone, "ok\n"},
 		{[]string{"drain", "browse-01", "--undo"}, exitDone, "ok\n"},
+		{[]string{"drain", "domain/r1-a"}, exitDone, "ok\n"},
+		{[]string{"drain", "domain/r1-a", "--undo"}, exitDone, "ok\n"},
+		{[]string{"drain", "region/r1-a"}, exitInvalid, ""},
 		{[]string{"drain", "--lost", "r2"}, exitInvalid, ""},
 		{[]string{"drain", "--lost", "region/r1"}, exitInvalid, ""},
 		{[]string{"drain", "--lost", "region/r2"}, exitDone, "ok\n"},
@@ -327,7 +330,7 @@
 		}
 	}
 	object, err := c.fleet.Store.Get(t.Context(), "drain/browse-01")
-	if diff := cmp.Diff(`{"draining":false,"team":"base"}`, string(object.Value)); err != nil || diff != "" {
+	if diff := cmp.Diff(`{"leaving":false,"team":"base"}`, string(object.Value)); err != nil || diff != "" {
 		t.Errorf("error %v, drain (-want +got):\n%s", err, diff)
 	}
 }
--- a/internal/program/command/operator.go
+++ b/internal/program/command/operator.go
@@ -203,7 +203,8 @@
 	c := &cobra.Command{
 		Use:   "drain NAME [--undo] | drain --lost region/NAME [--undo]",
 		Short: "Take a backend server, instance, failure domain or region out of service",
-		Long: "Take a backend server, instance, failure domain or region out of service.\n\n" +
+		Long: "Take a backend server, instance, failure domain or region out of service. If a name is not unique,\n" +
+			"write server/NAME, instance/NAME, domain/NAME or region/NAME.\n\n" +
 			"With --lost, tell one instance that a region is lost. It then takes the region's silence for no\n" +
 			"sign of a partition and goes on with routes that it refused as cut off. Repeat this at the control\n" +
 			"port of each instance that shall go on, and only if nothing in the region runs.",
@@ -233,7 +234,7 @@
 		return "", coded(exitInvalid, "give either NAME or --lost region/NAME")
 	}
 	if lost == "" {
-		return "/v1/drain/" + url.PathEscape(args[0]), nil
+		return "/v1/drain/" + strings.ReplaceAll(url.PathEscape(args[0]), "%2F", "/"), nil
 	}
 	region, ok := strings.CutPrefix(lost, "region/")
 	if !ok || region == "" {
--- a/internal/program/instance/control.go
+++ b/internal/program/instance/control.go
@@ -8,6 +8,7 @@
 	"errors"
 	"sort"
 	"strconv"
+	"strings"
 
 	"tamarackrun"
 	"tamarackrun/internal/protocol/document"
@@ -121,15 +122,16 @@
 
 // drainRecord is the content of the object drain/NAME.
 type drainRecord struct {
-	Draining bool   `json:"draining"`
-	Team     string `json:"team"`
+	Leaving bool   `json:"leaving"`
+	Team    string `json:"team"`
 }
 
 // Drain writes drain/NAME. A write whose answer was lost is repeated, since the
 // content is the same.
 func (in *Instance) Drain(ctx context.Context, team, name string, undo bool) error {
 	if !in.drainable(name) {
-		return &operator.NameError{Name: name, Allowed: "the name of a backend server, instance, failure domain or region"}
+		return &operator.NameError{Name: name, Allowed: "the name of a backend server, instance, failure domain or region, also as " +
+			"server/NAME, instance/NAME, domain/NAME or region/NAME"}
 	}
 	value, err := json.Marshal(drainRecord{!undo, team})
 	if err != nil {
@@ -141,7 +143,7 @@
 			return err
 		}
 		var current drainRecord
-		if json.Unmarshal(object.Value, &current) == nil && current.Draining == !undo || object.Version == 0 && undo {
+		if json.Unmarshal(object.Value, &current) == nil && current.Leaving == !undo && object.Version > 0 || object.Version == 0 && undo {
 			return nil
 		}
 		if _, err = in.store.Put(ctx, drainPrefix+name, value, object.Version); err == nil {
@@ -157,7 +159,14 @@
 
 const drainPrefix = "drain/"
 
+// drainable says whether a name, or KIND/NAME, exists.
 func (in *Instance) drainable(name string) bool {
+	kind, rest, ok := strings.Cut(name, "/")
+	if ok {
+		name = rest
+	} else {
+		kind = ""
+	}
 	c := in.snapshot.Load()
 	if c == nil {
 		return false
@@ -166,7 +175,8 @@
 	_, domain := c.Domains[name]
 	_, region := c.Regions[name]
 	_, member := in.roster.Member(name)
-	return server || domain || region || member
+	known := map[string]bool{"server": server, "domain": domain, "region": region, "instance": member}
+	return known[kind] || kind == "" && (server || domain || region || member)
 }
 
 // DeclareLost tells this instance alone that a region is lost, so that its
--- a/internal/program/instance/freshness_test.go
+++ b/internal/program/instance/freshness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -89,56 +90,44 @@
 // been withdrawn behind its back, and against look-ups that still name it.
 func TestCutOffInstanceRefusesAndLearnsOnReturn(t *testing.T) {
 	t.Parallel()
-	for name, state := range map[string]fleet.LinkState{"cut": fleet.Cut, "silent": fleet.Silent} {
+	for name, c := range map[string]struct {
+		state fleet.LinkState
+		// alone are the numbers of the instances that are cut off.
+		alone []int
+	}{
+		"cut": {fleet.Cut, []int{0}}, "silent": {fleet.Silent, []int{0}}, "region cut": {fleet.Cut, []int{1, 3}},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := startFleet(t, fleet.Options{Services: cutOffServices, Links: true, Instances: 4, Regions: []int{2, 2}})
-			alone, others := f.Instances[0], f.Instances[1:]
-			f.Isolate(state, alone)
-			cut := time.Now()
-			putDocument(t, f, withoutKey(f, "tea"))
-			await(t, awaitLimit, "refusal as cut off", func() bool {
-				return reasonAt(t, f, alone, "/browse/a") == "notRun cutOff"
-			})
-			t.Logf("refused %v after the cut", time.Since(cut))
-			for began := time.Now(); time.Since(began) < 3*time.Second; time.Sleep(50 * time.Millisecond) {
-				if got := reasonAt(t, f, alone, "/browse/b"); got != "notRun cutOff" {
-					t.Fatalf("keyed request while cut off: %s", got)
+			var alone, others []*fleet.Instance
+			for n, i := range f.Instances {
+				if slices.Contains(c.alone, n) {
+					alone = append(alone, i)
+				} else {
+					others = append(others, i)
 				}
 			}
-			// The alone instance is home of all servers that it serves, so
-			// routes that go on still find a server.
-			if got := reasonAt(t, f, alone, "/checks/a"); got != "ran" {
-				t.Errorf("route with cutOff = serve: %s", got)
-			}
-			anonymous := f.Caller("").SendTo(t.Context(), alone.Listing.CallerAddress, "GET", "/open/a", nil, nil)
-			if diff := cmp.Diff("ran", anonymous.Outcome); diff != "" {
-				t.Errorf("open route (-want +got):\n%s", diff)
+			f.Isolate(c.state, alone...)
+			cut := time.Now()
+			putDocument(t, f, withoutKey(f, "tea"))
+			for _, i := range alone {
+				await(t, awaitLimit, "refusal as cut off", func() bool {
+					return reasonAt(t, f, i, "/browse/a") == "notRun cutOff"
+				})
 			}
-			for _, i := range append(others, alone) {
-				answer, err := f.Caller("").Lookup(t.Context(), i.Listing.CallerAddress)
-				if err != nil {
-					t.Fatal(err)
-				}
-				for _, listed := range answer.Instances {
-					if listed.Name == alone.Listing.Name {
-						t.Errorf("%s still names the cut-off instance", i.Listing.Name)
+			t.Logf("refused %v after the cut", time.Since(cut))
+			checkCutOff(t, f, alone, others)
+			f.Isolate(fleet.Open, alone...)
+			for _, i := range alone {
+				await(t, awaitLimit, "new version after the return", func() bool {
+					got := reasonAt(t, f, i, "/browse/a")
+					if got != "notRun keyWithdrawn" && got != "notRun cutOff" {
+						t.Fatalf("after the return: %s", got)
 					}
-				}
-			}
-			for _, i := range others {
-				if got := reasonAt(t, f, i, "/browse/a"); got != "notRun keyWithdrawn" {
-					t.Errorf("%s: %s", i.Listing.Name, got)
-				}
+					return got == "notRun keyWithdrawn"
+				})
 			}
-			f.Isolate(fleet.Open, alone)
-			await(t, awaitLimit, "new version after the return", func() bool {
-				got := reasonAt(t, f, alone, "/browse/a")
-				if got != "notRun keyWithdrawn" && got != "notRun cutOff" {
-					t.Fatalf("after the return: %s", got)
-				}
-				return got == "notRun keyWithdrawn"
-			})
 			for _, i := range f.Instances {
 				_, status := control(t, i, http.MethodGet, "/v1/status", fleet.OperatorKey, "")
 				if !strings.Contains(status, `"configurationVersion":2`) {
@@ -149,6 +138,66 @@
 	}
 }
 
+// checkCutOff checks instances that refuse as cut off, and the others.
+func checkCutOff(t *testing.T, f *fleet.Fleet, alone, others []*fleet.Instance) {
+	t.Helper()
+	omitted := map[string]bool{}
+	for _, i := range alone {
+		omitted[i.Listing.Name] = true
+		for range 20 {
+			if got := reasonAt(t, f, i, "/browse/b"); got != "notRun cutOff" {
+				t.Fatalf("%s: keyed request while cut off: %s", i.Listing.Name, got)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		// The cut-off instances are homes of all servers that they see, so
+		// routes that go on still find a server.
+		if got := reasonAt(t, f, i, "/checks/a"); got != "ran" {
+			t.Errorf("%s: route with cutOff = serve: %s", i.Listing.Name, got)
+		}
+		anonymous := f.Caller("").SendTo(t.Context(), i.Listing.CallerAddress, "GET", "/open/a", nil, nil)
+		if diff := cmp.Diff("ran", anonymous.Outcome); diff != "" {
+			t.Errorf("%s: open route (-want +got):\n%s", i.Listing.Name, diff)
+		}
+	}
+	for _, i := range f.Instances {
+		answer, err := f.Caller("").Lookup(t.Context(), i.Listing.CallerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, listed := range answer.Instances {
+			if omitted[listed.Name] {
+				t.Errorf("the look-up at %s names %s", i.Listing.Name, listed.Name)
+			}
+		}
+	}
+	for _, i := range others {
+		if got := reasonAt(t, f, i, "/browse/a"); got != "notRun keyWithdrawn" {
+			t.Errorf("%s: %s", i.Listing.Name, got)
+		}
+	}
+}
+
+// Guards against an instance that waits for connections that went silent for
+// ever, while new ones work.
+func TestSilentConnectionsDelayNothing(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: cutOffServices, Links: true})
+	f.SilenceAll()
+	putDocument(t, f, withoutKey(f, "tea"))
+	changed := time.Now()
+	for _, i := range f.Instances {
+		await(t, awaitLimit, "new version", func() bool {
+			got := reasonAt(t, f, i, "/browse/a")
+			if got == "notRun cutOff" {
+				t.Fatalf("%s is cut off after %v", i.Listing.Name, time.Since(changed))
+			}
+			return got == "notRun keyWithdrawn"
+		})
+	}
+	t.Logf("in force on all instances after %v", time.Since(changed))
+}
+
 // Guards against an instance that refuses because it alone lost the store while
 // its peers prove its version, and against a watch that is silent for ever.
 func TestPeersProveAndPassOnVersions(t *testing.T) {
--- a/internal/program/instance/keys.go
+++ b/internal/program/instance/keys.go
@@ -50,13 +50,13 @@
 }
 
 // authenticate settles the organisation of a request from its key.
-func (in *Instance) authenticate(c *configuration.Snapshot, route configuration.Route, r *http.Request, body []byte) (string, tamarackrun.Outcome) {
+func (in *Instance) authenticate(c *configuration.Snapshot, route configuration.Route, r *http.Request) (string, tamarackrun.Outcome) {
 	keys := presentedKeys(r.Header)
 	if len(keys) > 1 {
 		return "", tamarackrun.Refused(tamarackrun.Malformed)
 	}
 	presented := presentedKey(r.Header)
-	if reason := misplacedKey(c, route, r, body, presented); reason != "" {
+	if reason := misplacedKey(c, route, r, presented); reason != "" {
 		return "", tamarackrun.Refused(reason)
 	}
 	if presented == "" {
@@ -82,7 +82,7 @@
 // misplacedKey returns the reason to refuse a request that would show a key to
 // a backend server, or "". Cookies are checked even if the route does not pass
 // them on, since a key there is a fault of the caller that others may see.
-func misplacedKey(c *configuration.Snapshot, route configuration.Route, r *http.Request, body []byte, presented string) tamarackrun.Reason {
+func misplacedKey(c *configuration.Snapshot, route configuration.Route, r *http.Request, presented string) tamarackrun.Reason {
 	finder := secret.Finder{Presented: presented, Known: func(word string) bool {
 		_, ok := c.Keys[document.HashKey(word)]
 		return ok
@@ -101,12 +101,17 @@
 			}
 		}
 	}
-	if presented != "" && bytes.Contains(body, []byte(presented)) {
-		return tamarackrun.KeyInBody
-	}
 	return ""
 }
 
+// keyInBody says whether a body holds the key that came with the request. Other
+// keys are not looked for in bodies: hashing every word of 1 MiB takes longer
+// than most requests.
+func keyInBody(r *http.Request, body []byte) bool {
+	presented := presentedKey(r.Header)
+	return presented != "" && bytes.Contains(body, []byte(presented))
+}
+
 // defaultHeaders are the request headers that backend servers get. All others
 // need to be listed by the route, so that no header that may hold a key passes.
 var defaultHeaders = []string{"Accept", "Accept-Language", "Content-Type", "Content-Language", "If-Match",
--- a/internal/program/instance/steering.go
+++ b/internal/program/instance/steering.go
@@ -49,10 +49,13 @@
 		}
 		return tamarackrun.Refused(tamarackrun.RouteUnknown)
 	}
-	organisation, outcome := in.authenticate(c, route, r, body)
+	organisation, outcome := in.authenticate(c, route, r)
 	if outcome != tamarackrun.Done {
 		return outcome
 	}
+	if keyInBody(r, body) {
+		return tamarackrun.Refused(tamarackrun.KeyInBody)
+	}
 	request := tamarackrun.Request{
 		ID: id, Organisation: organisation, Route: route.Name, Service: route.Service,
 		OriginRegion: c.RegionOf(in.Settings.FailureDomain), Method: r.Method, Target: r.URL.RequestURI(),
--- a/internal/standin/fleet/link.go
+++ b/internal/standin/fleet/link.go
@@ -225,6 +225,13 @@
 // StoreLink returns the link from an instance to the platform.
 func (f *Fleet) StoreLink(i *Instance) *Link { return f.links[route{i.Listing.Name, ""}] }
 
+// SilenceAll makes the open connections of all links silent for ever.
+func (f *Fleet) SilenceAll() {
+	for _, l := range f.links {
+		l.Silence()
+	}
+}
+
 // Isolate sets the links between the instances and all others, and from the
 // instances to the platform. Links among the instances stay.
 func (f *Fleet) Isolate(state LinkState, instances ...*Instance) {
--- a/internal/transport/operator/operator.go
+++ b/internal/transport/operator/operator.go
@@ -107,7 +107,7 @@
 	mux.HandleFunc("GET /v1/team", s.authorised(func(w http.ResponseWriter, _ *http.Request, team string) {
 		writeJSON(w, http.StatusOK, Team{team})
 	}))
-	mux.HandleFunc("POST /v1/drain/{name}", s.authorised(s.drain))
+	mux.HandleFunc("POST /v1/drain/{name...}", s.authorised(s.drain))
 	mux.HandleFunc("POST /v1/lost/{name}", s.authorised(s.declareLost))
 	mux.HandleFunc("GET /v1/explain/{request}", s.authorised(s.explain))
 	mux.HandleFunc("GET /v1/status", s.authorised(s.status))
