End the declaration of a lost region when the region answers

A region that was declared lost and came back stayed declared, so that a later partition would have been taken for an outage. A region that can be reached cannot be declared lost any more. The bootstrap key is refused for all commands once the document defines teams.

The process tests import the program that they run: go test showed cached results after changes to it.

--- a/internal/program/command/command_test.go
+++ b/internal/program/command/command_test.go
@@ -247,6 +247,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	for began := time.Now(); c.run(bootstrapKey, 0, "get").Code != exitDone; time.Sleep(20 * time.Millisecond) {
+		if time.Since(began) > awaitLimit {
+			t.Fatal("the bootstrap key is not accepted for a document without teams")
+		}
+	}
 	c.expect(exitDone, bootstrapKey, 0, "apply", c.file(strings.Replace(teamless, "rate = 1000", "rate = 5", 1)))
 	c.expect(exitDone, bootstrapKey, 0, "apply", c.file(c.fleet.Document))
 	c.checkStored(4, c.fleet.Document)
@@ -320,15 +325,23 @@
 		{[]string{"drain", "region/r1-a"}, exitInvalid, ""},
 		{[]string{"drain", "--lost", "r2"}, exitInvalid, ""},
 		{[]string{"drain", "--lost", "region/r1"}, exitInvalid, ""},
-		{[]string{"drain", "--lost", "region/r2"}, exitDone, "ok\n"},
-		{[]string{"status"}, exitDone, "declared lost: r2"},
-		{[]string{"drain", "--lost", "region/r2", "--undo"}, exitDone, "ok\n"},
+		{[]string{"drain", "--lost", "region/r2"}, exitInvalid, ""},
 	} {
 		got := c.expect(k.code, fleet.OperatorKey, 0, k.args...)
 		if !strings.Contains(got.Out, k.want) {
 			t.Errorf("%v prints %q, want %q", k.args, got.Out, k.want)
 		}
 	}
+	c.fleet.Instances[1].Kill()
+	for began := time.Now(); c.run(fleet.OperatorKey, 0, "drain", "--lost", "region/r2").Code != exitDone; time.Sleep(20 * time.Millisecond) {
+		if time.Since(began) > awaitLimit {
+			t.Fatal("the region of a killed instance cannot be declared lost")
+		}
+	}
+	if got := c.expect(exitDone, fleet.OperatorKey, 0, "status"); !strings.Contains(got.Out, "declared lost: r2") {
+		t.Errorf("status of a lost region: %s", got.Out)
+	}
+	c.expect(exitDone, fleet.OperatorKey, 0, "drain", "--lost", "region/r2", "--undo")
 	object, err := c.fleet.Store.Get(t.Context(), "drain/browse-01")
 	if diff := cmp.Diff(`{"leaving":false,"team":"base"}`, string(object.Value)); err != nil || diff != "" {
 		t.Errorf("error %v, drain (-want +got):\n%s", err, diff)
--- a/internal/program/instance/control.go
+++ b/internal/program/instance/control.go
@@ -18,17 +18,19 @@
 	"tamarackrun/internal/transport/operator"
 )
 
-// Authorised returns the team of an operator key.
+// Authorised returns the team of an operator key. The bootstrap key counts only
+// until the document defines teams.
 func (in *Instance) Authorised(key string) (team string, ok bool) {
 	hash := document.HashKey(key)
-	if c := in.snapshot.Load(); c != nil {
+	c := in.snapshot.Load()
+	if c != nil {
 		for name, t := range c.Teams {
 			if t.OperatorKeyHash == hash {
 				return name, true
 			}
 		}
 	}
-	if in.Settings.BootstrapKeyHash == hex.EncodeToString(hash[:]) {
+	if (c == nil || len(c.Teams) == 0) && in.Settings.BootstrapKeyHash == hex.EncodeToString(hash[:]) {
 		return document.BootstrapTeam, true
 	}
 	return "", false
@@ -189,6 +191,11 @@
 	if _, ok := c.Regions[region]; !ok || region == c.RegionOf(in.Settings.FailureDomain) {
 		return &operator.NameError{Name: region, Allowed: "the name of another region than the instance's own"}
 	}
+	for _, m := range in.roster.Members() {
+		if !undo && m.Reachable && c.RegionOf(m.Listing.FailureDomain) == region {
+			return &operator.NameError{Name: region, Allowed: "a region of which no instance can be reached; " + m.Listing.Name + " answers"}
+		}
+	}
 	in.proofs.declareLost(region, !undo)
 	return nil
 }
--- a/internal/program/instance/freshness.go
+++ b/internal/program/instance/freshness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -95,6 +96,7 @@
 				Reachable: m.Reachable, ProofAge: peerAge(m.State)})
 		}
 	}
+	p.endLoss(view.Peers)
 	p.mu.Lock()
 	view.Regions = p.regions(c)
 	p.mu.Unlock()
@@ -109,6 +111,16 @@
 	return state
 }
 
+// endLoss takes the declaration back for regions that can be reached again: the
+// next silence of such a region may be a partition.
+func (p *proofs) endLoss(peers []freshness.Peer) {
+	for _, region := range p.lostRegions() {
+		if slices.ContainsFunc(peers, func(q freshness.Peer) bool { return q.Reachable && q.Region == region }) {
+			p.declareLost(region, false)
+		}
+	}
+}
+
 func ageText(age time.Duration) string {
 	if age == freshness.Never {
 		return "never"
--- a/internal/program/instance/freshness_test.go
+++ b/internal/program/instance/freshness_test.go
@@ -286,7 +286,8 @@
 }
 
 // Guards against refusals for ever when the region of the store is gone: an
-// operator declares it lost at one instance, and only that one goes on.
+// operator declares it lost at one instance, and only that one goes on, until the
+// region is back.
 func TestDeclaredLostRegion(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, fleet.Options{Services: cutOffServices, Instances: 4, Regions: []int{2, 2}})
@@ -313,4 +314,15 @@
 	if status, body := control(t, left[0], http.MethodPost, "/v1/lost/r9", fleet.OperatorKey, ""); status != http.StatusUnprocessableEntity {
 		t.Errorf("unknown region: status %d: %s", status, body)
 	}
+	for _, i := range f.Instances {
+		if !slices.Contains(left, i) {
+			if err := f.StartInstance(i); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	await(t, awaitLimit, "end of the declaration when the region is back", func() bool {
+		_, status := control(t, left[0], http.MethodGet, "/v1/status", fleet.OperatorKey, "")
+		return !strings.Contains(status, "lostRegions")
+	})
 }
--- a/internal/program/instance/process_test.go
+++ b/internal/program/instance/process_test.go
@@ -7,6 +7,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	// The tests run this program as processes; without the import, go test
+	// would show cached results after changes to it.
+	_ "tamarackrun/internal/program/command"
 	"tamarackrun/internal/standin/fleet"
 )
 
--- a/internal/transport/operator/operator.go
+++ b/internal/transport/operator/operator.go
@@ -51,12 +51,12 @@
 	Unknown bool `json:"unknown,omitempty"`
 }
 
-// NameError says that an operator named something that does not exist.
+// NameError says that a command does not apply to what an operator named.
 type NameError struct{ Name, Allowed string }
 
 // Error says what is allowed.
 func (e *NameError) Error() string {
-	return fmt.Sprintf("%q is unknown; allowed is %s", e.Name, e.Allowed)
+	return fmt.Sprintf("%q is not possible; allowed is %s", e.Name, e.Allowed)
 }
 
 // Control is what an instance does for operators.
