--- a/internal/program/command/command_test.go
+++ b/internal/program/command/command_test.go
@@ -54,11 +54,13 @@
 	fleet *fleet.Fleet
 }
 
-func start(t *testing.T, extra string) *console {
+func start(t *testing.T, extra string) *console { return startWith(t, extra, false) }
+
+func startWith(t *testing.T, extra string, empty bool) *console {
 	t.Helper()
 	t.Parallel()
 	f, cleanup, err := fleet.Start(t.Context(), fleet.Options{
-		Directory: t.TempDir(), Binary: binary, Instances: 2, Regions: []int{1, 1}, Extra: extra, LogLevel: "debug",
+		Directory: t.TempDir(), Binary: binary, Instances: 2, Regions: []int{1, 1}, Extra: extra, LogLevel: "debug", Empty: empty,
 		BootstrapKey:  bootstrapKey,
 		Services:      []fleet.Service{{Name: "browse", Servers: 2, Slots: 3, Route: "methods = GET\nidempotent = yes"}},
 		Organisations: map[string]fleet.Rate{"tea": {Rate: 1000, Burst: 1000}},
@@ -96,6 +98,9 @@
 	args = append(args, "--operator-key-file", c.file(key), "--instance", c.fleet.Instances[instance].Listing.ControlAddress)
 	var out, errOut bytes.Buffer
 	code := Run(args, &out, &errOut)
+	if strings.Contains(out.String()+errOut.String(), key) {
+		c.t.Errorf("%v prints the operator key", args)
+	}
 	return result{code, out.String(), errOut.String()}
 }
 
@@ -238,25 +243,25 @@
 // Guards against a first document that nobody can apply, or that the bootstrap
 // key can replace later.
 func TestBootstrap(t *testing.T) {
-	c := start(t, "")
+	c := startWith(t, "", true)
 	teamless := strings.TrimPrefix(c.fleet.Document, "[base/team/base]\noperatorKeyHash = "+hashOf(fleet.OperatorKey)+"\n")
-	object, err := c.fleet.Store.Get(t.Context(), manifest.ObjectName)
-	if err == nil {
-		_, err = manifest.Write(t.Context(), c.fleet.Store, []byte(teamless), "test", object.Version)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
 	for began := time.Now(); c.run(bootstrapKey, 0, "get").Code != exitDone; time.Sleep(20 * time.Millisecond) {
 		if time.Since(began) > awaitLimit {
-			t.Fatal("the bootstrap key is not accepted for a document without teams")
+			t.Fatal("the bootstrap key is not accepted without a document")
 		}
 	}
+	c.expect(exitInvalid, fleet.OperatorKey, 0, "apply", c.file(teamless))
+	c.expect(exitDone, bootstrapKey, 0, "apply", c.file("\ufeff"+teamless))
+	c.checkStored(1, "\ufeff"+teamless)
+	c.expect(exitDone, bootstrapKey, 0, "apply", c.file(teamless))
+	if err := c.fleet.AwaitReady(t.Context()); err != nil {
+		t.Error(err)
+	}
 	c.expect(exitDone, bootstrapKey, 0, "apply", c.file(strings.Replace(teamless, "rate = 1000", "rate = 5", 1)))
 	c.expect(exitDone, bootstrapKey, 0, "apply", c.file(c.fleet.Document))
-	c.checkStored(4, c.fleet.Document)
+	c.checkStored(3, "\ufeff"+c.fleet.Document)
 	c.expect(exitInvalid, bootstrapKey, 0, "apply", c.file(teamless))
-	c.checkStored(4, c.fleet.Document)
+	c.checkStored(3, "\ufeff"+c.fleet.Document)
 }
 
 // Guards against a key that does not work when its command has ended well, that
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -71,6 +71,9 @@
 	// Links leads the connections between instances and from instances to the
 	// platform through links that a test can cut.
 	Links bool
+	// Empty leaves the platform without a document and does not wait for the
+	// instances, which are not ready without one.
+	Empty bool
 	// LogLevel of the instances; empty means info.
 	LogLevel string
 	// BootstrapKey authenticates the first apply; empty forbids it.
@@ -149,8 +152,10 @@
 	if err := f.startServers(); err != nil {
 		return err
 	}
-	if _, err := manifest.Write(ctx, f.Store, []byte(f.Document), "fleet", 0); err != nil {
-		return err
+	if !f.Options.Empty {
+		if _, err := manifest.Write(ctx, f.Store, []byte(f.Document), "fleet", 0); err != nil {
+			return err
+		}
 	}
 	domains := f.domains()
 	for n := range f.Options.Instances {
@@ -170,6 +175,9 @@
 			return err
 		}
 	}
+	if f.Options.Empty {
+		return nil
+	}
 	return f.AwaitReady(ctx)
 }
 
