--- a/internal/program/instance/freshness_test.go
+++ b/internal/program/instance/freshness_test.go
@@ -285,6 +285,38 @@
 	})
 }
 
+// Guards against an instance that was paused, and that serves a key withdrawn in
+// the meantime before it notices that its proof is old.
+func TestPausedInstanceServesNoWithdrawnKey(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: cutOffServices})
+	paused := f.Instances[0]
+	paused.Pause()
+	putDocument(t, f, withoutKey(f, "tea"))
+	// The pause has to exceed the bound.
+	time.Sleep(beyondBound)
+	const requests = 20
+	reasons := make(chan string, requests)
+	for range requests {
+		go func() { reasons <- reasonAt(t, f, paused, "/browse/a") }()
+	}
+	// The requests wait in the kernel; those that come later find the new
+	// version and prove less, but no wrong result.
+	time.Sleep(500 * time.Millisecond)
+	paused.Resume()
+	seen := map[string]int{}
+	for range requests {
+		seen[<-reasons]++
+	}
+	t.Logf("answers after the pause: %v", seen)
+	for reason := range seen {
+		if reason != "notRun cutOff" && reason != "notRun keyWithdrawn" {
+			t.Errorf("%d requests ended with %s", seen[reason], reason)
+		}
+	}
+	await(t, awaitLimit, "new version", func() bool { return reasonAt(t, f, paused, "/browse/a") == "notRun keyWithdrawn" })
+}
+
 // Guards against refusals for ever when the region of the store is gone: an
 // operator declares it lost at one instance, and only that one goes on, until the
 // region is back.
