--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: help build test race lint format model fuzz generate events demo bench capacity clean
+.PHONY: help build test race lint format model fuzz generate events demo bench capacity latency clean
 
 help: ## List the tasks.
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -41,5 +41,11 @@
 demo: build ## Start a deployment, send load, kill and drain, print a table.
 	./$(BIN)/standin demo --deployment deployments/sundarban
 
+capacity: build ## Measure and write docs/CAPACITY.md.
+	./$(BIN)/measure capacity --write docs/CAPACITY.md
+
+latency: build ## Measure the latency that instances add to a request.
+	./$(BIN)/measure path
+
 clean: ## Remove built files.
 	rm -rf $(BIN)
--- a/internal/program/instance/freshness_test.go
+++ b/internal/program/instance/freshness_test.go
@@ -13,17 +13,6 @@
 	"tamarackrun/internal/standin/platform"
 )
 
-// await polls until the condition holds. The limit is generous, since it
-// decides nothing but the end of a failing test.
-func await(t *testing.T, limit time.Duration, what string, condition func() bool) {
-	t.Helper()
-	for began := time.Now(); !condition(); time.Sleep(50 * time.Millisecond) {
-		if time.Since(began) > limit {
-			t.Fatalf("%s: not within %v", what, limit)
-		}
-	}
-}
-
 // reasonAt sends a request with tea's key and returns the reason, or the
 // outcome if there is none.
 func reasonAt(t *testing.T, f *fleet.Fleet, i *fleet.Instance, target string) string {
@@ -45,11 +34,8 @@
 	{Name: "open", Servers: 4, Slots: 9, Route: "methods = GET\nidempotent = yes\nopen = yes"},
 }
 
-const (
-	bound       = 10 * time.Second
-	awaitLimit  = 60 * time.Second
-	beyondBound = bound + 4*time.Second
-)
+// beyondBound is longer than the time after which keyed requests are refused.
+const beyondBound = 14 * time.Second
 
 // Guards against refusals in an outage of the store that no instance can see
 // past: nothing can be withdrawn, so traffic must go on; and while the store
@@ -71,7 +57,7 @@
 			}
 			awaitState := func(want string) {
 				for _, i := range f.Instances {
-					await(t, awaitLimit, want, func() bool {
+					await(t, want, func() bool {
 						_, status := control(t, i, http.MethodGet, "/v1/status", fleet.OperatorKey, "")
 						return stateOf(status) == want
 					})
@@ -116,7 +102,7 @@
 			cut := time.Now()
 			putDocument(t, f, withoutKey(f, "tea"))
 			for _, i := range alone {
-				await(t, awaitLimit, "refusal as cut off", func() bool {
+				await(t, "refusal as cut off", func() bool {
 					return reasonAt(t, f, i, "/browse/a") == "notRun cutOff"
 				})
 			}
@@ -124,7 +110,7 @@
 			checkCutOff(t, f, alone, others)
 			f.Isolate(fleet.Open, alone...)
 			for _, i := range alone {
-				await(t, awaitLimit, "new version after the return", func() bool {
+				await(t, "new version after the return", func() bool {
 					got := reasonAt(t, f, i, "/browse/a")
 					if got != "notRun keyWithdrawn" && got != "notRun cutOff" {
 						t.Fatalf("after the return: %s", got)
@@ -191,7 +177,7 @@
 	putDocument(t, f, withoutKey(f, "tea"))
 	changed := time.Now()
 	for _, i := range f.Instances {
-		await(t, awaitLimit, "new version", func() bool {
+		await(t, "new version", func() bool {
 			got := reasonAt(t, f, i, "/browse/a")
 			if got == "notRun cutOff" {
 				t.Fatalf("%s is cut off after %v", i.Listing.Name, time.Since(changed))
@@ -216,7 +202,7 @@
 	}
 	putDocument(t, f, withoutKey(f, "tea"))
 	changed := time.Now()
-	await(t, awaitLimit, "new version without the store", func() bool {
+	await(t, "new version without the store", func() bool {
 		return reasonAt(t, f, alone, "/browse/a") == "notRun keyWithdrawn"
 	})
 	t.Logf("version passed on by peers after %v", time.Since(changed))
@@ -233,7 +219,7 @@
 	putDocument(t, f, withoutKey(f, "tea"))
 	changed := time.Now()
 	for _, i := range f.Instances {
-		await(t, awaitLimit, "new version", func() bool { return reasonAt(t, f, i, "/browse/a") == "notRun keyWithdrawn" })
+		await(t, "new version", func() bool { return reasonAt(t, f, i, "/browse/a") == "notRun keyWithdrawn" })
 	}
 	t.Logf("in force on all instances after %v", time.Since(changed))
 }
@@ -245,7 +231,7 @@
 	f := startFleet(t, fleet.Options{Services: cutOffServices})
 	putDocument(t, f, withoutKey(f, "tea"))
 	for _, i := range f.Instances {
-		await(t, awaitLimit, "new version", func() bool { return reasonAt(t, f, i, "/browse/a") == "notRun keyWithdrawn" })
+		await(t, "new version", func() bool { return reasonAt(t, f, i, "/browse/a") == "notRun keyWithdrawn" })
 	}
 	f.Platform.SetFaults(platform.Faults{Outage: true})
 	for _, i := range f.Instances {
@@ -274,12 +260,12 @@
 	if err := f.StartInstance(alone); err != nil {
 		t.Fatal(err)
 	}
-	await(t, awaitLimit, "answer", func() bool { return reasonAt(t, f, alone, "/browse/a") == "notRun notReady" })
+	await(t, "answer", func() bool { return reasonAt(t, f, alone, "/browse/a") == "notRun notReady" })
 	if status, _ := control(t, alone, http.MethodGet, "/readyz", "", ""); status != http.StatusServiceUnavailable {
 		t.Errorf("readyz answers %d", status)
 	}
 	f.Platform.SetFaults(platform.Faults{})
-	await(t, awaitLimit, "ready", func() bool {
+	await(t, "ready", func() bool {
 		status, _ := control(t, alone, http.MethodGet, "/readyz", "", "")
 		return status == http.StatusOK
 	})
@@ -314,7 +300,7 @@
 			t.Errorf("%d requests ended with %s", seen[reason], reason)
 		}
 	}
-	await(t, awaitLimit, "new version", func() bool { return reasonAt(t, f, paused, "/browse/a") == "notRun keyWithdrawn" })
+	await(t, "new version", func() bool { return reasonAt(t, f, paused, "/browse/a") == "notRun keyWithdrawn" })
 }
 
 // Guards against refusals for ever when the region of the store is gone: an
@@ -333,13 +319,13 @@
 		}
 	}
 	for _, i := range left {
-		await(t, awaitLimit, "refusal as cut off", func() bool { return reasonAt(t, f, i, "/browse/a") == "notRun cutOff" })
+		await(t, "refusal as cut off", func() bool { return reasonAt(t, f, i, "/browse/a") == "notRun cutOff" })
 	}
 	status, body := control(t, left[0], http.MethodPost, "/v1/lost/r1", fleet.OperatorKey, "")
 	if status != http.StatusOK {
 		t.Fatalf("status %d: %s", status, body)
 	}
-	await(t, awaitLimit, "traffic at the instance that was told", func() bool { return reasonAt(t, f, left[0], "/browse/a") == "ran" })
+	await(t, "traffic at the instance that was told", func() bool { return reasonAt(t, f, left[0], "/browse/a") == "ran" })
 	if got := reasonAt(t, f, left[1], "/browse/a"); got != "notRun cutOff" {
 		t.Errorf("the instance that was not told: %s", got)
 	}
@@ -353,7 +339,7 @@
 			}
 		}
 	}
-	await(t, awaitLimit, "end of the declaration when the region is back", func() bool {
+	await(t, "end of the declaration when the region is back", func() bool {
 		_, status := control(t, left[0], http.MethodGet, "/v1/status", fleet.OperatorKey, "")
 		return !strings.Contains(status, "lostRegions")
 	})
--- a/internal/program/instance/keys_test.go
+++ b/internal/program/instance/keys_test.go
@@ -258,7 +258,7 @@
 		c.Client.Timeout = time.Minute
 		slow <- c.SendTo(ctx, f.Instances[0].Listing.CallerAddress, "GET", "/slow/a", nil, nil)
 	}()
-	await(t, awaitLimit, "a slow request", func() bool { return f.Executions("") > len(f.Instances) })
+	await(t, "a slow request", func() bool { return f.Executions("") > len(f.Instances) })
 	putDocument(t, f, withoutKey(f, "tea"))
 	began := time.Now()
 	if r := <-slow; r.Outcome != "unknown" || r.Err != nil {
--- a/internal/program/instance/peers.go
+++ b/internal/program/instance/peers.go
@@ -64,7 +64,7 @@
 	limited, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	sent := in.clock.Now()
-	reply, err := in.mesh.Call(limited, m.Listing.PeerAddress, &wire.Envelope{Kind: &wire.Envelope_Heartbeat{
+	reply, err := in.mesh.Probe(limited, m.Listing.PeerAddress, &wire.Envelope{Kind: &wire.Envelope_Heartbeat{
 		Heartbeat: &wire.Heartbeat{State: in.state()}}})
 	if state := reply.GetHeartbeatReply().GetState(); err == nil && state.GetName() == m.Listing.Name {
 		if in.roster.Heartbeat(m.Listing.Name, state, sent) {
@@ -74,9 +74,6 @@
 		in.follower.learn(ctx, m.Listing.PeerAddress, int64(state.ConfigurationVersion))
 		return
 	}
-	// A connection that is silent for one heartbeat may never answer again,
-	// so the next heartbeat uses a new one.
-	in.mesh.Drop(m.Listing.PeerAddress)
 	if m.Reachable && in.clock.Now()-m.Heard > roster.SilenceLimit {
 		in.history.Record(event.PeerUnreachable, "", "peer", m.Listing.Name)
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/lookup"
 	"tamarackrun/internal/protocol/manifest"
 	"tamarackrun/internal/standin/caller"
 	"tamarackrun/internal/standin/platform"
@@ -78,6 +79,8 @@
 	LogLevel string
 	// BootstrapKey authenticates the first apply; empty forbids it.
 	BootstrapKey string
+	// TLS secures the links between instances with generated certificates.
+	TLS bool
 }
 
 // Rate is an organisation's rate and burst.
@@ -100,6 +103,9 @@
 	Document string
 	Store    tamarackrun.ObjectStore
 
+	// Authority signs the instances' certificates; nil without TLS.
+	Authority *Authority
+
 	// ip is a loopback address of this fleet alone, so that fleets of
 	// parallel tests do not meet on a port.
 	ip       string
@@ -157,6 +163,11 @@
 			return err
 		}
 	}
+	if f.Options.TLS {
+		if f.Authority, err = NewAuthority(f.Options.Directory); err != nil {
+			return err
+		}
+	}
 	domains := f.domains()
 	for n := range f.Options.Instances {
 		f.Instances = append(f.Instances, &Instance{Listing: tamarackrun.Listing{
@@ -261,7 +272,7 @@
 address = %s
 [peer]
 address = %s
-insecure = yes
+%s
 [control]
 address = %s
 %s[platform]
@@ -281,7 +292,11 @@
 	if f.Options.LogLevel != "" {
 		level = f.Options.LogLevel
 	}
-	text := fmt.Sprintf(settingsFormat, l.Name, l.FailureDomain, l.CallerAddress, l.PeerAddress, l.ControlAddress,
+	link, err := f.linkSettings(l.Name)
+	if err != nil {
+		return err
+	}
+	text := fmt.Sprintf(settingsFormat, l.Name, l.FailureDomain, l.CallerAddress, l.PeerAddress, link, l.ControlAddress,
 		bootstrap, f.platformOf(i), level)
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		return err
@@ -291,7 +306,23 @@
 	return err
 }
 
-// AwaitReady waits until every instance lists every other as serving.
+// linkSettings returns the settings of section peer that concern TLS. A
+// certificate that a test has put in place is kept.
+func (f *Fleet) linkSettings(name string) (string, error) {
+	if f.Authority == nil {
+		return "insecure = yes", nil
+	}
+	certificate, key := f.Authority.files(name)
+	if _, err := os.Stat(certificate); err != nil {
+		if err := f.Authority.Issue(name); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("authorityFile = %s\ncertificateFile = %s\nkeyFile = %s", f.Authority.File, certificate, key), nil
+}
+
+// AwaitReady waits until every instance lists every other as serving, or as
+// many as an answer can name.
 func (f *Fleet) AwaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
@@ -299,7 +330,7 @@
 		for {
 			c := f.Caller("")
 			answer, err := c.Lookup(ctx, i.Listing.CallerAddress)
-			if err == nil && len(answer.Instances) == len(f.Instances) {
+			if err == nil && len(answer.Instances) == min(len(f.Instances), lookup.MaxInstances) {
 				break
 			}
 			if ctx.Err() != nil {
