--- /dev/null
+++ b/internal/program/instance/freshness_test.go
@@ -0,0 +1,346 @@
+package instance_test
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"tamarackrun/internal/standin/fleet"
+	"tamarackrun/internal/standin/platform"
+)
+
+// reasonAt sends a request with tea's key and returns the reason, or the
+// outcome if there is none.
+func reasonAt(t *testing.T, f *fleet.Fleet, i *fleet.Instance, target string) string {
+	t.Helper()
+	r := f.Caller("tea").SendTo(t.Context(), i.Listing.CallerAddress, "GET", target, nil, nil)
+	if r.Err != nil {
+		return r.Err.Error()
+	}
+	if r.Reason == "" {
+		return r.Outcome
+	}
+	return r.Outcome + " " + r.Reason
+}
+
+// cutOffServices has routes of both rules, and one that needs no key.
+var cutOffServices = []fleet.Service{
+	{Name: "browse", Servers: 4, Slots: 9, Route: "methods = GET\nidempotent = yes"},
+	{Name: "checks", Servers: 4, Slots: 9, Route: "methods = GET\nidempotent = yes\ncutOff = serve"},
+	{Name: "open", Servers: 4, Slots: 9, Route: "methods = GET\nidempotent = yes\nopen = yes"},
+}
+
+// beyondBound is longer than the time after which keyed requests are refused.
+const beyondBound = 14 * time.Second
+
+// Guards against refusals in an outage of the store that no instance can see
+// past: nothing can be withdrawn, so traffic must go on; and while the store
+// needs most of the time limit of a call.
+func TestTrafficGoesOnWhenTheStoreIsOutOrSlow(t *testing.T) {
+	t.Parallel()
+	for state, faults := range map[string]platform.Faults{"storeOut": {Outage: true}, "fresh": {DelayMillis: 1500}} {
+		t.Run(state, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, fleet.Options{Services: cutOffServices})
+			f.Platform.SetFaults(faults)
+			// The duration is the point of this test: it has to exceed the bound.
+			for began := time.Now(); time.Since(began) < beyondBound; time.Sleep(100 * time.Millisecond) {
+				for _, i := range f.Instances {
+					if got := reasonAt(t, f, i, "/browse/a"); got != "ran" {
+						t.Fatalf("%s: %s after %v", i.Listing.Name, got, time.Since(began))
+					}
+				}
+			}
+			awaitState := func(want string) {
+				for _, i := range f.Instances {
+					await(t, want, func() bool {
+						_, status := control(t, i, http.MethodGet, "/v1/status", fleet.OperatorKey, "")
+						return stateOf(status) == want
+					})
+				}
+			}
+			awaitState(state)
+			f.Platform.SetFaults(platform.Faults{})
+			awaitState("fresh")
+		})
+	}
+}
+
+func stateOf(status string) string {
+	_, rest, _ := strings.Cut(status, `"freshness":"`)
+	state, _, _ := strings.Cut(rest, `"`)
+	return state
+}
+
+// Guards against an instance that serves keyed requests although a key may have
+// been withdrawn behind its back, and against look-ups that still name it.
+func TestCutOffInstanceRefusesAndLearnsOnReturn(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		state fleet.LinkState
+		// alone are the numbers of the instances that are cut off.
+		alone []int
+	}{
+		"cut": {fleet.Cut, []int{0}}, "silent": {fleet.Silent, []int{0}}, "region cut": {fleet.Cut, []int{1, 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, fleet.Options{Services: cutOffServices, Links: true, Instances: 4, Regions: []int{2, 2}})
+			var alone, others []*fleet.Instance
+			for n, i := range f.Instances {
+				if slices.Contains(c.alone, n) {
+					alone = append(alone, i)
+				} else {
+					others = append(others, i)
+				}
+			}
+			f.Isolate(c.state, alone...)
+			cut := time.Now()
+			putDocument(t, f, withoutKey(f, "tea"))
+			for _, i := range alone {
+				await(t, "refusal as cut off", func() bool {
+					return reasonAt(t, f, i, "/browse/a") == "notRun cutOff"
+				})
+			}
+			t.Logf("refused %v after the cut", time.Since(cut))
+			checkCutOff(t, f, alone, others)
+			f.Isolate(fleet.Open, alone...)
+			for _, i := range alone {
+				await(t, "new version after the return", func() bool {
+					got := reasonAt(t, f, i, "/browse/a")
+					if got != "notRun keyWithdrawn" && got != "notRun cutOff" {
+						t.Fatalf("after the return: %s", got)
+					}
+					return got == "notRun keyWithdrawn"
+				})
+			}
+			for _, i := range f.Instances {
+				_, status := control(t, i, http.MethodGet, "/v1/status", fleet.OperatorKey, "")
+				if !strings.Contains(status, `"configurationVersion":2`) {
+					t.Errorf("%s: %s", i.Listing.Name, status)
+				}
+			}
+		})
+	}
+}
+
+// checkCutOff checks instances that refuse as cut off, and the others.
+func checkCutOff(t *testing.T, f *fleet.Fleet, alone, others []*fleet.Instance) {
+	t.Helper()
+	omitted := map[string]bool{}
+	for _, i := range alone {
+		omitted[i.Listing.Name] = true
+		for range 20 {
+			if got := reasonAt(t, f, i, "/browse/b"); got != "notRun cutOff" {
+				t.Fatalf("%s: keyed request while cut off: %s", i.Listing.Name, got)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		// The cut-off instances are homes of all servers that they see, so
+		// routes that go on still find a server.
+		if got := reasonAt(t, f, i, "/checks/a"); got != "ran" {
+			t.Errorf("%s: route with cutOff = serve: %s", i.Listing.Name, got)
+		}
+		anonymous := f.Caller("").SendTo(t.Context(), i.Listing.CallerAddress, "GET", "/open/a", nil, nil)
+		if diff := cmp.Diff("ran", anonymous.Outcome); diff != "" {
+			t.Errorf("%s: open route (-want +got):\n%s", i.Listing.Name, diff)
+		}
+	}
+	for _, i := range f.Instances {
+		answer, err := f.Caller("").Lookup(t.Context(), i.Listing.CallerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, listed := range answer.Instances {
+			if omitted[listed.Name] {
+				t.Errorf("the look-up at %s names %s", i.Listing.Name, listed.Name)
+			}
+		}
+	}
+	for _, i := range others {
+		if got := reasonAt(t, f, i, "/browse/a"); got != "notRun keyWithdrawn" {
+			t.Errorf("%s: %s", i.Listing.Name, got)
+		}
+	}
+}
+
+// Guards against an instance that waits for connections that went silent for
+// ever, while new ones work.
+func TestSilentConnectionsDelayNothing(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: cutOffServices, Links: true})
+	f.SilenceAll()
+	putDocument(t, f, withoutKey(f, "tea"))
+	changed := time.Now()
+	for _, i := range f.Instances {
+		await(t, "new version", func() bool {
+			got := reasonAt(t, f, i, "/browse/a")
+			if got == "notRun cutOff" {
+				t.Fatalf("%s is cut off after %v", i.Listing.Name, time.Since(changed))
+			}
+			return got == "notRun keyWithdrawn"
+		})
+	}
+	t.Logf("in force on all instances after %v", time.Since(changed))
+}
+
+// Guards against an instance that refuses because it alone lost the store while
+// its peers prove its version, and against a watch that is silent for ever.
+func TestPeersProveAndPassOnVersions(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: cutOffServices, Links: true})
+	alone := f.Instances[0]
+	f.StoreLink(alone).Set(fleet.Cut)
+	for began := time.Now(); time.Since(began) < beyondBound; time.Sleep(100 * time.Millisecond) {
+		if got := reasonAt(t, f, alone, "/browse/a"); got != "ran" {
+			t.Fatalf("%s after %v", got, time.Since(began))
+		}
+	}
+	putDocument(t, f, withoutKey(f, "tea"))
+	changed := time.Now()
+	await(t, "new version without the store", func() bool {
+		return reasonAt(t, f, alone, "/browse/a") == "notRun keyWithdrawn"
+	})
+	t.Logf("version passed on by peers after %v", time.Since(changed))
+}
+
+// Guards against waiting for a watch that never answers.
+func TestSilentWatchesDelayNothing(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: cutOffServices})
+	f.Platform.SetFaults(platform.Faults{SilentWatches: true})
+	// The second version is seen by watches that began before they went
+	// silent.
+	putDocument(t, f, f.Document)
+	putDocument(t, f, withoutKey(f, "tea"))
+	changed := time.Now()
+	for _, i := range f.Instances {
+		await(t, "new version", func() bool { return reasonAt(t, f, i, "/browse/a") == "notRun keyWithdrawn" })
+	}
+	t.Logf("in force on all instances after %v", time.Since(changed))
+}
+
+// Guards against a loss of the configuration, or a return to an older one, when
+// instances start while the store is out.
+func TestRestartsDuringAnOutage(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: cutOffServices})
+	putDocument(t, f, withoutKey(f, "tea"))
+	for _, i := range f.Instances {
+		await(t, "new version", func() bool { return reasonAt(t, f, i, "/browse/a") == "notRun keyWithdrawn" })
+	}
+	f.Platform.SetFaults(platform.Faults{Outage: true})
+	for _, i := range f.Instances {
+		i.Kill()
+		if err := f.StartInstance(i); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.AwaitReady(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if got := reasonAt(t, f, i, "/browse/a"); got != "notRun keyWithdrawn" {
+			t.Errorf("%s after its restart: %s", i.Listing.Name, got)
+		}
+	}
+}
+
+// Guards against an instance that serves without any configuration.
+func TestNotReadyWithoutStoreAndPeers(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: cutOffServices})
+	f.Platform.SetFaults(platform.Faults{Outage: true})
+	for _, i := range f.Instances {
+		i.Kill()
+	}
+	alone := f.Instances[0]
+	if err := f.StartInstance(alone); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "answer", func() bool { return reasonAt(t, f, alone, "/browse/a") == "notRun notReady" })
+	if status, _ := control(t, alone, http.MethodGet, "/readyz", "", ""); status != http.StatusServiceUnavailable {
+		t.Errorf("readyz answers %d", status)
+	}
+	f.Platform.SetFaults(platform.Faults{})
+	await(t, "ready", func() bool {
+		status, _ := control(t, alone, http.MethodGet, "/readyz", "", "")
+		return status == http.StatusOK
+	})
+}
+
+// Guards against an instance that was paused, and that serves a key withdrawn in
+// the meantime before it notices that its proof is old.
+func TestPausedInstanceServesNoWithdrawnKey(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: cutOffServices})
+	paused := f.Instances[0]
+	paused.Pause()
+	putDocument(t, f, withoutKey(f, "tea"))
+	// The pause has to exceed the bound.
+	time.Sleep(beyondBound)
+	const requests = 20
+	reasons := make(chan string, requests)
+	for range requests {
+		go func() { reasons <- reasonAt(t, f, paused, "/browse/a") }()
+	}
+	// The requests wait in the kernel; those that come later find the new
+	// version and prove less, but no wrong result.
+	time.Sleep(500 * time.Millisecond)
+	paused.Resume()
+	seen := map[string]int{}
+	for range requests {
+		seen[<-reasons]++
+	}
+	t.Logf("answers after the pause: %v", seen)
+	for reason := range seen {
+		if reason != "notRun cutOff" && reason != "notRun keyWithdrawn" {
+			t.Errorf("%d requests ended with %s", seen[reason], reason)
+		}
+	}
+	await(t, "new version", func() bool { return reasonAt(t, f, paused, "/browse/a") == "notRun keyWithdrawn" })
+}
+
+// Guards against refusals for ever when the region of the store is gone: an
+// operator declares it lost at one instance, and only that one goes on, until the
+// region is back.
+func TestDeclaredLostRegion(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: cutOffServices, Instances: 4, Regions: []int{2, 2}})
+	f.Platform.SetFaults(platform.Faults{Outage: true})
+	var left []*fleet.Instance
+	for _, i := range f.Instances {
+		if strings.HasPrefix(i.Listing.FailureDomain, "r1") {
+			i.Kill()
+		} else {
+			left = append(left, i)
+		}
+	}
+	for _, i := range left {
+		await(t, "refusal as cut off", func() bool { return reasonAt(t, f, i, "/browse/a") == "notRun cutOff" })
+	}
+	status, body := control(t, left[0], http.MethodPost, "/v1/lost/r1", fleet.OperatorKey, "")
+	if status != http.StatusOK {
+		t.Fatalf("status %d: %s", status, body)
+	}
+	await(t, "traffic at the instance that was told", func() bool { return reasonAt(t, f, left[0], "/browse/a") == "ran" })
+	if got := reasonAt(t, f, left[1], "/browse/a"); got != "notRun cutOff" {
+		t.Errorf("the instance that was not told: %s", got)
+	}
+	if status, body := control(t, left[0], http.MethodPost, "/v1/lost/r9", fleet.OperatorKey, ""); status != http.StatusUnprocessableEntity {
+		t.Errorf("unknown region: status %d: %s", status, body)
+	}
+	for _, i := range f.Instances {
+		if !slices.Contains(left, i) {
+			if err := f.StartInstance(i); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	await(t, "end of the declaration when the region is back", func() bool {
+		_, status := control(t, left[0], http.MethodGet, "/v1/status", fleet.OperatorKey, "")
+		return !strings.Contains(status, "lostRegions")
+	})
+}
