Queue requests at the slots by weighted fair queueing

Cause: the queue of a server was first in, first out with one common bound, so an organisation that sent several times its rate filled it.

Change: virtual finish times per organisation, interactive before batch with 10% for batch, a bound per organisation by its weight's share among those that wait (a newcomer pushes out the latest request of the one most above its share), refusal at once when the observed service times say that a request cannot start in time, and refusal of expired requests after a pause of the process.

--- a/internal/coordination/slot/slot.go
+++ b/internal/coordination/slot/slot.go
@@ -1,5 +1,6 @@
 // Package slot limits the requests that run on one backend server at a time
-// and queues the others.
+// and queues the others: weighted fair queueing over organisations, interactive
+// requests before batch requests.
 package slot
 
 import (
@@ -10,103 +11,93 @@
 	"tamarackrun"
 )
 
-// maxQueue bounds the requests that wait for one server, as a multiple of its
-// slots.
-const maxQueue = 8
-
 // Gate admits requests to one backend server. It is safe for concurrent use.
 type Gate struct {
 	Clock tamarackrun.Clock
 
-	mu       sync.Mutex
-	slots    int
-	inFlight int
-	waiting  []*waiter
-}
-
-type waiter struct {
-	ready    chan struct{}
-	admitted bool
+	mu    sync.Mutex
+	queue *queue
 }
 
 // New returns a gate with a number of slots.
-func New(slots int, clock tamarackrun.Clock) *Gate { return &Gate{Clock: clock, slots: slots} }
+func New(slots int, clock tamarackrun.Clock) *Gate {
+	return &Gate{Clock: clock, queue: newQueue(slots)}
+}
 
 // Load returns the requests that run and wait.
 func (g *Gate) Load() (inFlight, queued, slots int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.inFlight, len(g.waiting), g.slots
+	return len(g.queue.running), g.queue.waiting(), g.queue.slots
+}
+
+// Shifted returns the running requests of other regions.
+func (g *Gate) Shifted() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.shifted
 }
 
 // SetSlots changes the number of slots; running requests go on.
 func (g *Gate) SetSlots(slots int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.slots = slots
-	g.admitWaiting()
+	if g.queue.slots == slots {
+		return
+	}
+	g.queue.slots = slots
+	g.queue.promote(g.Clock.Now())
+}
+
+// Close refuses all waiting and later requests; running requests go on.
+func (g *Gate) Close(reason tamarackrun.Reason) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.close(reason)
 }
 
 // Enter waits for a slot until the deadline. The release function must be
 // called once if the outcome is Done.
-func (g *Gate) Enter(ctx context.Context, request tamarackrun.Request) (release func(), outcome tamarackrun.Outcome) {
+func (g *Gate) Enter(ctx context.Context, e Entry) (release func(), outcome tamarackrun.Outcome) {
 	g.mu.Lock()
-	if g.inFlight < g.slots && len(g.waiting) == 0 {
-		g.inFlight++
-		g.mu.Unlock()
-		return g.leave, tamarackrun.Done
+	w := g.queue.enter(g.Clock.Now(), e)
+	g.mu.Unlock()
+	select {
+	case outcome = <-w.ready:
+	default:
+		outcome = g.wait(ctx, w)
 	}
-	if len(g.waiting) >= maxQueue*g.slots {
-		g.mu.Unlock()
-		return nil, tamarackrun.Refused(tamarackrun.QueueFull)
+	if outcome != tamarackrun.Done {
+		return nil, outcome
 	}
-	w := &waiter{ready: make(chan struct{})}
-	g.waiting = append(g.waiting, w)
-	g.mu.Unlock()
-	return g.wait(ctx, w, request.Deadline)
+	return func() { g.leave(w) }, outcome
 }
 
-func (g *Gate) wait(ctx context.Context, w *waiter, deadline time.Duration) (func(), tamarackrun.Outcome) {
-	timer := time.NewTimer(deadline - g.Clock.Now())
+func (g *Gate) wait(ctx context.Context, w *waiter) tamarackrun.Outcome {
+	timer := time.NewTimer(w.Deadline - g.Clock.Now())
 	defer timer.Stop()
 	reason := tamarackrun.QueueTimeout
 	select {
-	case <-w.ready:
-		return g.leave, tamarackrun.Done
+	case outcome := <-w.ready:
+		return outcome
 	case <-timer.C:
 	case <-ctx.Done():
 		reason = tamarackrun.CallerCancelled
 	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if w.admitted {
-		g.inFlight--
-		g.admitWaiting()
-		return nil, tamarackrun.Refused(reason)
-	}
-	for i, other := range g.waiting {
-		if other == w {
-			g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
-			break
-		}
+	g.queue.cancel(w, reason)
+	g.mu.Unlock()
+	outcome := <-w.ready
+	if outcome != tamarackrun.Done {
+		return outcome
 	}
-	return nil, tamarackrun.Refused(reason)
+	// The slot was given at the same moment.
+	g.leave(w)
+	return tamarackrun.Refused(reason)
 }
 
-func (g *Gate) leave() {
+func (g *Gate) leave(w *waiter) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.inFlight--
-	g.admitWaiting()
-}
-
-// admitWaiting is called with the lock held.
-func (g *Gate) admitWaiting() {
-	for g.inFlight < g.slots && len(g.waiting) > 0 {
-		w := g.waiting[0]
-		g.waiting = g.waiting[1:]
-		w.admitted = true
-		g.inFlight++
-		close(w.ready)
-	}
+	g.queue.leave(g.Clock.Now(), w)
 }
