Limit what a new home uses and follow reported homes

Cause: while the list of instances lags, two instances act as home of a server, and entry instances that compute the home differently met refusals.

Change: a new home uses a third of the slots for 10 s unless no other instance can have been home or the older one is leaving and reported that it gave the server up. It takes shifted load only after the lag plus the longest timeout of the service's routes, since requests of the older home run that long, and not while a listed instance of the server's region is silent. Entry instances prefer the home that heartbeats report.

--- /dev/null
+++ b/internal/coordination/home/home_test.go
@@ -0,0 +1,108 @@
+package home
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"tamarackrun"
+	"tamarackrun/internal/protocol/wire"
+	"tamarackrun/internal/state/configuration"
+	"tamarackrun/internal/state/roster"
+)
+
+var snapshot = &configuration.Snapshot{Domains: map[string]configuration.Domain{
+	"r1-a": {Name: "r1-a", Region: "r1"}, "r1-b": {Name: "r1-b", Region: "r1"}, "r2-a": {Name: "r2-a", Region: "r2"}}}
+
+var server = configuration.Server{Name: "s", Domain: "r1-a"}
+
+func member(name, domain string, phase uint32, servers ...string) roster.Member {
+	m := roster.Member{Listing: tamarackrun.Listing{Name: name, FailureDomain: domain}, Reachable: true, Heard: time.Second,
+		State: &wire.PeerState{Phase: phase}}
+	for _, s := range servers {
+		m.State.Servers = append(m.State.Servers, &wire.ServerLoad{Name: s})
+	}
+	return m
+}
+
+func silent(m roster.Member) roster.Member {
+	m.Reachable = false
+	return m
+}
+
+// Guards against requests to an instance that is not home yet while another one
+// still is, and against following reports that are outdated.
+func TestOwner(t *testing.T) {
+	near, far := member("near", "r1-a", roster.Ready), member("far", "r2-a", roster.Ready)
+	for _, c := range []struct {
+		name    string
+		now     time.Duration
+		members []roster.Member
+		want    string
+	}{
+		{"nobody reports", time.Second, []roster.Member{near, far}, "near"},
+		{"nearest is silent", time.Second, []roster.Member{silent(near), far}, "far"},
+		{"another one reports", time.Second, []roster.Member{near, member("far", "r2-a", roster.Ready, "s")}, "far"},
+		{"report is old", time.Minute, []roster.Member{near, member("far", "r2-a", roster.Ready, "s")}, "near"},
+		{"both report", time.Second, []roster.Member{member("near", "r1-a", roster.Ready, "s"), member("far", "r2-a", roster.Ready, "s")}, "near"},
+		{"leaving home", time.Second, []roster.Member{member("near", "r1-a", roster.Leaving, "s"), far}, "near"},
+		{"leaving home was replaced", time.Second, []roster.Member{member("near", "r1-a", roster.Leaving, "s"), member("far", "r2-a", roster.Ready, "s")}, "far"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if diff := cmp.Diff(c.want, Owner(snapshot, server, c.members, c.now, "self")); diff != "" {
+				t.Errorf("owner (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against shifted load at a home whose predecessor may be alive, cut off,
+// and serving others.
+func TestDisputable(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		members []roster.Member
+		want    bool
+	}{
+		{"all answer", []roster.Member{member("x", "r1-b", roster.Ready)}, false},
+		{"one of the region is silent", []roster.Member{silent(member("x", "r1-b", roster.Ready))}, true},
+		{"one of another region is silent", []roster.Member{silent(member("x", "r2-a", roster.Ready))}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if diff := cmp.Diff(c.want, Disputable(snapshot, server, c.members, "self")); diff != "" {
+				t.Errorf("disputable (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against a new home that uses all slots while an older one may run
+// requests on them.
+func TestTenure(t *testing.T) {
+	type row struct {
+		name   string
+		tenure Tenure
+		now    time.Duration
+		slots  int
+		shifts bool
+	}
+	for _, c := range []row{
+		{"just gained", Tenure{Drain: time.Second}, 0, 3, false},
+		{"before the lag", Tenure{Drain: time.Second}, ListLag - 1, 3, false},
+		{"after the lag", Tenure{Drain: time.Second}, ListLag, 9, false},
+		{"after the drain", Tenure{Drain: time.Second}, ListLag + time.Second, 9, true},
+		{"first home", Tenure{Undoubted: true}, 0, 9, true},
+		{"handed over", Tenure{Handed: true}, 0, 9, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := row{c.name, c.tenure, c.now, c.tenure.Slots(9, c.now), c.tenure.Shifts(c.now)}
+			if diff := cmp.Diff(c, got, cmp.AllowUnexported(row{})); diff != "" {
+				t.Errorf("limits (-want +got):\n%s", diff)
+			}
+		})
+	}
+	if got := (Tenure{}).Slots(2, 0); got != 1 {
+		t.Errorf("%d of 2 slots, want 1", got)
+	}
+}
