Eject backend servers on observed outcomes

Cause: health endpoints lag and mislead, so that a server that fails every call stayed in use.

Change: a pure tracker with ejection after 5 consecutive failures or more than half of 20, 5 s doubling to 60 s, a cap of a third of the service, and reinstatement by one successful probe request only.

Conclusion: the property test refutes variants that ignore the cap or let another request reinstate a server.

--- /dev/null
+++ b/internal/coordination/health/health_test.go
@@ -0,0 +1,115 @@
+package health
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// Guards against ejections by single failures, against a server that keeps
+// failing every second request, and against results without meaning.
+func TestEjection(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		results []Result
+		repeat  int
+		want    bool
+	}{
+		{"four failures", []Result{Failure}, 4, false},
+		{"five failures", []Result{Failure}, 5, true},
+		{"cancelled requests", []Result{Nothing}, 50, false},
+		{"half of them", []Result{Failure, Success}, 50, false},
+		{"two of three", []Result{Failure, Success, Failure}, 7, true},
+		{"two of three, too few", []Result{Failure, Success, Failure}, 6, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var tracker Tracker
+			for range c.repeat {
+				for _, r := range c.results {
+					tracker.Observe(0, r, true)
+				}
+			}
+			if diff := cmp.Diff(c.want, tracker.Ejected()); diff != "" {
+				t.Errorf("ejected (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against ejections that never grow or grow without bound.
+func TestEjectionLength(t *testing.T) {
+	var tracker Tracker
+	for range consecutiveLimit {
+		tracker.Observe(0, Failure, true)
+	}
+	var lengths []time.Duration
+	for range 6 {
+		lengths = append(lengths, tracker.length)
+		tracker.Admit(tracker.until, true)
+		tracker.Probed(tracker.until, Failure)
+	}
+	want := []time.Duration{5, 10, 20, 40, 60, 60}
+	for i := range want {
+		want[i] *= time.Second
+	}
+	if diff := cmp.Diff(want, lengths); diff != "" {
+		t.Errorf("lengths (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against reinstatement by anything but a successful probe, against two
+// probes at a time, and against more ejections than a third of the service.
+func TestEjectionProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := make([]Tracker, rapid.IntRange(1, 16).Draw(t, "servers"))
+		probes := make([]bool, len(servers))
+		count := func() (n int) {
+			for i := range servers {
+				if servers[i].Ejected() {
+					n++
+				}
+			}
+			return n
+		}
+		var now time.Duration
+		for range rapid.IntRange(0, 300).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond
+			i := rapid.IntRange(0, len(servers)-1).Draw(t, "server")
+			s, before := &servers[i], servers[i].Ejected()
+			result := rapid.SampledFrom([]Result{Nothing, Success, Failure, Failure, Failure}).Draw(t, "result")
+			if probes[i] && rapid.Bool().Draw(t, "ends") {
+				probes[i] = false
+				if s.Probed(now, result) != (result == Success) || s.Ejected() == (result == Success) {
+					t.Fatalf("probe with result %d left ejected %v", result, s.Ejected())
+				}
+				continue
+			}
+			admitted, probe := s.Admit(now, true)
+			if admitted != (!before || probe) || probe && (probes[i] || now < s.until) {
+				t.Fatalf("admitted %v, probe %v, ejected %v, running %v", admitted, probe, before, probes[i])
+			}
+			if probe {
+				probes[i] = true
+				continue
+			}
+			s.Observe(now, result, count() < MaxEjected(len(servers)))
+			if before && !s.Ejected() {
+				t.Fatal("reinstated without a probe")
+			}
+			if n := count(); n > len(servers)/3 {
+				t.Fatalf("%d of %d servers are ejected", n, len(servers))
+			}
+		}
+	})
+}
