Bound retries by a budget

Cause: every refused request was dispatched up to three times, which multiplies the load in a failure.

Change: retries are at most 10% of the requests of the latest 10 s, at least 10.

Conclusion: a property test compares the budget with a direct count.

--- /dev/null
+++ b/internal/coordination/retry/retry_test.go
@@ -0,0 +1,51 @@
+package retry
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// Guards against retries above 10% of the requests, at least 10, in any 10 s,
+// and against a budget that refuses although it has room.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b Budget
+		var requests, retries []time.Duration
+		within := func(times []time.Duration, now time.Duration) (n int) {
+			for _, at := range times {
+				if now/time.Second-at/time.Second < window {
+					n++
+				}
+			}
+			return n
+		}
+		now := time.Duration(rapid.IntRange(0, 100).Draw(t, "start")) * time.Second
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+			for range rapid.IntRange(0, 60).Draw(t, "requests") {
+				b.Request(now)
+				requests = append(requests, now)
+			}
+			for range rapid.IntRange(0, 20).Draw(t, "retries") {
+				room := within(retries, now) < max(minimum, within(requests, now)/part)
+				if got := b.Retry(now); got != room {
+					t.Fatalf("retry allowed %v, want %v", got, room)
+				}
+				if room {
+					retries = append(retries, now)
+				}
+			}
+		}
+	})
+}
