Steer by homes, caps, health and a retry budget

Cause: the instance dispatched without these limits, homes were given up before another instance took them, and a planned stop neither waited for requests of peers nor for callers that were still sending.

A home is given up when another instance reports the server. The stop waits for the look-up lifetime, then for one second without new requests, then for all exchanges.

--- a/internal/program/instance/homes.go
+++ b/internal/program/instance/homes.go
@@ -2,18 +2,19 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/health"
 	"tamarackrun/internal/coordination/home"
-	"tamarackrun/internal/coordination/slot"
+	"tamarackrun/internal/protocol/drain"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/wire"
 	"tamarackrun/internal/state/configuration"
-	"tamarackrun/internal/transport/backend"
+	"tamarackrun/internal/state/roster"
 )
 
 const (
@@ -27,26 +28,30 @@
 type homes struct {
 	in     *Instance
 	health *http.Client
+	// began is when the instance started.
+	began time.Duration
+	// running counts the exchanges in flight, also those on servers that were
+	// given up since.
+	running atomic.Int64
+	orders  atomic.Pointer[drain.Orders]
 
 	mu sync.Mutex
 	// owned has an entry for each server whose home this instance is.
 	owned map[string]*owned
+	// reporters holds the latest other instance that reported each server.
+	reporters map[string]string
 	// listedLeaving are the backend servers that the platform lists as
 	// leaving.
 	listedLeaving map[string]bool
-}
-
-// owned is the state of one backend server at its home.
-type owned struct {
-	server configuration.Server
-	gate   *slot.Gate
-	// leaving says that the server gets no new work.
-	leaving bool
+	// announced are the servers whose leaving was recorded.
+	announced map[string]bool
 }
 
 func newHomes(in *Instance) *homes {
-	return &homes{in: in, health: &http.Client{Timeout: healthTimeout},
-		owned: map[string]*owned{}, listedLeaving: map[string]bool{}}
+	h := &homes{in: in, health: &http.Client{Timeout: healthTimeout}, began: in.clock.Now(), owned: map[string]*owned{},
+		reporters: map[string]string{}, listedLeaving: map[string]bool{}, announced: map[string]bool{}}
+	h.orders.Store(&drain.Orders{})
+	return h
 }
 
 func (h *homes) run(ctx context.Context) {
@@ -60,24 +65,37 @@
 }
 
 // place takes and gives up homes after changes of the roster or the
-// configuration.
+// configuration. A home is given up only when another instance reports the
+// server, so that there is one at every moment.
 func (h *homes) place(c *configuration.Snapshot) {
-	members := h.in.roster.Members()
+	members, now, self := h.in.roster.Members(), h.in.clock.Now(), h.in.Settings.Name
+	reported, allHeard := home.Reported(members, self)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	for name, by := range reported {
+		h.reporters[name] = by
+	}
 	for name, v := range c.Servers {
-		mine := home.Of(c, v, members) == h.in.Settings.Name
 		o, have := h.owned[name]
+		placed := home.Of(c, v, members) == self
 		switch {
-		case mine && !have:
-			h.owned[name] = &owned{server: v, gate: slot.New(v.Slots, h.in.clock)}
-			h.in.history.Record(event.HomeGained, "", "server", name)
-		case !mine && have:
+		case !have && placed:
+			o = newOwned(v, home.Tenure{Gained: now, Drain: longestTimeout(c, v.Service)}, h.in.clock)
+			h.owned[name] = o
+			h.in.history.Record(event.HomeGained, "", "server", name, "before", h.reporters[name])
+		case !have:
+			continue
+		case !placed && reported[name] != "":
 			h.release(name)
-		case mine && o.server != v:
-			o.server = v
-			o.gate.SetSlots(v.Slots)
+			continue
 		}
+		o.mu.Lock()
+		o.server = v
+		gained := o.tenure.Gained
+		o.mu.Unlock()
+		older := h.reporters[name]
+		o.setTenure(allHeard && older == "" && gained-h.began < home.ListLag, home.GaveUp(members, older, name, gained))
+		o.limitSlots(now)
 	}
 	for name := range h.owned {
 		if _, ok := c.Servers[name]; !ok {
@@ -86,145 +104,94 @@
 	}
 }
 
+// release gives a home up. Waiting requests are refused, so that their entry
+// instances try the new home; running ones finish.
 func (h *homes) release(name string) {
+	h.owned[name].gate.Close(tamarackrun.NotHome)
 	delete(h.owned, name)
 	h.in.history.Record(event.HomeLost, "", "server", name)
 }
 
+func longestTimeout(c *configuration.Snapshot, service string) time.Duration {
+	var longest time.Duration
+	for _, r := range c.Routes {
+		if service == "" || r.Service == service {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
+
 func (h *homes) get(name string) *owned {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.owned[name]
 }
 
-// loads reports the owned servers for heartbeats.
-func (h *homes) loads() []*wire.ServerLoad {
+func (h *homes) all() map[string]*owned {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var loads []*wire.ServerLoad
+	all := make(map[string]*owned, len(h.owned))
 	for name, o := range h.owned {
-		inFlight, queued, slots := o.gate.Load()
-		loads = append(loads, &wire.ServerLoad{Name: name, InFlight: uint32(inFlight), Queued: uint32(queued),
-			Slots: uint32(slots), Leaving: o.leaving})
+		all[name] = o
 	}
-	return loads
-}
-
-// Dispatch runs a request on a server whose home this instance is.
-func (h *homes) Dispatch(ctx context.Context, request tamarackrun.Request, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
-	outcome := h.dispatch(ctx, request, answer)
-	h.in.history.CountOutcome("home", outcome)
-	return outcome
+	return all
 }
 
-func (h *homes) dispatch(ctx context.Context, request tamarackrun.Request, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
-	o := h.get(request.Server)
-	if o == nil {
-		// The sender may have learnt earlier that this instance is the home.
-		if c := h.in.snapshot.Load(); c != nil {
-			h.place(c)
-		}
-		o = h.get(request.Server)
-	}
-	if o == nil {
-		return tamarackrun.Refused(tamarackrun.NotHome)
-	}
-	if h.isLeaving(o) {
-		return tamarackrun.Refused(tamarackrun.ServerDraining)
-	}
-	release, outcome := o.gate.Enter(ctx, request)
-	if outcome != tamarackrun.Done {
-		return outcome
-	}
-	defer release()
-	if h.isLeaving(o) {
-		return tamarackrun.Refused(tamarackrun.ServerDraining)
+// loads reports the owned servers for heartbeats.
+func (h *homes) loads() []*wire.ServerLoad {
+	var loads []*wire.ServerLoad
+	for name, o := range h.all() {
+		loads = append(loads, h.load(name, o))
 	}
-	h.in.history.Record(event.RequestDispatched, request.ID, "server", request.Server, "attempt", request.Attempt,
-		"organisation", request.Organisation)
-	return h.in.backends.Dispatch(ctx, request, answer)
-}
-
-func (h *homes) isLeaving(o *owned) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return o.leaving || h.listedLeaving[o.server.Name]
+	return loads
 }
 
-// listed takes the platform's list.
-func (h *homes) listed(list []tamarackrun.Listing) {
-	leaving := map[string]bool{}
-	for _, l := range list {
-		if l.Leaving {
-			leaving[l.Name] = true
+func (h *homes) load(name string, o *owned) *wire.ServerLoad {
+	inFlight, queued, slots := o.gate.Load()
+	l := &wire.ServerLoad{Name: name, InFlight: uint32(inFlight), Queued: uint32(queued), Slots: uint32(slots),
+		Leaving: h.isLeaving(name, o)}
+	now := h.in.clock.Now()
+	o.mu.Lock()
+	l.Ejected, l.Probe = o.tracker.Ejected(), o.tracker.ProbeDue(now)
+	server := o.server
+	o.mu.Unlock()
+	if c := h.in.snapshot.Load(); c != nil {
+		limit, _ := h.shiftLimit(c, server, o)
+		l.ShiftRoom = uint32(max(0, limit-o.gate.Shifted()))
+	}
+	return l
+}
+
+// mayEject says whether one more server of the service may be ejected. It
+// counts the own servers and those that other homes report.
+func (h *homes) mayEject(c *configuration.Snapshot, service string) bool {
+	ejected := map[string]bool{}
+	for name, o := range h.all() {
+		o.mu.Lock()
+		ejected[name] = o.tracker.Ejected()
+		o.mu.Unlock()
+	}
+	for _, m := range h.in.roster.Members() {
+		if m.Listing.Name == h.in.Settings.Name || !m.Reachable || m.State.GetPhase() == roster.Starting {
+			continue
 		}
-	}
-	h.mu.Lock()
-	h.listedLeaving = leaving
-	h.mu.Unlock()
-}
-
-// observe takes the headers of an answer.
-func (h *homes) observe(server string, header http.Header) {
-	if header.Get(backend.DrainingHeader) == "true" {
-		h.setLeaving(server, true)
-	}
-}
-
-func (h *homes) setLeaving(server string, leaving bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if o := h.owned[server]; o != nil && o.leaving != leaving {
-		o.leaving = leaving
-		if leaving {
-			h.in.history.Record(event.ServerLeaving, "", "server", server)
+		for _, l := range m.State.GetServers() {
+			ejected[l.Name] = ejected[l.Name] || l.Ejected
 		}
 	}
-}
-
-// pollHealth asks the owned servers whether they are leaving.
-func (h *homes) pollHealth(ctx context.Context) {
-	h.mu.Lock()
-	servers := make([]configuration.Server, 0, len(h.owned))
-	for _, o := range h.owned {
-		servers = append(servers, o.server)
-	}
-	h.mu.Unlock()
-	var group sync.WaitGroup
+	servers, n := c.ServersOf(service), 0
 	for _, v := range servers {
-		group.Go(func() { h.pollServer(ctx, v) })
-	}
-	group.Wait()
-}
-
-func (h *homes) pollServer(ctx context.Context, v configuration.Server) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.Address+"/health", nil)
-	if err != nil {
-		return
-	}
-	response, err := h.health.Do(request)
-	if err != nil {
-		return
-	}
-	defer func() { _ = response.Body.Close() }()
-	var report struct {
-		State string `json:"state"`
-	}
-	if json.NewDecoder(response.Body).Decode(&report) == nil {
-		h.setLeaving(v.Name, report.State == "draining")
+		if ejected[v.Name] {
+			n++
+		}
 	}
+	return n < health.MaxEjected(len(servers))
 }
 
-// drain waits until no request runs on the owned servers.
+// drain waits until no exchange is in flight at this home.
 func (h *homes) drain(ctx context.Context) {
-	for ctx.Err() == nil {
-		busy := 0
-		for _, l := range h.loads() {
-			busy += int(l.InFlight + l.Queued)
-		}
-		if busy == 0 {
-			return
-		}
+	for ctx.Err() == nil && h.running.Load() > 0 {
 		pause(ctx, drainPollDelay)
 	}
 }
--- a/internal/program/instance/instance.go
+++ b/internal/program/instance/instance.go
@@ -32,8 +32,21 @@
 
 const (
 	maxServerConnections = 390
-	// finishLimit bounds the wait for running requests in a planned stop.
-	finishLimit = 30 * time.Second
+	// finishLimit bounds the wait for running requests in a planned stop, if
+	// no route allows more; finishMargin is added to a longer route timeout.
+	finishLimit  = 30 * time.Second
+	finishMargin = 5 * time.Second
+	// lookupMargin is the time in which peers learn that the instance is
+	// leaving, so that their look-up answers leave it out.
+	lookupMargin = time.Second
+	// quietTime without a new request shows that callers moved away. Idle
+	// connections are closed only then, because a request that is just being
+	// written on one would be cut. quietLimit bounds the wait for callers
+	// that ignore the lifetime of look-up answers.
+	quietTime  = time.Second
+	quietLimit = 15 * time.Second
+	quietDelay = 50 * time.Millisecond
+	settleTime = 100 * time.Millisecond
 )
 
 // Instance is one entry instance.
@@ -58,6 +71,8 @@
 	leaving  atomic.Bool
 	homes    *homes
 	rates    *rates
+
+	dispatching dispatching
 }
 
 // New opens the listeners. The clean-up function closes them.
@@ -174,7 +189,10 @@
 	start(in.sendHeartbeats)
 	start(in.homes.run)
 	start(in.rates.run)
-	<-ctx.Done()
+	drained, leave := context.WithCancel(ctx)
+	defer leave()
+	start(func(ctx context.Context) { in.pollOrders(ctx, leave) })
+	<-drained.Done()
 	in.shutdown()
 	stop()
 	return nil
@@ -186,16 +204,32 @@
 	in.history.Record(event.Stopping, "")
 	in.leaving.Store(true)
 	in.publishState()
+	limit := finishLimit
 	if c := in.snapshot.Load(); c != nil {
-		time.Sleep(c.Fleet.LookupLifetime + time.Second)
+		in.homes.place(c)
+		time.Sleep(c.Fleet.LookupLifetime + lookupMargin)
+		limit = max(limit, longestTimeout(c, "")+finishMargin)
 	}
-	limit, cancel := context.WithTimeout(context.Background(), finishLimit)
+	finish, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	_ = in.callers.Shutdown(limit)
-	in.homes.drain(limit)
+	in.awaitQuiet(finish)
+	_ = in.callers.Shutdown(finish)
+	in.homes.drain(finish)
+	// Closing a connection that holds unread bytes, such as a heartbeat,
+	// discards what was sent last; peers read it within a round trip.
+	time.Sleep(settleTime)
 	in.history.Record(event.Stopped, "")
 }
 
+// awaitQuiet waits until callers send no new requests.
+func (in *Instance) awaitQuiet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, quietLimit)
+	defer cancel()
+	for ctx.Err() == nil && in.callers.Quiet() < quietTime {
+		pause(ctx, quietDelay)
+	}
+}
+
 func (in *Instance) phase() uint32 {
 	switch {
 	case in.leaving.Load():
--- a/internal/program/instance/peers.go
+++ b/internal/program/instance/peers.go
@@ -6,7 +6,6 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/protocol/event"
-	"tamarackrun/internal/protocol/frame"
 	"tamarackrun/internal/protocol/wire"
 	"tamarackrun/internal/state/roster"
 )
@@ -24,9 +23,7 @@
 		_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_HeartbeatReply{
 			HeartbeatReply: &wire.HeartbeatReply{State: in.state()}}})
 	case *wire.Envelope_Dispatch:
-		request := frame.ToRequest(kind.Dispatch, in.clock.Now())
-		sender := frame.NewSender(stream)
-		_ = sender.Finish(in.homes.Dispatch(ctx, request, sender))
+		in.serveDispatch(ctx, kind.Dispatch, stream)
 	case *wire.Envelope_Explain:
 		_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_Report{
 			Report: &wire.Report{Events: in.history.Of(kind.Explain.Request)}}})
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -22,6 +22,8 @@
 	ServerEjected         tamarackrun.EventID = 1303
 	ServerReinstated      tamarackrun.EventID = 1304
 	ServerLeaving         tamarackrun.EventID = 1305
+	ShiftStarted          tamarackrun.EventID = 1310
+	ShiftClosed           tamarackrun.EventID = 1311
 	RequestAccepted       tamarackrun.EventID = 2001
 	RequestDispatched     tamarackrun.EventID = 2002
 	RequestFinished       tamarackrun.EventID = 2003
@@ -29,6 +31,7 @@
 	RequestRetried        tamarackrun.EventID = 2005
 	RequestUncertain      tamarackrun.EventID = 2006
 	AttemptResolved       tamarackrun.EventID = 2007
+	RetryDenied           tamarackrun.EventID = 2501
 )
 
 // Description is one row of the catalogue.
@@ -58,6 +61,8 @@
 	{ServerEjected, "serverEjected", "warn", "a backend server gets no work because of observed failures"},
 	{ServerReinstated, "serverReinstated", "info", "an ejected backend server gets work again"},
 	{ServerLeaving, "serverLeaving", "info", "a backend server is leaving and gets no new work"},
+	{ShiftStarted, "shiftStarted", "warn", "requests may go to other regions because the region of origin refused repeatedly"},
+	{ShiftClosed, "shiftClosed", "warn", "a backend server takes no requests of other regions because its latency grew"},
 	{RequestAccepted, "requestAccepted", "debug", "a request passed key and rate checks"},
 	{RequestDispatched, "requestDispatched", "debug", "a home instance sent a request to a backend server"},
 	{RequestFinished, "requestFinished", "debug", "a request ran and its answer is complete"},
@@ -65,6 +70,7 @@
 	{RequestRetried, "requestRetried", "info", "a request is dispatched again"},
 	{RequestUncertain, "requestUncertain", "warn", "the outcome of a request is unknown"},
 	{AttemptResolved, "attemptResolved", "info", "the state of an attempt was settled with its home instance"},
+	{RetryDenied, "retryDenied", "warn", "a request is not dispatched again because the retry budget is used up"},
 }
 
 // Lookup returns the description of an event.
--- a/internal/transport/caller/caller.go
+++ b/internal/transport/caller/caller.go
@@ -49,6 +49,7 @@
 
 	listener net.Listener
 	server   *http.Server
+	latest   latest
 }
 
 // New listens on the address. The clean-up function closes the listener and
@@ -87,6 +88,7 @@
 
 func (s *Server) closing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.latest.touch()
 		if s.Leaving() {
 			w.Header().Set("Connection", "close")
 		}
