--- a/internal/coordination/shift/region_test.go
+++ b/internal/coordination/shift/region_test.go
@@ -193,7 +193,7 @@
 		s.own++
 	}
 	if s.others > 0 && s.warmth < coldCount {
-		service = service * time.Duration(1+(coldFactor-1)*s.others/simSlots)
+		service *= time.Duration(1 + (coldFactor-1)*s.others/simSlots)
 		if shifted {
 			service *= coldFactor
 		}
--- /dev/null
+++ b/internal/program/instance/steering_test.go
@@ -0,0 +1,404 @@
+package instance_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"tamarackrun"
+	"tamarackrun/internal/protocol/document"
+	"tamarackrun/internal/standin/caller"
+	"tamarackrun/internal/standin/fleet"
+	"tamarackrun/internal/standin/server"
+)
+
+// patience bounds waits whose length is no part of a verdict.
+const patience = 40 * time.Second
+
+func await(t *testing.T, what string, done func() bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for !done() {
+		if time.Since(began) > patience {
+			t.Fatalf("%s did not happen within %v", what, patience)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// The first callers pause for 1 ms between requests, so that a connection that is
+// closed too early meets a request; each later one pauses longer by pauseStep.
+const (
+	shortPauses = 48
+	pauseStep   = 20 * time.Millisecond
+)
+
+// load sends requests from several callers until stop is called, which returns
+// all results.
+func load(t *testing.T, f *fleet.Fleet, callers int, method, target string) (stop func() []caller.Result) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	results := make([][]caller.Result, callers)
+	for n := range callers {
+		group.Go(func() {
+			c := f.Caller("tea")
+			for ctx.Err() == nil {
+				results[n] = append(results[n], c.Send(t.Context(), method, target, nil, nil))
+				// Some connections are idle for long between requests.
+				time.Sleep(time.Millisecond + time.Duration(n/shortPauses)*pauseStep)
+			}
+		})
+	}
+	return func() []caller.Result {
+		cancel()
+		group.Wait()
+		return slices.Concat(results...)
+	}
+}
+
+func executions(f *fleet.Fleet, name string) int { return len(f.Servers[name].Record().Executions) }
+
+// tally counts results by outcome, reason, status and error.
+func tally(results []caller.Result) map[string]int {
+	counts := map[string]int{}
+	for _, r := range results {
+		key := fmt.Sprint(r.Outcome, " ", r.Reason, " ", r.Status)
+		if r.Err != nil {
+			key = r.Err.Error()
+		}
+		counts[key]++
+	}
+	return counts
+}
+
+// Guards against new work for a backend server that is leaving by any of the
+// four signals, and against cutting what it still runs.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	const leaving = "browse-01"
+	for _, c := range []struct {
+		name   string
+		signal func(t *testing.T, f *fleet.Fleet)
+	}{
+		{"list", func(_ *testing.T, f *fleet.Fleet) {
+			list := []tamarackrun.Listing{{Name: leaving, Leaving: true}}
+			for _, i := range f.Instances {
+				list = append(list, i.Listing)
+			}
+			f.Platform.SetInstances(list)
+		}},
+		{"health", func(_ *testing.T, f *fleet.Fleet) {
+			f.Servers[leaving].SetFaults(server.Faults{WorkMillis: 100, Draining: true})
+		}},
+		{"header", func(_ *testing.T, f *fleet.Fleet) {
+			f.Servers[leaving].SetFaults(server.Faults{WorkMillis: 100, Draining: true, MisleadHealth: true})
+		}},
+		{"order", func(t *testing.T, f *fleet.Fleet) {
+			if _, err := f.Store.Put(t.Context(), "drain/"+leaving, []byte("{}"), 0); err != nil {
+				t.Fatal(err)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := startFleet(t, fleet.Options{})
+			for _, s := range f.Servers {
+				s.SetFaults(server.Faults{WorkMillis: 100})
+			}
+			stop := load(t, f, 4, "GET", "/browse/x")
+			await(t, "first execution", func() bool { return executions(f, leaving) > 3 })
+			c.signal(t, f)
+			began, last, count := time.Now(), time.Now(), executions(f, leaving)
+			await(t, "end of new work", func() bool {
+				if n := executions(f, leaving); n != count {
+					last, count = time.Now(), n
+				}
+				return time.Since(last) > 3*time.Second
+			})
+			t.Logf("last new request %v after the signal", last.Sub(began).Round(time.Millisecond))
+			results := tally(stop())
+			delete(results, "ran  200")
+			if diff := cmp.Diff(map[string]int{}, results); diff != "" {
+				t.Errorf("other results (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against requests that are cut by the planned stop of an entry instance:
+// those of callers with cached look-up answers and idle connections, those of
+// other instances, and long streamed answers.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name                      string
+		callers, through, between int
+	}{
+		// http.Transport repeats a GET by itself but not a POST.
+		{"short requests", 60, 0, 0},
+		{"streams through the instance", 4, 4, 0},
+		{"streams of other instances", 4, 0, 8},
+	} {
+		t.Run(c.name, func(t *testing.T) { plannedStop(t, c.callers, c.through, c.between) })
+	}
+}
+
+// preferred returns the instance that look-ups name first.
+func preferred(t *testing.T, f *fleet.Fleet) *fleet.Instance {
+	t.Helper()
+	answer, err := f.Caller("").Lookup(t.Context(), f.Instances[0].Listing.CallerAddress)
+	if err != nil || len(answer.Instances) == 0 {
+		t.Fatal("no look-up answer", err)
+	}
+	for _, i := range f.Instances {
+		if i.Listing.Name == answer.Instances[0].Name {
+			return i
+		}
+	}
+	t.Fatal("unknown instance", answer)
+	return nil
+}
+
+// plannedStop stops the instance that callers prefer while streams run through
+// it, and others whose entry instances are the other ones and of whose backend
+// servers it is home.
+func plannedStop(t *testing.T, callers, through, between int) {
+	f := startFleet(t, fleet.Options{Organisations: map[string]fleet.Rate{"tea": {Rate: 90000, Burst: 90000}},
+		Services: []fleet.Service{
+			{Name: "browse", Servers: 3, Slots: 9, Route: "methods = GET, POST\nidempotent = yes"},
+			{Name: "stream", Servers: 3, Slots: 9, Route: "methods = GET\nidempotent = yes\ntimeout = 30s\nattempts = 1"},
+		}})
+	const pieces = 60
+	for name, s := range f.Servers {
+		if strings.HasPrefix(name, "stream") {
+			s.SetFaults(server.Faults{StreamPieces: pieces, StreamMillis: 100})
+		}
+	}
+	leaving := preferred(t, f)
+	var entries []string
+	for range through {
+		entries = append(entries, leaving.Listing.CallerAddress)
+	}
+	for n := range between {
+		entries = append(entries, f.Instances[(slices.Index(f.Instances, leaving)+1+n%2)%3].Listing.CallerAddress)
+	}
+	stop := load(t, f, callers, "POST", "/browse/x")
+	var group sync.WaitGroup
+	streams := make([]caller.Result, len(entries))
+	for n := range streams {
+		group.Go(func() { streams[n] = f.Caller("tea").SendTo(t.Context(), entries[n], "GET", "/stream/x", nil, nil) })
+	}
+	await(t, "streams", func() bool {
+		return executions(f, "stream-01")+executions(f, "stream-02")+executions(f, "stream-03") == len(streams)
+	})
+	await(t, "load", func() bool { return executions(f, "browse-01") > 20 })
+	began := time.Now()
+	leaving.Terminate()
+	if !leaving.Wait(patience) {
+		t.Error("the instance did not stop")
+	}
+	t.Logf("drain time %v with a look-up lifetime of 1 s", time.Since(began).Round(time.Millisecond))
+	group.Wait()
+	for _, r := range streams {
+		if r.Err != nil || strings.Count(r.Body, "piece") != pieces {
+			t.Errorf("stream has %d pieces, error %v, outcome %s %s", strings.Count(r.Body, "piece"), r.Err, r.Outcome, r.Reason)
+		}
+	}
+	results := tally(stop())
+	t.Logf("results %v", results)
+	delete(results, "ran  200")
+	if diff := cmp.Diff(map[string]int{}, results); diff != "" {
+		t.Errorf("other results (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a health endpoint that keeps a server in use which fails every
+// call, and against a server that never returns after it recovered.
+func TestMisleadingHealthKeepsNoServer(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{})
+	f.Servers["browse-01"].SetFaults(server.Faults{FailAll: true, MisleadHealth: true})
+	c := f.Caller("tea")
+	good := 0
+	took := await(t, "50 good answers in a row", func() bool {
+		good++
+		if r := c.Send(t.Context(), "GET", "/browse/x", nil, nil); r.Status != http.StatusOK {
+			good = 0
+		}
+		return good == 50
+	})
+	t.Logf("50 good answers in a row after %v, %d calls of the failing server", took.Round(time.Millisecond), executions(f, "browse-01"))
+	f.Servers["browse-01"].SetFaults(server.Faults{})
+	before := executions(f, "browse-01")
+	took = await(t, "return of the server", func() bool {
+		c.Send(t.Context(), "GET", "/browse/x", nil, nil)
+		return executions(f, "browse-01") > before+10
+	})
+	t.Logf("10 calls of the recovered server after %v", took.Round(time.Millisecond))
+}
+
+// Guards against a home that was paused and then runs requests whose deadline
+// passed in the meantime.
+func TestPausedHomeRunsNoExpiredRequests(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Instances: 2, Regions: []int{2},
+		Services: []fleet.Service{{Name: "browse", Servers: 1, Slots: 1, Route: "methods = GET\nidempotent = yes"}}})
+	// The server is in the failure domain of the first instance, its home.
+	f.Servers["browse-01"].SetFaults(server.Faults{WorkMillis: 400})
+	var group sync.WaitGroup
+	for n := range 12 {
+		group.Go(func() {
+			f.Caller("tea").SendTo(t.Context(), f.Instances[n%2].Listing.CallerAddress, "GET", "/browse/old", nil,
+				http.Header{"Tamarackrun-Timeout-Ms": {"3000"}})
+		})
+	}
+	await(t, "first execution", func() bool { return executions(f, "browse-01") > 0 })
+	f.Instances[0].Pause()
+	// Longer than the deadline of all requests.
+	time.Sleep(4 * time.Second)
+	old := func() (n int) {
+		for _, e := range f.Servers["browse-01"].Record().Executions {
+			if e.Target == "/browse/old" {
+				n++
+			}
+		}
+		return n
+	}
+	before := old()
+	f.Instances[0].Resume()
+	group.Wait()
+	c := f.Caller("tea")
+	await(t, "answer of the resumed home", func() bool {
+		return c.SendTo(t.Context(), f.Instances[0].Listing.CallerAddress, "GET", "/browse/new", nil, nil).Outcome == "ran"
+	})
+	if diff := cmp.Diff(before, old()); diff != "" {
+		t.Errorf("executions of expired requests (-before +after):\n%s", diff)
+	}
+}
+
+// Guards against an entry instance of another region that uses more than the
+// cap of the region, which the home enforces.
+func TestHomeEnforcesShiftCap(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Instances: 2, Regions: []int{1, 1},
+		Services: []fleet.Service{{Name: "browse", Servers: 1, Slots: 8, Route: "methods = GET\nidempotent = yes\nattempts = 1"}}})
+	s := f.Servers["browse-01"]
+	s.SetFaults(server.Faults{WorkMillis: 300})
+	send := func() {
+		var group sync.WaitGroup
+		results := make([]caller.Result, 8)
+		for n := range results {
+			group.Go(func() {
+				results[n] = f.Caller("tea").SendTo(t.Context(), f.Instances[1].Listing.CallerAddress, "GET", "/browse/x", nil, nil)
+			})
+		}
+		group.Wait()
+		if counts := tally(results); counts["notRun shiftCapped 503"] < 4 {
+			t.Errorf("results %v, want at least 4 refusals for the cap of 4", counts)
+		}
+	}
+	await(t, "opening of the whole part", func() bool {
+		send()
+		return s.Record().MostInFlight >= 4
+	})
+	for range 10 {
+		send()
+	}
+	if most := s.Record().MostInFlight; most > 4 {
+		t.Errorf("%d shifted requests in flight, cap is 4", most)
+	}
+}
+
+// Measures the latency that the first and the second instance add. It fails only
+// if requests fail.
+func TestAddedLatency(t *testing.T) {
+	f := startFleet(t, fleet.Options{Instances: 2, Regions: []int{2},
+		Services: []fleet.Service{{Name: "browse", Servers: 1, Slots: 9, Route: "methods = GET\nidempotent = yes"}}})
+	c, _ := document.Parse("fleet", []byte(f.Document))
+	client := f.Caller("tea")
+	for _, way := range []struct{ name, address string }{
+		{"direct", c.Servers["browse-01"].Address},
+		{"entry is home", f.Instances[0].Listing.CallerAddress},
+		{"entry and home", f.Instances[1].Listing.CallerAddress},
+	} {
+		var all []time.Duration
+		for n := range 1100 {
+			r := client.SendTo(t.Context(), way.address, "GET", "/browse/x", nil, nil)
+			if r.Err != nil || r.Status != http.StatusOK {
+				t.Fatalf("%s: %+v", way.name, r)
+			}
+			if n >= 100 {
+				all = append(all, r.Elapsed)
+			}
+			// Stays under the organisation's rate per instance.
+			time.Sleep(time.Millisecond)
+		}
+		slices.Sort(all)
+		t.Logf("%s: p50 %v, p99 %v", way.name, all[len(all)/2], all[len(all)*99/100])
+	}
+}
+
+// Guards against a retry after an answer began, which would mix two answers, and
+// against a missing retry where it is allowed.
+func TestRetriesOnlyBeforeTheAnswer(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{})
+	for _, c := range []struct {
+		name   string
+		faults server.Faults
+		cut    bool
+		runs   int
+	}{
+		{"truncated", server.Faults{TruncateAnswers: 1}, true, 1},
+		// The region of origin has two servers; one refusal starts no shift.
+		{"dropped", server.Faults{DropAnswers: 1}, true, 2},
+	} {
+		for _, s := range f.Servers {
+			s.SetFaults(c.faults)
+		}
+		before := f.Executions("")
+		r := f.Caller("tea").SendTo(t.Context(), f.Instances[0].Listing.CallerAddress, "GET", "/browse/x", nil, nil)
+		if cut := r.Err != nil || r.Outcome != "ran"; cut != c.cut || f.Executions("")-before != c.runs {
+			t.Errorf("%s: %d executions, result %+v, want %d executions", c.name, f.Executions("")-before, r, c.runs)
+		}
+	}
+}
+
+// Guards against retries that multiply the load when every request fails, and
+// against retries and refused retries that are not counted by reason.
+func TestRetryBudgetOfInstance(t *testing.T) {
+	t.Parallel()
+	const requests = 40
+	f := startFleet(t, fleet.Options{Instances: 1, Regions: []int{1}, Services: []fleet.Service{
+		{Name: "browse", Servers: 2, Slots: 3, Route: "methods = GET\nidempotent = yes\nattempts = 5"}}})
+	for _, s := range f.Servers {
+		s.SetFaults(server.Faults{DropAnswers: 1000})
+	}
+	began := time.Now()
+	for range requests {
+		f.Caller("tea").SendTo(t.Context(), f.Instances[0].Listing.CallerAddress, "GET", "/browse/x", nil, nil)
+	}
+	// 10 retries are allowed in any 10 s.
+	limit := requests + 10*(1+int(time.Since(began)/(10*time.Second)))
+	if n := f.Executions(""); n <= requests || n > limit {
+		t.Errorf("%d executions of %d requests, limit %d", n, requests, limit)
+	}
+	await(t, "counters in the metrics", func() bool {
+		response, err := http.Get("http://" + f.Instances[0].Listing.ControlAddress + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = response.Body.Close() }()
+		text, _ := io.ReadAll(response.Body)
+		return strings.Contains(string(text), `reason="answerLost",stage="retry"`) &&
+			strings.Contains(string(text), `reason="answerLost",stage="retryDenied"`)
+	})
+}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -29,6 +29,10 @@
 	// ColdMillis is added while fewer than ColdRequests requests were served.
 	ColdMillis   int `json:"coldMillis"`
 	ColdRequests int `json:"coldRequests"`
+	// StreamPieces is the number of further lines of an answer, sent one per
+	// StreamMillis.
+	StreamPieces int `json:"streamPieces"`
+	StreamMillis int `json:"streamMillis"`
 }
 
 // Execution is one request that the server ran.
@@ -185,4 +189,17 @@
 		return
 	}
 	_, _ = io.WriteString(w, answer)
+	stream(w, r, f)
+}
+
+func stream(w http.ResponseWriter, r *http.Request, f Faults) {
+	for n := range f.StreamPieces {
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(time.Duration(f.StreamMillis) * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+		_, _ = fmt.Fprintf(w, "piece %d\n", n+1)
+	}
 }
