Test shifts under overload and ordered stops

Cause: the trigger of shifts and the operator's order for an entry instance had no test with processes; a full queue refused a waiting request for a newcomer that was then refused itself because it could not start in time.

Change: two tests; the queue makes room only for requests that can start.

--- a/internal/coordination/slot/queue.go
+++ b/internal/coordination/slot/queue.go
@@ -216,10 +216,12 @@
 		return tamarackrun.ShiftCapped
 	case free:
 		return ""
-	case q.held(w.Organisation) >= q.shareOf(w) || !q.makeRoom(w):
+	case q.held(w.Organisation) >= q.shareOf(w):
 		return tamarackrun.QueueFull
 	case now+q.expectedWait(now, w) > w.Deadline:
 		return tamarackrun.QueueTimeout
+	case !q.makeRoom(w):
+		return tamarackrun.QueueFull
 	}
 	return ""
 }
--- a/internal/program/instance/steering_test.go
+++ b/internal/program/instance/steering_test.go
@@ -402,3 +402,47 @@
 			strings.Contains(string(text), `reason="answerLost",stage="retryDenied"`)
 	})
 }
+
+// Guards against shifts at normal load, and against an overloaded region that
+// refuses while another one has room.
+func TestOverloadedRegionShifts(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Instances: 2, Regions: []int{1, 1},
+		Organisations: map[string]fleet.Rate{"tea": {Rate: 90000, Burst: 90000}},
+		Services:      []fleet.Service{{Name: "browse", Servers: 2, Slots: 4, Route: "methods = GET\nidempotent = yes"}}})
+	for _, s := range f.Servers {
+		s.SetFaults(server.Faults{WorkMillis: 50})
+	}
+	stop := load(t, f, 3, "GET", "/browse/x")
+	entry := preferred(t, f)
+	near, far := "browse-01", "browse-02"
+	if entry == f.Instances[1] {
+		near, far = far, near
+	}
+	await(t, "normal load", func() bool { return executions(f, near) > 30 })
+	stop()
+	if n := executions(f, far); n != 0 {
+		t.Errorf("%d requests were shifted at normal load", n)
+	}
+	stop = load(t, f, 60, "GET", "/browse/x")
+	await(t, "shift", func() bool { return executions(f, far) > 20 })
+	t.Logf("results %v", tally(stop()))
+	if most := f.Servers[far].Record().MostInFlight; most > 2 {
+		t.Errorf("%d shifted requests in flight, cap is 2", most)
+	}
+}
+
+// Guards against an operator's order that an entry instance ignores.
+func TestOrderedInstanceStops(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{})
+	if _, err := f.Store.Put(t.Context(), "drain/instance/entry-2", []byte(`{"leaving":true}`), 0); err != nil {
+		t.Fatal(err)
+	}
+	if !f.Instances[1].Wait(patience) {
+		t.Error("the instance did not stop")
+	}
+	if r := f.Caller("tea").Send(t.Context(), "GET", "/browse/x", nil, nil); r.Outcome != "ran" {
+		t.Errorf("request after the stop: %+v", r)
+	}
+}
