--- a/internal/program/instance/steering.go
+++ b/internal/program/instance/steering.go
@@ -3,18 +3,17 @@
 import (
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"tamarackrun"
-	"tamarackrun/internal/protocol/document"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/state/configuration"
 )
 
 // Steer runs one request of a caller.
 func (in *Instance) Steer(r *http.Request, id string, body []byte, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
-	outcome := in.steer(r, id, body, answer)
+	guard := in.guardKey(r, answer)
+	outcome := guard.finish(id, in.steer(r.WithContext(guard.ctx), id, body, guard))
 	in.history.CountOutcome("entry", outcome)
 	switch outcome.Kind {
 	case tamarackrun.Ran:
@@ -43,6 +42,9 @@
 	if outcome != tamarackrun.Done {
 		return outcome
 	}
+	if keyInBody(r, body) {
+		return tamarackrun.Refused(tamarackrun.KeyInBody)
+	}
 	request := tamarackrun.Request{
 		ID: id, Organisation: organisation, Route: route.Name, Service: route.Service,
 		OriginRegion: in.originRegion(c, r), Method: r.Method, Target: r.URL.RequestURI(),
@@ -66,61 +68,3 @@
 	}
 	return min(route.Timeout, time.Duration(millis)*time.Millisecond)
 }
-
-// presentedKey returns the key that the caller sent.
-func presentedKey(header http.Header) string {
-	if key := header.Get("Tamarackrun-Key"); key != "" {
-		return key
-	}
-	key, _ := strings.CutPrefix(header.Get("Authorization"), "Bearer ")
-	return key
-}
-
-// authenticate settles the organisation of a request from its key.
-func (in *Instance) authenticate(c *configuration.Snapshot, route configuration.Route, r *http.Request) (string, tamarackrun.Outcome) {
-	presented := presentedKey(r.Header)
-	if presented == "" {
-		if route.Open {
-			return "", tamarackrun.Done
-		}
-		return "", tamarackrun.Refused(tamarackrun.KeyMissing)
-	}
-	key, ok := c.Keys[document.HashKey(presented)]
-	switch {
-	case !ok:
-		return "", tamarackrun.Refused(tamarackrun.KeyUnknown)
-	case key.Withdrawn:
-		return "", tamarackrun.Refused(tamarackrun.KeyWithdrawn)
-	}
-	if len(route.Organisations) > 0 {
-		allowed := false
-		for _, o := range route.Organisations {
-			allowed = allowed || o == key.Organisation
-		}
-		if !allowed {
-			return "", tamarackrun.Refused(tamarackrun.RouteForbidden)
-		}
-	}
-	return key.Organisation, tamarackrun.Done
-}
-
-// defaultHeaders are the request headers that backend servers get. All others
-// need to be listed by the route, so that no header that may hold a key passes.
-var defaultHeaders = []string{"Accept", "Accept-Language", "Content-Type", "Content-Language", "If-Match",
-	"If-None-Match", "If-Modified-Since", "If-Unmodified-Since", "Range", "User-Agent"}
-
-func forwardedHeader(header http.Header, route configuration.Route) http.Header {
-	forwarded := http.Header{}
-	for _, names := range [][]string{defaultHeaders, route.Headers} {
-		for _, name := range names {
-			name = http.CanonicalHeaderKey(name)
-			if name == "Authorization" || strings.HasPrefix(name, "Tamarackrun-") {
-				continue
-			}
-			if values := header.Values(name); len(values) > 0 {
-				forwarded[name] = append([]string{}, values...)
-			}
-		}
-	}
-	return forwarded
-}
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -15,6 +15,10 @@
 	ConfigurationRejected tamarackrun.EventID = 1102
 	StoreUnreachable      tamarackrun.EventID = 1103
 	StoreReachable        tamarackrun.EventID = 1104
+	FreshnessChanged      tamarackrun.EventID = 1105
+	RegionLost            tamarackrun.EventID = 1106
+	ConfigurationApplied  tamarackrun.EventID = 1107
+	DrainRequested        tamarackrun.EventID = 1108
 	PeerReachable         tamarackrun.EventID = 1201
 	PeerUnreachable       tamarackrun.EventID = 1202
 	PeerRefused           tamarackrun.EventID = 1203
@@ -34,6 +38,7 @@
 	RequestRetried        tamarackrun.EventID = 2005
 	RequestUncertain      tamarackrun.EventID = 2006
 	AttemptResolved       tamarackrun.EventID = 2007
+	KeyEndedStream        tamarackrun.EventID = 2401
 	RetryDenied           tamarackrun.EventID = 2501
 )
 
@@ -57,6 +62,10 @@
 	{ConfigurationRejected, "configurationRejected", "error", "a stored configuration could not be read; the previous one stays in force"},
 	{StoreUnreachable, "storeUnreachable", "warn", "the platform's object store does not answer"},
 	{StoreReachable, "storeReachable", "info", "the platform's object store answers again"},
+	{FreshnessChanged, "freshnessChanged", "warn", "the state of the configuration changed between fresh, storeOut and cutOff"},
+	{RegionLost, "regionLost", "warn", "an operator declared a region lost at this instance, or took that back"},
+	{ConfigurationApplied, "configurationApplied", "info", "an operator's document was accepted through this instance"},
+	{DrainRequested, "drainRequested", "info", "an operator asked for a drain, or took that back"},
 	{PeerReachable, "peerReachable", "info", "heartbeats with a peer succeed"},
 	{PeerUnreachable, "peerUnreachable", "warn", "a peer did not answer heartbeats"},
 	{PeerRefused, "peerRefused", "warn", "a link of another process was refused because it did not prove to be an instance of the fleet"},
@@ -76,6 +85,7 @@
 	{RequestRetried, "requestRetried", "info", "a request is dispatched again"},
 	{RequestUncertain, "requestUncertain", "warn", "the outcome of a request is unknown"},
 	{AttemptResolved, "attemptResolved", "info", "the state of an attempt was settled with its home instance"},
+	{KeyEndedStream, "keyEndedStream", "warn", "a running request ends because its key was withdrawn"},
 	{RetryDenied, "retryDenied", "warn", "a request is not dispatched again because the retry budget is used up"},
 }
 
