--- a/internal/program/instance/peers.go
+++ b/internal/program/instance/peers.go
@@ -6,7 +6,6 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/protocol/event"
-	"tamarackrun/internal/protocol/frame"
 	"tamarackrun/internal/protocol/wire"
 	"tamarackrun/internal/state/roster"
 )
@@ -25,9 +24,7 @@
 		_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_HeartbeatReply{
 			HeartbeatReply: &wire.HeartbeatReply{State: in.state()}}})
 	case *wire.Envelope_Dispatch:
-		request := frame.ToRequest(kind.Dispatch, in.clock.Now())
-		sender := frame.NewSender(stream)
-		_ = sender.Finish(in.homes.Dispatch(ctx, request, sender))
+		in.serveDispatch(ctx, kind.Dispatch, stream)
 	case *wire.Envelope_Borrow:
 		_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_Loan{Loan: in.rates.lend(kind.Borrow)}})
 	case *wire.Envelope_Fetch:
