Add tickets and the ledger of their outcomes

A non-idempotent request must run at most once, and a repeat must learn what became of the first.

A delayed copy of an earlier request could run after its caller was told that the order did not run. A record NotRun therefore runs again only for a higher try number, which the caller gives on purpose.

--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -29,6 +29,14 @@
 	RequestRetried        tamarackrun.EventID = 2005
 	RequestUncertain      tamarackrun.EventID = 2006
 	AttemptResolved       tamarackrun.EventID = 2007
+	TicketsIssued         tamarackrun.EventID = 2101
+	OrderForwarded        tamarackrun.EventID = 2102
+	OrderRepeated         tamarackrun.EventID = 2103
+	AttemptBarred         tamarackrun.EventID = 2104
+	OrderAmended          tamarackrun.EventID = 2105
+	LedgerSealed          tamarackrun.EventID = 2106
+	LedgerReceived        tamarackrun.EventID = 2107
+	LedgerNotStored       tamarackrun.EventID = 2108
 )
 
 // Description is one row of the catalogue.
@@ -65,6 +73,14 @@
 	{RequestRetried, "requestRetried", "info", "a request is dispatched again"},
 	{RequestUncertain, "requestUncertain", "warn", "the outcome of a request is unknown"},
 	{AttemptResolved, "attemptResolved", "info", "the state of an attempt was settled with its home instance"},
+	{TicketsIssued, "ticketsIssued", "debug", "a caller got tickets"},
+	{OrderForwarded, "orderForwarded", "debug", "a request went to the instance that issued its ticket"},
+	{OrderRepeated, "orderRepeated", "info", "a request with a used ticket got the recorded outcome or a refusal"},
+	{AttemptBarred, "attemptBarred", "info", "an issuing instance asked for an attempt that did not begin; it never will"},
+	{OrderAmended, "orderAmended", "info", "an unknown outcome was settled by asking the home instance again"},
+	{LedgerSealed, "ledgerSealed", "info", "the instance starts no more orders; peers and the platform got the outcomes"},
+	{LedgerReceived, "ledgerReceived", "info", "the instance can answer for the tickets of a stopped instance"},
+	{LedgerNotStored, "ledgerNotStored", "warn", "the platform did not take a sealed ledger"},
 }
 
 // Lookup returns the description of an event.
--- a/internal/protocol/frame/exchange.go
+++ b/internal/protocol/frame/exchange.go
@@ -48,6 +48,14 @@
 	}
 }
 
+// Outcome converts the fields of a message to an outcome. It is false if they
+// make none, as a message of a faulty or newer peer may.
+func Outcome(kind uint32, reason string) (tamarackrun.Outcome, bool) {
+	o := tamarackrun.Outcome{Kind: tamarackrun.Kind(kind), Reason: tamarackrun.Reason(reason)}
+	known := kind == uint32(tamarackrun.Ran) || kind == uint32(tamarackrun.NotRun) || kind == uint32(tamarackrun.Unknown)
+	return o, known && (reason == "") == (o.Kind == tamarackrun.Ran)
+}
+
 // Sender is an AnswerWriter that sends the answer over a stream.
 type Sender struct {
 	stream tamarackrun.Stream
@@ -94,7 +102,12 @@
 		return tamarackrun.Uncertain(tamarackrun.HomeLost), false
 	}
 	if head.Status == 0 {
-		return tamarackrun.Outcome{Kind: tamarackrun.Kind(head.Outcome), Reason: tamarackrun.Reason(head.Reason)}, true
+		outcome, ok := Outcome(head.Outcome, head.Reason)
+		// An answer without a status cannot be the answer of a request that ran.
+		if !ok || outcome.Kind == tamarackrun.Ran {
+			return tamarackrun.Uncertain(tamarackrun.HomeLost), true
+		}
+		return outcome, true
 	}
 	if answer.Head(int(head.Status), Header(head.Header)) != nil {
 		return tamarackrun.Uncertain(tamarackrun.AnswerCancelled), true
@@ -120,7 +133,11 @@
 		if end == nil || end.Length != length {
 			return tamarackrun.Uncertain(tamarackrun.AnswerTruncated)
 		}
-		outcome := tamarackrun.Outcome{Kind: tamarackrun.Kind(end.Outcome), Reason: tamarackrun.Reason(end.Reason)}
+		outcome, ok := Outcome(end.Outcome, end.Reason)
+		// Once an answer began, the request cannot turn out not to have run.
+		if !ok || outcome.Kind == tamarackrun.NotRun {
+			return tamarackrun.Uncertain(tamarackrun.AnswerTruncated)
+		}
 		if outcome.Kind == tamarackrun.Ran && answer.End() != nil {
 			return tamarackrun.Uncertain(tamarackrun.AnswerCancelled)
 		}
--- a/internal/transport/caller/caller.go
+++ b/internal/transport/caller/caller.go
@@ -19,6 +19,20 @@
 	OutcomeHeader   = "Tamarackrun-Outcome"
 	ReasonHeader    = "Tamarackrun-Reason"
 	RequestIDHeader = "Tamarackrun-Request-Id"
+	// AnswerHeader is set on answers to a repeated ticket: AnswerStored if it is
+	// the whole first answer, AnswerOmitted if only the status was kept.
+	AnswerHeader  = "Tamarackrun-Answer"
+	AnswerStored  = "stored"
+	AnswerOmitted = "omitted"
+)
+
+// Headers of requests.
+const (
+	// TicketHeader carries the ticket of a non-idempotent request.
+	TicketHeader = "Tamarackrun-Ticket"
+	// TryHeader counts the deliberate tries with one ticket, from 1. A caller
+	// raises it to run an order again that the system said did not run.
+	TryHeader = "Tamarackrun-Try"
 )
 
 // Limits of a request.
@@ -149,7 +163,7 @@
 	a.began = true
 	named := strings.Split(header.Get("Connection"), ",")
 	for name, values := range header {
-		if !strings.HasPrefix(name, "Tamarackrun-") {
+		if name == AnswerHeader || !strings.HasPrefix(name, "Tamarackrun-") {
 			a.w.Header()[name] = values
 		}
 	}
--- a/outcome.go
+++ b/outcome.go
@@ -81,6 +81,9 @@
 	IssuerGone      Reason = "issuerGone"
 	IssuerLost      Reason = "issuerLost"
 	StillRunning    Reason = "stillRunning"
+	// RecordDropped says that the issuer kept the record of the ticket only
+	// for a limited time, which has passed.
+	RecordDropped Reason = "recordDropped"
 )
 
 // Outcome is what became of a request.
