Send each order on one connection of its own

The dedicated transport dialled inside RoundTrip, so that a dial that ended by the deadline looked like a lost answer, and the rule that nothing resends depended on how http.Transport treats new connections. The client now dials first: an error there is notRun, every later one is unknown. The transport of one order has exactly one connection. Idempotency headers are left out, and headers of the system's own are not taken from backend servers.

With the old version the dial that ends by the deadline gave unknown: answerTimeout.

--- a/internal/transport/backend/backend.go
+++ b/internal/transport/backend/backend.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"tamarackrun"
@@ -35,8 +37,8 @@
 	// Observe is called with the headers of each answer.
 	Observe func(server string, header http.Header)
 
-	pooled    *http.Transport
-	dedicated *http.Transport
+	dialer *net.Dialer
+	pooled *http.Transport
 }
 
 // New returns a client. The clean-up function closes idle connections.
@@ -46,11 +48,8 @@
 		DialContext: dialer.DialContext, MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
 		IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}
-	// A non-idempotent request gets a new connection, because http.Transport
-	// sends a request again by itself when a reused connection fails.
-	dedicated := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
-	c := &Client{pooled: pooled, dedicated: dedicated}
-	return c, func() { pooled.CloseIdleConnections(); dedicated.CloseIdleConnections() }, nil
+	c := &Client{dialer: dialer, pooled: pooled}
+	return c, pooled.CloseIdleConnections, nil
 }
 
 // Dispatch sends the request once.
@@ -69,9 +68,15 @@
 	if err != nil {
 		return tamarackrun.Refused(tamarackrun.Malformed)
 	}
-	transport := c.dedicated
-	if request.Idempotent {
-		transport = c.pooled
+	transport := c.pooled
+	if !request.Idempotent {
+		conn, err := c.dialer.DialContext(ctx, "tcp", address)
+		if err != nil {
+			// Whatever ended the dial, no byte of the request was sent.
+			return tamarackrun.Refused(tamarackrun.ConnectFailed)
+		}
+		defer func() { _ = conn.Close() }()
+		transport = overConnection(conn)
 	}
 	response, err := transport.RoundTrip(outgoing)
 	if err != nil {
@@ -87,6 +92,23 @@
 	return copyAnswer(ctx, response, answer)
 }
 
+// errOneConnection ends an attempt of http.Transport to use a second connection.
+var errOneConnection = errors.New("the request has one connection only")
+
+// overConnection returns a transport for one request on one connection that is
+// already established. http.Transport sends a request again by itself when a
+// reused connection fails; here it has no other connection to send it on.
+func overConnection(conn net.Conn) *http.Transport {
+	var used atomic.Bool
+	return &http.Transport{DisableKeepAlives: true, DisableCompression: true,
+		DialContext: func(context.Context, string, string) (net.Conn, error) {
+			if used.Swap(true) {
+				return nil, errOneConnection
+			}
+			return conn, nil
+		}}
+}
+
 // onlyReader hides other methods of a reader, so that http.NewRequest cannot
 // make the body rewindable.
 type onlyReader struct{ io.Reader }
@@ -105,6 +127,11 @@
 	if outgoing.Header == nil {
 		outgoing.Header = http.Header{}
 	}
+	if !request.Idempotent {
+		// These headers make http.Transport treat a request as safe to repeat.
+		outgoing.Header.Del("Idempotency-Key")
+		outgoing.Header.Del("X-Idempotency-Key")
+	}
 	outgoing.Header.Set("Tamarackrun-Organisation", request.Organisation)
 	outgoing.Header.Set("Tamarackrun-Request-Id", request.ID)
 	return outgoing, nil
@@ -120,7 +147,8 @@
 }
 
 // failure classifies an error without an answer. Only a failed dial proves that
-// the request did not run.
+// the request did not run; an error of an established connection proves
+// nothing, even while the request is being written.
 func failure(ctx context.Context, err error) tamarackrun.Outcome {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
@@ -136,6 +164,12 @@
 }
 
 func copyAnswer(ctx context.Context, response *http.Response, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
+	for name := range response.Header {
+		// Headers of the system's own come from no backend server.
+		if strings.HasPrefix(name, "Tamarackrun-") {
+			delete(response.Header, name)
+		}
+	}
 	if err := answer.Head(response.StatusCode, response.Header); err != nil {
 		return tamarackrun.Uncertain(tamarackrun.AnswerCancelled)
 	}
