Run orders at most once across issuer, home and entry instances

Orders ran without tickets: a lost link to the home was final and a retry by the caller ran the order again. Tickets are now issued on POST /v1/tickets, requests go to the issuer, and the issuer asks the home after a lost link. The home bars an attempt before it says notRun. The attempt's id contains the home's incarnation, so that a restarted home answers for nothing it did not see.

A dispatched order is not cancelled with its caller: its outcome is recorded and a repeat gets it. An unknown outcome is settled by asking the home again for 5 min. On a planned stop the ledger is sealed and sent to the peers and the platform, with the key that verifies its tickets, since no order starts any more.

--- a/internal/program/instance/homes.go
+++ b/internal/program/instance/homes.go
@@ -140,6 +140,9 @@
 	if h.isLeaving(o) {
 		return tamarackrun.Refused(tamarackrun.ServerDraining)
 	}
+	if !request.Idempotent {
+		return h.in.orders.runAttempt(ctx, request, answer)
+	}
 	h.in.history.Record(event.RequestDispatched, request.ID, "server", request.Server, "attempt", request.Attempt,
 		"organisation", request.Organisation)
 	return h.in.backends.Dispatch(ctx, request, answer)
--- a/internal/program/instance/instance.go
+++ b/internal/program/instance/instance.go
@@ -58,6 +58,7 @@
 	leaving  atomic.Bool
 	homes    *homes
 	rates    *rates
+	orders   *orders
 }
 
 // New opens the listeners. The clean-up function closes them.
@@ -118,6 +119,7 @@
 	in.homes = newHomes(in)
 	client.Observe = in.homes.observe
 	in.rates = newRates(in)
+	in.orders = newOrders(in)
 	return cleanup, nil
 }
 
@@ -132,7 +134,7 @@
 		return nil, err
 	}
 	callers.Steerer, callers.Leaving = in, in.leaving.Load
-	callers.Lookup, callers.Tickets = http.HandlerFunc(in.serveLookup), http.HandlerFunc(in.serveTickets)
+	callers.Lookup, callers.Tickets = http.HandlerFunc(in.serveLookup), http.HandlerFunc(in.orders.serveTickets)
 	operators.Control, operators.Metrics = in, in.metrics
 	in.callers, in.operators = callers, operators
 	return func() { closeOperators(); closeCallers() }, nil
@@ -174,6 +176,7 @@
 	start(in.sendHeartbeats)
 	start(in.homes.run)
 	start(in.rates.run)
+	start(in.orders.sweep)
 	<-ctx.Done()
 	in.shutdown()
 	stop()
@@ -192,6 +195,7 @@
 	limit, cancel := context.WithTimeout(context.Background(), finishLimit)
 	defer cancel()
 	_ = in.callers.Shutdown(limit)
+	in.orders.seal(limit)
 	in.homes.drain(limit)
 	in.history.Record(event.Stopped, "")
 }
--- a/internal/program/instance/lookups.go
+++ b/internal/program/instance/lookups.go
@@ -35,8 +35,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(lookup.Choose(c, in.roster.Members(), client))
 }
-
-// serveTickets answers POST /v1/tickets.
-func (in *Instance) serveTickets(w http.ResponseWriter, _ *http.Request) {
-	caller.WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.NotReady))
-}
--- a/internal/program/instance/peers.go
+++ b/internal/program/instance/peers.go
@@ -30,6 +30,8 @@
 	case *wire.Envelope_Explain:
 		_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_Report{
 			Report: &wire.Report{Events: in.history.Of(kind.Explain.Request)}}})
+	default:
+		in.orders.servePeer(ctx, first, stream)
 	}
 }
 
--- a/internal/program/instance/steering.go
+++ b/internal/program/instance/steering.go
@@ -60,6 +60,9 @@
 		Header: forwardedHeader(r.Header, route), Body: body, Idempotent: route.Idempotent,
 		Deadline: in.clock.Now() + in.timeout(r, route),
 	}
+	if !route.Idempotent {
+		return in.orders.accept(r, request, answer)
+	}
 	if organisation != "" {
 		if outcome := in.rates.admit(r.Context(), organisation, request.Deadline); outcome != tamarackrun.Done {
 			return outcome
@@ -174,6 +177,9 @@
 
 // dispatchTo sends a request to the home of its server.
 func (in *Instance) dispatchTo(ctx context.Context, homeName string, request tamarackrun.Request, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
+	if !request.Idempotent {
+		return in.orders.dispatchOrder(ctx, homeName, request, answer)
+	}
 	if homeName == in.Settings.Name {
 		return in.homes.Dispatch(ctx, request, answer)
 	}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -23,6 +23,9 @@
 	ID      string
 	Status  int
 	Body    string
+	// Answer says whether the answer is that of an earlier request with the
+	// same ticket: "stored" or "omitted".
+	Answer string
 	// Err is set if no whole answer arrived.
 	Err     error
 	Elapsed time.Duration
@@ -131,6 +134,7 @@
 	return Result{
 		Outcome: response.Header.Get(frontdoor.OutcomeHeader), Reason: response.Header.Get(frontdoor.ReasonHeader),
 		ID: response.Header.Get(frontdoor.RequestIDHeader), Status: response.StatusCode, Body: string(content),
-		Err: err, Elapsed: time.Since(began),
+		Answer: response.Header.Get(frontdoor.AnswerHeader),
+		Err:    err, Elapsed: time.Since(began),
 	}
 }
--- a/internal/standin/demo/load.go
+++ b/internal/standin/demo/load.go
@@ -92,5 +92,5 @@
 	if route.Idempotent {
 		return c.Send(ctx, http.MethodGet, route.Path+"/"+order, nil, nil)
 	}
-	return c.Send(ctx, http.MethodPost, route.Path, []byte(order), nil)
+	return c.SendOrder(ctx, route.Name, http.MethodPost, route.Path, []byte(order))
 }
