Test that a home runs an attempt or bars it

No test with processes noticed when a home answered notRun without a mark, since the issuer's closed stream usually ended the late attempt. The new tests play an issuing instance: Resolve before Dispatch, while the attempt waits for a slot, for another incarnation, and both in any order for a home that wakes.

--- /dev/null
+++ b/internal/program/instance/resolve_test.go
@@ -0,0 +1,173 @@
+package instance_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"tamarackrun"
+	"tamarackrun/internal/protocol/frame"
+	"tamarackrun/internal/protocol/wire"
+	"tamarackrun/internal/standin/fleet"
+	"tamarackrun/internal/standin/server"
+	"tamarackrun/internal/transport/peer"
+)
+
+// issuer plays an issuing instance towards the home entry-1. It sends Resolve
+// over another connection than Dispatch, as after a lost link.
+type issuer struct {
+	t               *testing.T
+	f               *fleet.Fleet
+	address         string
+	incarnation     string
+	dispatch, other *peer.Mesh
+}
+
+func newPeer(t *testing.T) *peer.Mesh {
+	t.Helper()
+	m, cleanup, err := peer.New("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanup)
+	return m
+}
+
+func newIssuer(t *testing.T) *issuer {
+	t.Helper()
+	f := orderFleet(t, "10s")
+	i := &issuer{t: t, f: f, address: f.Instances[0].Listing.PeerAddress, dispatch: newPeer(t), other: newPeer(t)}
+	for _, m := range []*peer.Mesh{i.dispatch, i.other} {
+		await(t, "heartbeat", func() bool {
+			reply, err := m.Call(t.Context(), i.address, &wire.Envelope{Kind: &wire.Envelope_Heartbeat{Heartbeat: &wire.Heartbeat{}}})
+			i.incarnation = reply.GetHeartbeatReply().GetState().GetIncarnation()
+			return err == nil && i.incarnation != ""
+		})
+	}
+	return i
+}
+
+type noAnswer struct{}
+
+func (noAnswer) Head(int, http.Header) error { return nil }
+func (noAnswer) Body([]byte) error           { return nil }
+func (noAnswer) End() error                  { return nil }
+
+// send starts an attempt and returns its outcome later.
+func (i *issuer) send(attempt, body string) <-chan tamarackrun.Outcome {
+	i.t.Helper()
+	stream, err := i.dispatch.Open(i.t.Context(), i.address)
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	request := tamarackrun.Request{ID: attempt, Attempt: attempt, Organisation: "tea", Route: "order", Service: "order",
+		Server: "order-01", Method: "POST", Target: "/order", Body: []byte(body), Deadline: 10 * time.Second}
+	if err := stream.Send(&wire.Envelope{Kind: &wire.Envelope_Dispatch{Dispatch: frame.FromRequest(request, 0)}}); err != nil {
+		i.t.Fatal(err)
+	}
+	outcomes := make(chan tamarackrun.Outcome, 1)
+	go func() {
+		outcome, _ := frame.ReceiveAnswer(stream, noAnswer{})
+		_ = stream.Close()
+		outcomes <- outcome
+	}()
+	return outcomes
+}
+
+func (i *issuer) resolve(attempt string) tamarackrun.Outcome {
+	ctx, cancel := context.WithTimeout(i.t.Context(), settleLimit)
+	defer cancel()
+	reply, err := i.other.Call(ctx, i.address, &wire.Envelope{Kind: &wire.Envelope_Resolve{Resolve: &wire.Resolve{Attempt: attempt}}})
+	outcome, ok := frame.Outcome(reply.GetResolved().GetOutcome(), reply.GetResolved().GetReason())
+	if err != nil || !ok {
+		i.t.Errorf("no answer to Resolve: %v", err)
+	}
+	return outcome
+}
+
+func (i *issuer) compare(want, got tamarackrun.Outcome, body string, executions int) {
+	i.t.Helper()
+	if diff := cmp.Diff([]any{want, executions}, []any{got, i.f.Executions(body)}); diff != "" {
+		i.t.Errorf("%s: outcome, executions (-want +got):\n%s", body, diff)
+	}
+}
+
+// An attempt that the home called notRun must not run when its Dispatch arrives
+// later or is waiting for a slot, and only the incarnation that an attempt was
+// sent to may run it or answer for it.
+func TestHomeResolvesAttempts(t *testing.T) {
+	t.Parallel()
+	i := newIssuer(t)
+	mine := "@" + i.incarnation
+	cancelled := tamarackrun.Refused(tamarackrun.AttemptCancelled)
+	i.compare(cancelled, i.resolve("late"+mine), "late", 0)
+	i.compare(cancelled, <-i.send("late"+mine, "late"), "late", 0)
+
+	i.compare(tamarackrun.Refused(tamarackrun.NotHome), <-i.send("other@entry-1-OTHER", "other"), "other", 0)
+	i.compare(tamarackrun.Uncertain(tamarackrun.HomeLost), i.resolve("other@entry-1-OTHER"), "other", 0)
+
+	i.compare(tamarackrun.Done, <-i.send("done"+mine, "done"), "done", 1)
+	i.compare(tamarackrun.Done, i.resolve("done"+mine), "done", 1)
+
+	work(i.f, server.Faults{WorkMillis: 1000})
+	const attempts = 12
+	name := func(n int) string { return fmt.Sprintf("slot-%d", n) }
+	var sent []<-chan tamarackrun.Outcome
+	for n := range attempts {
+		sent = append(sent, i.send(name(n)+mine, name(n)))
+	}
+	await(t, "use of a slot", func() bool { return len(i.f.Servers["order-01"].Record().Executions) > 1 })
+	counts := map[string]int{}
+	// The last attempts wait for slots of the first ones.
+	for n := attempts - 1; n >= 0; n-- {
+		settled := i.resolve(name(n) + mine)
+		for settled.Reason == tamarackrun.StillRunning {
+			settled = i.resolve(name(n) + mine)
+		}
+		i.agree(name(n), <-sent[n], settled)
+		counts[settled.String()]++
+	}
+	if counts["ran"] == 0 || counts["ran"] == attempts {
+		t.Errorf("the attempts did not both run and wait: %v", counts)
+	}
+}
+
+// agree checks that an attempt either ran or was barred.
+func (i *issuer) agree(body string, dispatched, settled tamarackrun.Outcome) {
+	i.t.Helper()
+	n := i.f.Executions(body)
+	ran := n == 1 && dispatched.Kind == tamarackrun.Ran && settled.Kind != tamarackrun.NotRun
+	barred := n == 0 && dispatched.Kind == tamarackrun.NotRun && settled.Kind == tamarackrun.NotRun
+	if !ran && !barred {
+		i.t.Errorf("%s: %d executions, dispatch %s, resolve %s", body, n, dispatched, settled)
+	}
+}
+
+// A home that wakes finds Dispatch and Resolve of the same attempts on two
+// connections, in any order. It must run each attempt or call it notRun, and
+// never both.
+func TestWakingHomeRunsOrBars(t *testing.T) {
+	t.Parallel()
+	i := newIssuer(t)
+	const attempts = 60
+	i.f.Instances[0].Pause()
+	sent := make([]<-chan tamarackrun.Outcome, attempts)
+	resolved := make([]chan tamarackrun.Outcome, attempts)
+	name := func(n int) string { return fmt.Sprintf("order-%d", n) }
+	for n := range attempts {
+		sent[n], resolved[n] = i.send(name(n)+"@"+i.incarnation, name(n)), make(chan tamarackrun.Outcome, 1)
+		go func() { resolved[n] <- i.resolve(name(n) + "@" + i.incarnation) }()
+	}
+	i.f.Instances[0].Resume()
+	counts := map[string]int{}
+	for n := range attempts {
+		dispatched, settled := <-sent[n], <-resolved[n]
+		counts[settled.String()]++
+		i.agree(name(n), dispatched, settled)
+	}
+	t.Log(counts)
+}
