--- a/internal/program/instance/resolve_test.go
+++ b/internal/program/instance/resolve_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -113,7 +114,7 @@
 	i.compare(tamarackrun.Done, <-i.send("done"+mine, "done"), "done", 1)
 	i.compare(tamarackrun.Done, i.resolve("done"+mine), "done", 1)
 
-	work(i.f, server.Faults{WorkMillis: 1000})
+	work(i.f, server.Faults{WorkMillis: 3000})
 	const attempts = 12
 	name := func(n int) string { return fmt.Sprintf("slot-%d", n) }
 	var sent []<-chan tamarackrun.Outcome
@@ -121,15 +122,20 @@
 		sent = append(sent, i.send(name(n)+mine, name(n)))
 	}
 	await(t, "use of a slot", func() bool { return len(i.f.Servers["order-01"].Record().Executions) > 1 })
+	settled := make([]tamarackrun.Outcome, attempts)
+	var group sync.WaitGroup
+	for n := range attempts {
+		group.Go(func() {
+			for settled[n] = i.resolve(name(n) + mine); settled[n].Reason == tamarackrun.StillRunning; {
+				settled[n] = i.resolve(name(n) + mine)
+			}
+		})
+	}
+	group.Wait()
 	counts := map[string]int{}
-	// The last attempts wait for slots of the first ones.
-	for n := attempts - 1; n >= 0; n-- {
-		settled := i.resolve(name(n) + mine)
-		for settled.Reason == tamarackrun.StillRunning {
-			settled = i.resolve(name(n) + mine)
-		}
-		i.agree(name(n), <-sent[n], settled)
-		counts[settled.String()]++
+	for n := range attempts {
+		i.agree(name(n), <-sent[n], settled[n])
+		counts[settled[n].String()]++
 	}
 	if counts["ran"] == 0 || counts["ran"] == attempts {
 		t.Errorf("the attempts did not both run and wait: %v", counts)
