--- a/internal/program/instance/instance.go
+++ b/internal/program/instance/instance.go
@@ -59,6 +59,7 @@
 	homes    *homes
 	rates    *rates
 	orders   *orders
+	lookups  *lookups
 }
 
 // New opens the listeners. The clean-up function closes them.
@@ -102,6 +103,10 @@
 	in.mesh = mesh
 	mesh.Handler = in
 	in.roster = roster.New(in.listing(), in.clock)
+	if err := in.secureLinks(); err != nil {
+		cleanup()
+		return nil, err
+	}
 	return cleanup, nil
 }
 
@@ -120,6 +125,7 @@
 	client.Observe = in.homes.observe
 	in.rates = newRates(in)
 	in.orders = newOrders(in)
+	in.lookups = newLookups(in)
 	return cleanup, nil
 }
 
@@ -134,7 +140,7 @@
 		return nil, err
 	}
 	callers.Steerer, callers.Leaving = in, in.leaving.Load
-	callers.Lookup, callers.Tickets = http.HandlerFunc(in.serveLookup), http.HandlerFunc(in.orders.serveTickets)
+	callers.Lookup, callers.Tickets = http.HandlerFunc(in.lookups.serveLookup), http.HandlerFunc(in.orders.serveTickets)
 	operators.Control, operators.Metrics = in, in.metrics
 	in.callers, in.operators = callers, operators
 	return func() { closeOperators(); closeCallers() }, nil
@@ -177,6 +183,7 @@
 	start(in.homes.run)
 	start(in.rates.run)
 	start(in.orders.sweep)
+	start(in.lookups.run)
 	<-ctx.Done()
 	in.shutdown()
 	stop()
@@ -220,4 +227,7 @@
 	return state
 }
 
-func (in *Instance) publishState() { in.roster.SetSelf(in.state()) }
+func (in *Instance) publishState() {
+	in.roster.SetSelf(in.state())
+	in.lookups.wake()
+}
--- a/internal/program/instance/lookups.go
+++ b/internal/program/instance/lookups.go
@@ -1,37 +1,131 @@
 package instance
 
 import (
-	"encoding/json"
+	"context"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/lookup"
+	"tamarackrun/internal/protocol/event"
+	"tamarackrun/internal/state/configuration"
+	"tamarackrun/internal/state/roster"
 	"tamarackrun/internal/transport/caller"
 )
 
-// serveLookup answers GET /v1/lookup. The query parameter client names another
-// address than the connection's.
-func (in *Instance) serveLookup(w http.ResponseWriter, r *http.Request) {
-	c := in.snapshot.Load()
+// lookups holds the table from which look-ups are answered.
+type lookups struct {
+	in *Instance
+	// table is nil until the first configuration was accepted.
+	table atomic.Pointer[lookup.Table]
+	// woken has a value when the roster or the configuration may have changed.
+	woken chan struct{}
+	// buffers holds *[]byte for encoded answers.
+	buffers sync.Pool
+
+	// Only refresh uses the fields below.
+	configuration *configuration.Snapshot
+	places        *lookup.Places
+	overloaded    map[string]bool
+}
+
+func newLookups(in *Instance) *lookups {
+	return &lookups{in: in, woken: make(chan struct{}, 1),
+		buffers: sync.Pool{New: func() any { return new([]byte) }}}
+}
+
+// wake has the table checked soon. It is called with each heartbeat, since the
+// mere passing of time makes an instance unreachable.
+func (l *lookups) wake() {
+	select {
+	case l.woken <- struct{}{}:
+	default:
+	}
+}
+
+// run keeps the table current. It is a task of its own, because building a
+// table for 470,000 client blocks takes longer than a heartbeat interval.
+func (l *lookups) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.woken:
+			l.refresh()
+		}
+	}
+}
+
+// refresh replaces the table if the configuration or the usable instances
+// changed.
+func (l *lookups) refresh() {
+	c := l.in.snapshot.Load()
 	if c == nil {
-		caller.WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.NotReady))
 		return
 	}
-	text := r.URL.Query().Get("client")
-	if text == "" {
-		port, err := netip.ParseAddrPort(r.RemoteAddr)
+	if c != l.configuration {
+		places, err := l.newPlaces(c)
 		if err != nil {
-			caller.WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.Malformed))
-			return
+			l.in.history.Record(event.LookupRejected, "", "version", strconv.FormatInt(c.Version, 10), "error", err.Error())
+			if l.places == nil {
+				return
+			}
+			places = l.places
 		}
-		text = port.Addr().Unmap().String()
+		l.configuration, l.places = c, places
 	}
-	client, err := netip.ParseAddr(text)
-	if err != nil {
+	overloaded := map[string]bool{}
+	candidates := lookup.Candidates(l.in.roster.Members(), func(m roster.Member) bool {
+		overloaded[m.Listing.Name] = lookup.Overloaded(m, l.overloaded[m.Listing.Name])
+		return overloaded[m.Listing.Name]
+	})
+	l.overloaded = overloaded
+	if current := l.table.Load(); current != nil && current.Equal(l.places, candidates) {
+		return
+	}
+	l.table.Store(lookup.NewTable(l.places, candidates))
+	l.in.history.Record(event.LookupSwapped, "", "version", strconv.FormatInt(c.Version, 10),
+		"instances", strconv.Itoa(len(candidates)))
+}
+
+func (l *lookups) newPlaces(c *configuration.Snapshot) (*lookup.Places, error) {
+	if l.places == nil {
+		return lookup.NewPlaces(c)
+	}
+	return l.places.With(c)
+}
+
+// serveLookup answers GET /v1/lookup. The query parameter client names another
+// address than the connection's.
+func (l *lookups) serveLookup(w http.ResponseWriter, r *http.Request) {
+	table := l.table.Load()
+	if table == nil {
+		caller.WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.NotReady))
+		return
+	}
+	client, ok := clientOf(r)
+	if !ok {
 		caller.WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.Malformed))
 		return
 	}
+	buffer := l.buffers.Get().(*[]byte)
+	*buffer = table.AppendAnswer((*buffer)[:0], client)
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(lookup.Choose(c, in.roster.Members(), client))
+	_, _ = w.Write(*buffer)
+	l.buffers.Put(buffer)
+}
+
+func clientOf(r *http.Request) (netip.Addr, bool) {
+	if r.URL.RawQuery != "" {
+		if text := r.URL.Query().Get("client"); text != "" {
+			client, err := netip.ParseAddr(text)
+			// A zone names a link of the caller's machine and selects nothing here.
+			return client.WithZone(""), err == nil
+		}
+	}
+	port, err := netip.ParseAddrPort(r.RemoteAddr)
+	return port.Addr().WithZone(""), err == nil
 }
--- a/internal/program/instance/orders_test.go
+++ b/internal/program/instance/orders_test.go
@@ -73,15 +73,6 @@
 	}
 }
 
-func await(t *testing.T, what string, done func() bool) {
-	t.Helper()
-	for limit := time.Now().Add(settleLimit); !done(); time.Sleep(20 * time.Millisecond) {
-		if time.Now().After(limit) {
-			t.Fatalf("no %s within %s", what, settleLimit)
-		}
-	}
-}
-
 func work(f *fleet.Fleet, faults server.Faults) {
 	for _, s := range f.Servers {
 		s.SetFaults(faults)
