--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -15,6 +15,10 @@
 	ConfigurationRejected tamarackrun.EventID = 1102
 	StoreUnreachable      tamarackrun.EventID = 1103
 	StoreReachable        tamarackrun.EventID = 1104
+	FreshnessChanged      tamarackrun.EventID = 1105
+	RegionLost            tamarackrun.EventID = 1106
+	ConfigurationApplied  tamarackrun.EventID = 1107
+	DrainRequested        tamarackrun.EventID = 1108
 	PeerReachable         tamarackrun.EventID = 1201
 	PeerUnreachable       tamarackrun.EventID = 1202
 	PeerRefused           tamarackrun.EventID = 1203
@@ -40,6 +44,7 @@
 	LedgerSealed          tamarackrun.EventID = 2106
 	LedgerReceived        tamarackrun.EventID = 2107
 	LedgerNotStored       tamarackrun.EventID = 2108
+	KeyEndedStream        tamarackrun.EventID = 2401
 )
 
 // Description is one row of the catalogue.
@@ -62,6 +67,10 @@
 	{ConfigurationRejected, "configurationRejected", "error", "a stored configuration could not be read; the previous one stays in force"},
 	{StoreUnreachable, "storeUnreachable", "warn", "the platform's object store does not answer"},
 	{StoreReachable, "storeReachable", "info", "the platform's object store answers again"},
+	{FreshnessChanged, "freshnessChanged", "warn", "the state of the configuration changed between fresh, storeOut and cutOff"},
+	{RegionLost, "regionLost", "warn", "an operator declared a region lost at this instance, or took that back"},
+	{ConfigurationApplied, "configurationApplied", "info", "an operator's document was accepted through this instance"},
+	{DrainRequested, "drainRequested", "info", "an operator asked for a drain, or took that back"},
 	{PeerReachable, "peerReachable", "info", "heartbeats with a peer succeed"},
 	{PeerUnreachable, "peerUnreachable", "warn", "a peer did not answer heartbeats"},
 	{PeerRefused, "peerRefused", "warn", "a link of another process was refused because it did not prove to be an instance of the fleet"},
@@ -87,6 +96,7 @@
 	{LedgerSealed, "ledgerSealed", "info", "the instance starts no more orders; peers and the platform got the outcomes"},
 	{LedgerReceived, "ledgerReceived", "info", "the instance can answer for the tickets of a stopped instance"},
 	{LedgerNotStored, "ledgerNotStored", "warn", "the platform did not take a sealed ledger"},
+	{KeyEndedStream, "keyEndedStream", "warn", "a running request ends because its key was withdrawn"},
 }
 
 // Lookup returns the description of an event.
