--- a/internal/program/instance/attempt.go
+++ b/internal/program/instance/attempt.go
@@ -204,6 +204,9 @@
 
 // dispatchTo sends a request to the home of its server.
 func (in *Instance) dispatchTo(ctx context.Context, homeName string, request tamarackrun.Request, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
+	if !request.Idempotent {
+		return in.orders.dispatchOrder(ctx, homeName, request, answer)
+	}
 	if homeName == in.Settings.Name {
 		return in.homes.Dispatch(ctx, request, answer)
 	}
--- a/internal/program/instance/homes_dispatch.go
+++ b/internal/program/instance/homes_dispatch.go
@@ -101,8 +101,6 @@
 	if !h.in.renewToken(ctx, &request) {
 		return tamarackrun.Refused(tamarackrun.HeldTooLong), health.Nothing
 	}
-	h.in.history.Record(event.RequestDispatched, request.ID, "server", request.Server, "attempt", request.Attempt,
-		"organisation", request.Organisation)
 	return h.send(ctx, o, request, answer, entry.Shifted)
 }
 
@@ -111,7 +109,7 @@
 	began := h.in.clock.Now()
 	timed := &timedAnswer{AnswerWriter: answer, clock: h.in.clock}
 	together := shifted || o.gate.Shifted() > 0
-	outcome := h.in.backends.Dispatch(ctx, request, timed)
+	outcome := h.sendOnce(ctx, request, timed)
 	now := h.in.clock.Now()
 	result := resultOf(outcome, timed.status, now-began, o.cost(request.Route))
 	if ctx.Err() != nil {
@@ -125,6 +123,17 @@
 	return outcome, result
 }
 
+// sendOnce sends the request to its server. The attempt of an order begins only if
+// its issuing instance has not barred it.
+func (h *homes) sendOnce(ctx context.Context, request tamarackrun.Request, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
+	if !request.Idempotent {
+		return h.in.orders.runAttempt(ctx, request, answer)
+	}
+	h.in.history.Record(event.RequestDispatched, request.ID, "server", request.Server, "attempt", request.Attempt,
+		"organisation", request.Organisation)
+	return h.in.backends.Dispatch(ctx, request, answer)
+}
+
 func (h *homes) grow(o *owned, request tamarackrun.Request, now, latency time.Duration, shifted, together bool) {
 	o.mu.Lock()
 	closes := o.opening.Finished(now, latency, shifted, together)
--- a/internal/program/instance/instance.go
+++ b/internal/program/instance/instance.go
@@ -71,6 +71,7 @@
 	leaving  atomic.Bool
 	homes    *homes
 	rates    *rates
+	orders   *orders
 	follower *follower
 	proofs   *proofs
 	lookups  *lookups
@@ -140,6 +141,7 @@
 	in.homes = newHomes(in)
 	client.Observe = in.homes.observe
 	in.rates = newRates(in)
+	in.orders = newOrders(in)
 	in.follower, in.proofs = newFollower(in), newProofs(in)
 	in.lookups = newLookups(in)
 	return cleanup, nil
@@ -156,7 +158,7 @@
 		return nil, err
 	}
 	callers.Steerer, callers.Leaving = in, in.leaving.Load
-	callers.Lookup, callers.Tickets = http.HandlerFunc(in.lookups.serveLookup), http.HandlerFunc(in.serveTickets)
+	callers.Lookup, callers.Tickets = http.HandlerFunc(in.lookups.serveLookup), http.HandlerFunc(in.orders.serveTickets)
 	operators.Control, operators.Metrics = in, in.metrics
 	in.callers, in.operators = callers, operators
 	return func() { closeOperators(); closeCallers() }, nil
@@ -200,6 +202,7 @@
 	start(in.sendHeartbeats)
 	start(in.homes.run)
 	start(in.rates.run)
+	start(in.orders.sweep)
 	start(in.lookups.run)
 	drained, leave := context.WithCancel(ctx)
 	defer leave()
@@ -228,6 +231,7 @@
 	in.homes.handOver(finish)
 	in.awaitQuiet(finish)
 	_ = in.callers.Shutdown(finish)
+	in.orders.seal(finish)
 	in.homes.drain(finish)
 	in.rates.handBack(finish)
 	// Closing a connection that holds unread bytes, such as a heartbeat,
--- a/internal/program/instance/lookups.go
+++ b/internal/program/instance/lookups.go
@@ -129,8 +129,3 @@
 	port, err := netip.ParseAddrPort(r.RemoteAddr)
 	return port.Addr().WithZone(""), err == nil
 }
-
-// serveTickets answers POST /v1/tickets.
-func (in *Instance) serveTickets(w http.ResponseWriter, _ *http.Request) {
-	caller.WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.NotReady))
-}
--- a/internal/program/instance/steering.go
+++ b/internal/program/instance/steering.go
@@ -29,7 +29,7 @@
 func (in *Instance) steer(r *http.Request, id string, body []byte, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
 	c := in.snapshot.Load()
 	if c == nil {
-		return tamarackrun.Refused(tamarackrun.NotReady)
+		return withoutLedger(r, tamarackrun.NotReady)
 	}
 	route, found, known := c.RouteOf(r.Method, r.URL.Path)
 	if !found {
@@ -51,6 +51,9 @@
 		Header: forwardedHeader(r.Header, route), Body: body, Idempotent: route.Idempotent,
 		Deadline: in.clock.Now() + in.timeout(r, route),
 	}
+	if !route.Idempotent {
+		return in.orders.accept(r, request, answer)
+	}
 	if organisation != "" {
 		if request.Admitted, outcome = in.rates.admit(r.Context(), organisation, request.Deadline); outcome != tamarackrun.Done {
 			return outcome
