Place homes once for each change of the roster

ServersOf and the sums behind the limit of shifts walked all servers for each request and each heartbeat.

Change: home.Table is an immutable placement by failure domain and region, with the reporters of each server. It is replaced when serving members, their failure domains, reports or servers change; requests read it through an atomic pointer and check that the home they found serves now. A home that is asked before the table was replaced replaces it first.

--- a/internal/coordination/home/home_test.go
+++ b/internal/coordination/home/home_test.go
@@ -50,7 +50,7 @@
 		{"leaving home was replaced", time.Second, []roster.Member{member("near", "r1-a", roster.Leaving, "s"), member("far", "r2-a", roster.Ready, "s")}, "far"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if diff := cmp.Diff(c.want, Owner(snapshot, server, c.members, c.now, "self")); diff != "" {
+			if diff := cmp.Diff(c.want, NewTable(snapshot, c.members, "self").Owner(server, finder(c.members), c.now, "self")); diff != "" {
 				t.Errorf("owner (-want +got):\n%s", diff)
 			}
 		})
@@ -70,7 +70,7 @@
 		{"one of another region is silent", []roster.Member{silent(member("x", "r2-a", roster.Ready))}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if diff := cmp.Diff(c.want, Disputable(snapshot, server, c.members, "self")); diff != "" {
+			if diff := cmp.Diff(c.want, NewTable(snapshot, c.members, "self").Disputable(server, finder(c.members), "self")); diff != "" {
 				t.Errorf("disputable (-want +got):\n%s", diff)
 			}
 		})
--- a/internal/program/instance/choose.go
+++ b/internal/program/instance/choose.go
@@ -11,7 +11,6 @@
 	"tamarackrun/internal/coordination/shift"
 	"tamarackrun/internal/protocol/wire"
 	"tamarackrun/internal/state/configuration"
-	"tamarackrun/internal/state/roster"
 )
 
 // hintLimit is the age above which a load report is ignored.
@@ -61,7 +60,7 @@
 // Other regions take part only during a shift, or when the region of origin has
 // no candidate at all.
 func (in *Instance) chooseServer(c *configuration.Snapshot, request tamarackrun.Request, tried map[string]bool) (candidate, tamarackrun.Reason) {
-	members, now := in.roster.Members(), in.clock.Now()
+	table, now := in.homes.placement(c), in.clock.Now()
 	shifting := in.dispatching.trigger(request.Service, request.OriginRegion, func(t *shift.Trigger) bool { return t.Shifting(now) })
 	var near, far []candidate
 	refusal := tamarackrun.NoHealthyServer
@@ -72,12 +71,12 @@
 		if tried[v.Name] {
 			continue
 		}
-		found, usable := in.candidate(c, v, members, request)
+		found, usable := in.candidate(c, v, table, request)
 		switch {
 		case !usable:
 		case local:
 			near = append(near, found)
-		case !in.linkOpen(c, found.region, now):
+		case !in.linkOpen(c, table, found.region, now):
 			refusal = tamarackrun.LinkCapped
 		default:
 			far = append(far, found)
@@ -112,27 +111,25 @@
 
 // linkOpen says whether this instance's part of the link to a region has bytes
 // left.
-func (in *Instance) linkOpen(c *configuration.Snapshot, region string, now time.Duration) bool {
+func (in *Instance) linkOpen(c *configuration.Snapshot, table *home.Table, region string, now time.Duration) bool {
 	own := c.RegionOf(in.Settings.FailureDomain)
 	megabits := c.Regions[own].LinkMegabits
 	if region == own || megabits == 0 {
 		return true
 	}
-	instances := 0
-	for _, m := range in.roster.Members() {
-		if c.RegionOf(m.Listing.FailureDomain) == own {
-			instances++
-		}
-	}
-	return in.dispatching.link(own, region).Open(now, shift.Rate(megabits, instances))
+	return in.dispatching.link(own, region).Open(now, shift.Rate(megabits, table.Listed(own)))
 }
 
 // candidate ranks a server: first those of the region of origin with room, then
 // others with room, then the full ones in the same order. Reported load can only
 // lower the rank, and the own outstanding requests count when it is outdated.
-func (in *Instance) candidate(c *configuration.Snapshot, v configuration.Server, members []roster.Member, request tamarackrun.Request) (candidate, bool) {
+func (in *Instance) candidate(c *configuration.Snapshot, v configuration.Server, table *home.Table, request tamarackrun.Request) (candidate, bool) {
 	now := in.clock.Now()
-	owner := home.Owner(c, v, members, now, in.Settings.Name)
+	owner := table.Owner(v, in.roster.Member, now, in.Settings.Name)
+	if owner == "" {
+		// The first instance that serves may not be in the table yet.
+		owner = in.homes.refresh(c).Owner(v, in.roster.Member, now, in.Settings.Name)
+	}
 	if owner == "" {
 		return candidate{}, false
 	}
--- a/internal/program/instance/homes.go
+++ b/internal/program/instance/homes.go
@@ -1,8 +1,10 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,11 +51,19 @@
 	listedLeaving map[string]bool
 	// announced are the servers whose leaving was recorded.
 	announced map[string]bool
+	// noted is the table whose reporters were taken.
+	noted *home.Table
+
+	// woken has a value when a peer's state changed the placement.
+	woken chan struct{}
+	// table is replaced under building.
+	table    atomic.Pointer[home.Table]
+	building sync.Mutex
 }
 
 func newHomes(in *Instance) *homes {
 	h := &homes{in: in, health: &http.Client{Timeout: healthTimeout}, began: in.clock.Now(), owned: map[string]*owned{},
-		reporters: map[string]string{}, listedLeaving: map[string]bool{}, announced: map[string]bool{}}
+		reporters: map[string]string{}, listedLeaving: map[string]bool{}, announced: map[string]bool{}, woken: make(chan struct{}, 1)}
 	h.orders.Store(&drain.Orders{})
 	return h
 }
@@ -72,42 +82,47 @@
 // configuration. A home is given up only when another instance reports the
 // server, so that there is one at every moment.
 func (h *homes) place(c *configuration.Snapshot) {
-	members, now, self := h.in.roster.Members(), h.in.clock.Now(), h.in.Settings.Name
-	reported, allHeard := home.Reported(members, self)
+	t, now, self := h.refresh(c), h.in.clock.Now(), h.in.Settings.Name
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for name, by := range reported {
-		h.reporters[name] = by
+	if h.noted != t {
+		t.Reported(self, func(server, by string) { h.reporters[server] = by })
+		h.noted = t
 	}
-	for name, v := range c.Servers {
-		o, have := h.owned[name]
-		placed := home.Of(c, v, members) == self
-		switch {
-		case !have && placed:
-			o = newOwned(v, home.Tenure{Gained: now, Drain: longestTimeout(c, v.Service)}, h.in.clock)
-			h.owned[name] = o
-			h.in.history.Record(event.HomeGained, "", "server", name, "before", h.reporters[name])
-		case !have:
-			continue
-		case o.taken(now, !placed && reported[name] != ""):
-			h.release(name)
-			continue
+	for _, name := range t.PlacedOn(self) {
+		if h.owned[name] == nil {
+			h.gain(t.Configuration, name, now)
 		}
-		o.mu.Lock()
-		o.server = v
-		gained := o.tenure.Gained
-		o.mu.Unlock()
-		older := h.reporters[name]
-		o.setTenure(allHeard && older == "" && gained-h.began < home.ListLag, home.GaveUp(members, older, name, gained))
-		o.limitSlots(now)
 	}
-	for name := range h.owned {
-		if _, ok := c.Servers[name]; !ok {
+	for name, o := range h.owned {
+		v, ok := t.Configuration.Servers[name]
+		placed := ok && t.Place(v, h.in.roster.Member) == self
+		if !ok || o.taken(now, !placed && t.Reporter(name, h.in.roster.Member, self) != "") {
 			h.release(name)
+			continue
 		}
+		h.keep(t, o, v, now)
 	}
 }
 
+func (h *homes) gain(c *configuration.Snapshot, name string, now time.Duration) {
+	v := c.Servers[name]
+	h.owned[name] = newOwned(v, home.Tenure{Gained: now, Drain: longestTimeout(c, v.Service)}, h.in.clock)
+	h.in.history.Record(event.HomeGained, "", "server", name, "before", h.reporters[name])
+}
+
+// keep applies the configuration and the limits of the tenure.
+func (h *homes) keep(t *home.Table, o *owned, v configuration.Server, now time.Duration) {
+	o.mu.Lock()
+	o.server = v
+	gained := o.tenure.Gained
+	o.mu.Unlock()
+	name := h.reporters[v.Name]
+	older, _ := h.in.roster.Member(name)
+	o.setTenure(t.AllHeard && name == "" && gained-h.began < home.ListLag, home.GaveUp(older, v.Name, gained))
+	o.limitSlots(now)
+}
+
 // release gives a home up. Waiting requests are refused, so that their entry
 // instances try the new home; running ones finish.
 func (h *homes) release(name string) {
@@ -148,6 +163,8 @@
 	for name, o := range h.all() {
 		loads = append(loads, h.load(name, o))
 	}
+	// Peers compare the names in order to see whether the homes changed.
+	slices.SortFunc(loads, func(a, b *wire.ServerLoad) int { return cmp.Compare(a.Name, b.Name) })
 	return loads
 }
 
--- a/internal/program/instance/homes_dispatch.go
+++ b/internal/program/instance/homes_dispatch.go
@@ -7,7 +7,6 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/health"
-	"tamarackrun/internal/coordination/home"
 	"tamarackrun/internal/coordination/shift"
 	"tamarackrun/internal/coordination/slot"
 	"tamarackrun/internal/protocol/event"
@@ -170,10 +169,8 @@
 	o.mu.Unlock()
 	e := slot.Entry{Organisation: request.Organisation, Weight: c.Organisations[request.Organisation].Weight,
 		Cost: o.cost(request.Route), Deadline: request.Deadline, Shifted: request.OriginRegion != c.RegionOf(v.Domain)}
-	for _, r := range c.Routes {
-		if r.Name == request.Route {
-			e.Batch = r.Class == configuration.Batch
-		}
+	if r, ok := c.RouteNamed(request.Route); ok {
+		e.Batch = r.Class == configuration.Batch
 	}
 	if e.Shifted {
 		e.ShiftLimit, e.Reserve = h.shiftLimit(c, v, o)
@@ -184,28 +181,11 @@
 // shiftLimit returns the slots of a server that requests of other regions may
 // use now, and those that its own region must leave free for that.
 func (h *homes) shiftLimit(c *configuration.Snapshot, v configuration.Server, o *owned) (limit, reserve int) {
-	region := c.RegionOf(v.Domain)
-	slots, index, n := 0, 0, 0
-	for _, other := range c.ServersOf(v.Service) {
-		if c.RegionOf(other.Domain) != region {
-			continue
-		}
-		if other.Name == v.Name {
-			index = n
-		}
-		n++
-		slots += other.Slots
-	}
-	domains := 0
-	for _, d := range c.Domains {
-		if d.Region == region {
-			domains++
-		}
-	}
-	part := shift.Part(shift.Cap(c.Services[v.Service].ShiftCap, slots), index, n)
-	reserve = shift.Reserve(v.Slots, domains)
+	g := c.GroupOf(v)
+	part := shift.Part(shift.Cap(c.Services[v.Service].ShiftCap, g.Slots), g.Position, g.Size)
+	reserve = shift.Reserve(v.Slots, c.DomainsIn(c.RegionOf(v.Domain)))
 	now := h.in.clock.Now()
-	disputable := home.Disputable(c, v, h.in.roster.Members(), h.in.Settings.Name)
+	disputable := h.placement(c).Disputable(v, h.in.roster.Member, h.in.Settings.Name)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if disputable || !o.tenure.Shifts(now) {
--- a/internal/program/instance/instance.go
+++ b/internal/program/instance/instance.go
@@ -16,6 +16,7 @@
 	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/home"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/settings"
 	"tamarackrun/internal/protocol/wire"
@@ -201,6 +202,7 @@
 	start(in.pollRoster)
 	start(in.sendHeartbeats)
 	start(in.homes.run)
+	start(in.homes.keepTable)
 	start(in.rates.run)
 	start(in.orders.sweep)
 	start(in.lookups.run)
@@ -270,6 +272,11 @@
 }
 
 func (in *Instance) publishState() {
-	in.roster.SetSelf(in.state())
+	state := in.state()
+	old, _ := in.roster.Member(in.Settings.Name)
+	in.roster.SetSelf(state)
+	if c := in.snapshot.Load(); c != nil && home.Changes(old.State, state) {
+		in.homes.refresh(c)
+	}
 	in.lookups.wake()
 }
--- a/internal/program/instance/peers.go
+++ b/internal/program/instance/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/home"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/wire"
 	"tamarackrun/internal/state/roster"
@@ -43,6 +44,7 @@
 		if list, err := in.store.Instances(ctx); err == nil {
 			in.roster.Update(list)
 			in.homes.listed(list)
+			in.homes.wake()
 		}
 		pause(ctx, rosterPollInterval)
 	}
@@ -68,7 +70,11 @@
 	reply, err := in.mesh.Probe(limited, m.Listing.PeerAddress, &wire.Envelope{Kind: &wire.Envelope_Heartbeat{
 		Heartbeat: &wire.Heartbeat{State: in.state()}}})
 	if state := reply.GetHeartbeatReply().GetState(); err == nil && state.GetName() == m.Listing.Name {
-		if in.roster.Heartbeat(m.Listing.Name, state, sent) {
+		returned := in.roster.Heartbeat(m.Listing.Name, state, sent)
+		if returned || home.Changes(m.State, state) {
+			in.homes.wake()
+		}
+		if returned {
 			in.history.Record(event.PeerReachable, "", "peer", m.Listing.Name, "incarnation", state.Incarnation)
 		}
 		in.proofs.fromPeer(state, sent)
--- a/internal/state/configuration/configuration.go
+++ b/internal/state/configuration/configuration.go
@@ -4,7 +4,6 @@
 
 import (
 	"net/netip"
-	"sort"
 	"strings"
 	"time"
 )
@@ -151,11 +150,16 @@
 	Routes  []Route
 	Clients []Clients
 	Sites   map[string]Site
+
+	// index is nil in snapshots without a version, which are not served from.
+	index *index
 }
 
-// WithVersion returns a copy with the version.
+// WithVersion returns a copy with the version, which answers ServersOf,
+// RouteNamed, GroupOf and DomainsIn without a walk.
 func (s Snapshot) WithVersion(version int64) Snapshot {
 	s.Version = version
+	s.index = newIndex(&s)
 	return s
 }
 
@@ -186,15 +190,3 @@
 
 // RegionOf returns the region of a failure domain, or "".
 func (s *Snapshot) RegionOf(domain string) string { return s.Domains[domain].Region }
-
-// ServersOf returns the servers of a service, sorted by name.
-func (s *Snapshot) ServersOf(service string) []Server {
-	var servers []Server
-	for _, v := range s.Servers {
-		if v.Service == service {
-			servers = append(servers, v)
-		}
-	}
-	sort.Slice(servers, func(i, j int) bool { return servers[i].Name < servers[j].Name })
-	return servers
-}
