Cut the document into small chunks at borders chosen by content

Cause: chunks of 900 kB had borders at fixed offsets, so that a section added at the start of a document of 8.66 MB changed all of it.

Change: a chunk of 2 to 16 KB begins at a section or at a word of a list whose hash is chosen. Above 64 chunks the manifest names lists of hashes; smaller documents keep a manifest that earlier programs read, and manifests of earlier programs are read as before. Instances fetch the chunks that they lack, 16 at a time, apply reads chunks in force from memory, and a write leaves out what the replaced manifest names. The capacity page computes with it and with the placement table.

--- a/internal/program/instance/configuration.go
+++ b/internal/program/instance/configuration.go
@@ -39,6 +39,34 @@
 	chunks   map[string][]byte
 }
 
+func (h *held) chunk(hash string) ([]byte, bool) {
+	if h == nil {
+		return nil, false
+	}
+	chunk, ok := h.chunks[hash]
+	return chunk, ok
+}
+
+// chunkCache is the platform's store without reads of the chunks in force. A
+// document of the target size has about 2000 chunks, and to apply a change all
+// of them are read.
+type chunkCache struct {
+	tamarackrun.ObjectStore
+	held *held
+}
+
+// Get returns a chunk from memory, or an object from the store.
+func (s chunkCache) Get(ctx context.Context, name string) (tamarackrun.Object, error) {
+	if hash, ok := manifest.HashIn(name); ok {
+		if chunk, have := s.held.chunk(hash); have {
+			return tamarackrun.Object{Name: name, Version: 1, Value: chunk}, nil
+		}
+	}
+	return s.ObjectStore.Get(ctx, name)
+}
+
+func (f *follower) cached() tamarackrun.ObjectStore { return chunkCache{f.in.store, f.held.Load()} }
+
 // follower puts new versions of the configuration in force.
 type follower struct {
 	in *Instance
@@ -175,11 +203,7 @@
 		return f.reject(version, err)
 	}
 	h := &held{version: version, manifest: encoded, chunks: map[string][]byte{}}
-	text, err := manifest.Join(m, func(hash string) ([]byte, error) {
-		chunk, err := source(ctx, hash)
-		h.chunks[hash] = chunk
-		return chunk, err
-	})
+	text, err := manifest.Join(m, f.collect(ctx, h, source))
 	if err != nil {
 		return err
 	}
@@ -197,6 +221,24 @@
 	return nil
 }
 
+// collect returns a fetch that takes the chunks of the version in force from
+// memory, others from the source, and adds all of them to h.
+func (f *follower) collect(ctx context.Context, h *held, source chunkSource) manifest.Fetch {
+	old := f.held.Load()
+	var mu sync.Mutex
+	return func(hash string) ([]byte, error) {
+		chunk, have := old.chunk(hash)
+		var err error
+		if !have {
+			chunk, err = source(ctx, hash)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		h.chunks[hash] = chunk
+		return chunk, err
+	}
+}
+
 // reject records a version that cannot be read, once.
 func (f *follower) reject(version int64, err error) error {
 	if version > f.rejected {
--- a/internal/program/instance/control.go
+++ b/internal/program/instance/control.go
@@ -44,7 +44,7 @@
 // the same base.
 func (in *Instance) Apply(ctx context.Context, request operator.ApplyRequest) (operator.ApplyResult, error) {
 	for {
-		version, current, err := manifest.Read(ctx, in.store)
+		version, current, err := manifest.Read(ctx, in.follower.cached())
 		if err != nil {
 			return operator.ApplyResult{}, err
 		}
@@ -53,7 +53,7 @@
 		}
 		base := current
 		if request.Base != version {
-			if base, err = manifest.At(ctx, in.store, request.Base); err != nil {
+			if base, err = manifest.At(ctx, in.follower.cached(), request.Base); err != nil {
 				return operator.ApplyResult{}, err
 			}
 		}
@@ -78,7 +78,7 @@
 	if version > 0 && bytes.Equal(merged.Text, current) {
 		return operator.ApplyResult{Version: version}, nil
 	}
-	accepted, err := manifest.Write(ctx, in.store, merged.Text, request.Team, version)
+	accepted, err := manifest.Write(ctx, in.follower.cached(), merged.Text, request.Team, version)
 	if err != nil {
 		return operator.ApplyResult{}, err
 	}
@@ -107,10 +107,10 @@
 // returns the version that this instance holds.
 func (in *Instance) Document(ctx context.Context, version int64) (found int64, text []byte, err error) {
 	if version != operator.InForce {
-		text, err = manifest.At(ctx, in.store, version)
+		text, err = manifest.At(ctx, in.follower.cached(), version)
 		return version, text, err
 	}
-	found, text, err = manifest.Read(ctx, in.store)
+	found, text, err = manifest.Read(ctx, in.follower.cached())
 	if h := in.follower.held.Load(); err != nil && h != nil {
 		m, decodeErr := manifest.Decode(h.manifest)
 		if decodeErr != nil {
--- a/internal/program/measure/fleetwide.go
+++ b/internal/program/measure/fleetwide.go
@@ -15,7 +15,7 @@
 func (x model) calls() []Calls {
 	watchers := []float64{x.i.Daemons, x.relays(), x.relays()}
 	list := []float64{x.i.ListSeconds, x.i.ListSeconds, x.i.SlowListSeconds}
-	changed := []float64{x.chunks(), x.chunks(), 3}
+	changed := []float64{changedChunks, changedChunks, changedChunks}
 	var calls []Calls
 	for n, name := range []string{"today's code", "relays of section 10", "proposal"} {
 		c := Calls{Plan: name, Waiting: watchers[n], WatchStarts: watchers[n] / x.i.WatchSeconds,
@@ -57,27 +57,27 @@
 		}
 		return max(sequential, readers*objects/spare(n))
 	}
-	write := Step{"writing the chunks and the manifest, one after the other", (x.chunks() + 1) * x.i.CallSeconds}
+	write := Step{"writing the changed chunks and the manifest, one after the other", (changedChunks + 2) * x.i.CallSeconds}
 	wake := Step{"watch answered across regions", x.i.DelaySeconds + x.i.CallSeconds}
 	parse := Step{"parsing and preparing look-ups", x.parse() + x.m.PlacesSeconds.At(x.i.Blocks) + x.m.AnswersSeconds.At(x.i.Daemons)}
 	gossip := Step{fmt.Sprintf("%.0f hops from the relays, each doubling the daemons that know: a heartbeat, then three objects from the sender", x.hops(x.relays())),
-		x.hops(x.relays()) * (x.i.HeartbeatSeconds + 4*2*x.i.DelaySeconds + x.smallChange()*x.m.FetchSeconds.Slope)}
-	place := Step{"placing homes", x.i.Servers * x.m.HomeSeconds.At(x.i.Daemons)}
+		x.hops(x.relays()) * (x.i.HeartbeatSeconds + 4*2*x.i.DelaySeconds + x.m.ChangedBytes.At(x.i.Blocks)*x.m.FetchSeconds.Slope)}
+	place := Step{"placing homes", x.m.PlacementSeconds.At(x.i.Daemons)}
 	fetchers := x.fetchers()
 	learn := Step{"next heartbeat of a neighbour with the new version, and one more hop for those without a relay as neighbour",
 		2 * (x.i.HeartbeatSeconds + 2*x.i.DelaySeconds)}
 	paths := []Path{
 		{Name: "today's code: each daemon watches and reads", Steps: []Step{write, wake,
-			{"reading all chunks within the platform's spare reads", burst(0, x.i.Daemons, x.chunks())}, parse, place}},
+			{"reading the changed chunks within the platform's spare reads", burst(0, x.i.Daemons, changedChunks)}, parse, place}},
 		{Name: "relays of section 10: 3 per failure domain", Steps: []Step{write, wake,
-			{"relays read all chunks", burst(1, x.relays(), x.chunks())}, learn,
+			{"relays read the changed chunks", burst(1, x.relays(), changedChunks)}, learn,
 			{fmt.Sprintf("%.0f daemons of a failure domain fetch from each of its relays", fetchers),
-				fetchers * x.document() * x.m.FetchSeconds.Slope}, parse, place}},
+				fetchers * x.m.ChangedBytes.At(x.i.Blocks) * x.m.FetchSeconds.Slope}, parse, place}},
 		{Name: "proposal: small chunks, changed sections only", Steps: []Step{
-			{"writing a chunk and two levels of manifest", 3 * x.i.CallSeconds}, wake,
+			write, wake,
 			{"relays read three objects", burst(2, x.relays(), 3)}, gossip,
 			{"preparing look-ups, if client blocks changed", x.m.PlacesSeconds.At(x.i.Blocks) + x.m.AnswersSeconds.At(x.i.Daemons)},
-			{"placing homes", x.i.Servers * x.m.HomeSeconds.At(x.daemonsPerDomain())}}},
+			place}},
 	}
 	silent := paths[0]
 	silent.Name = "today's code, on a daemon whose watch is silent"
--- a/internal/program/measure/input.go
+++ b/internal/program/measure/input.go
@@ -19,8 +19,8 @@
 	ClientChangePart, SectionsPerChange         float64
 	RackInstances, DelaySeconds, CallSeconds    float64
 	PacketHeader, OtherMemory                   float64
-	SlowListSeconds, ChunkBytes, HashBytes      float64
-	MessageHeader                               float64
+	SlowListSeconds, ChunkBytes                 float64
+	MessageHeader, PlacementChanges             float64
 }
 
 // Input is one row of the page's table of inputs.
@@ -77,6 +77,7 @@
 	{"backend servers of one service", 100, "", assumption, func(i *Inputs) *float64 { return &i.ServiceServers }},
 	{"INI sections, with those of client blocks", 9500, "", assumption, func(i *Inputs) *float64 { return &i.Sections }},
 	{"part of changes that touch client blocks", 0.1, "", assumption, func(i *Inputs) *float64 { return &i.ClientChangePart }},
+	{"changes of the placement for each member that comes or goes: list, states, reports of homes", 10, "", assumption, func(i *Inputs) *float64 { return &i.PlacementChanges }},
 	{"sections edited by one change", 1, "", assumption, func(i *Inputs) *float64 { return &i.SectionsPerChange }},
 	{"instances in one rack", 9, "", assumption, func(i *Inputs) *float64 { return &i.RackInstances }},
 	{"one-way delay between regions", 0.055, "s", "section 1", func(i *Inputs) *float64 { return &i.DelaySeconds }},
@@ -84,8 +85,7 @@
 	{"TCP and IP header of a segment", 52, "bytes", assumption, func(i *Inputs) *float64 { return &i.PacketHeader }},
 	{"memory of program and runtime besides the heap", 20e6, "bytes", assumption, func(i *Inputs) *float64 { return &i.OtherMemory }},
 	{"interval of reads of the list", 300, "s", proposal, func(i *Inputs) *float64 { return &i.SlowListSeconds }},
-	{"size of a chunk", 4096, "bytes", proposal, func(i *Inputs) *float64 { return &i.ChunkBytes }},
-	{"size of a hash in a manifest", 67, "bytes", proposal, func(i *Inputs) *float64 { return &i.HashBytes }},
+	{"text parsed again after a change of one section", 4096, "bytes", proposal, func(i *Inputs) *float64 { return &i.ChunkBytes }},
 	{"TLS record and yamux header of a message", 34, "bytes", proposal, func(i *Inputs) *float64 { return &i.MessageHeader }},
 }
 
--- a/internal/program/measure/measure_test.go
+++ b/internal/program/measure/measure_test.go
@@ -24,6 +24,8 @@
 	m.ChunkCount = line(2e-5, blockSizes...)
 	m.SectionParse, m.SectionSnapshot, m.SectionText = line(1e-5, sectionSizes...), line(100, sectionSizes...), line(100, sectionSizes...)
 	m.AnswersSeconds, m.RefreshSeconds, m.HomeSeconds, m.ListSeconds = line(1e-4, memberSizes...), line(1e-6, memberSizes...), line(1e-7, memberSizes...), line(1e-6, memberSizes...)
+	m.PlacementSeconds, m.PlacementCheck, m.ChoiceSeconds = line(1e-5, memberSizes...), line(1e-7, memberSizes...), line(1e-7, memberSizes...)
+	m.PlacementBytes = line(100, memberSizes...)
 	m.AnswersBytes, m.RosterBytes, m.ListBytes = line(100, memberSizes...), line(100, memberSizes...), line(100, memberSizes...)
 	m.HeartbeatBytes, m.HeartbeatSegments, m.HeartbeatCP, m.HeartbeatEncode = line(100, serverSizes...), line(1, serverSizes...), line(1e-5, serverSizes...), line(1e-6, serverSizes...)
 	m.SmallHeartbeat, m.FetchSeconds = line(8, serverSizes...), line(1e-8, chunkSizes...)
--- a/internal/program/measure/measurements.go
+++ b/internal/program/measure/measurements.go
@@ -45,20 +45,23 @@
 	ChunkCount, ChangedBytes                                        Series
 	SectionParse, SectionSnapshot, SectionText                      Series
 	AnswersSeconds, AnswersBytes, RefreshSeconds, HomeSeconds       Series
+	PlacementSeconds, PlacementBytes, PlacementCheck, ChoiceSeconds Series
 	RosterBytes, ListBytes, ListSeconds                             Series
 	SmallHeartbeat                                                  Series
 	HeartbeatEncode, HeartbeatBytes, HeartbeatSegments, HeartbeatCP Series
 	FetchSeconds, EventBytes, EventSeconds, BucketBytes             Series
 	// Read is one read of the manifest.
 	ReadBytes, ReadSegments, ReadSeconds float64
-	Cores                                int
+	// ManifestNames is the number of hashes in the manifest itself.
+	ManifestNames int
+	Cores         int
 }
 
 // List returns the series in the order of the page.
 func (m *Measurements) List() []Series {
 	return []Series{m.TableBytes, m.FindSeconds, m.AnswerSeconds, m.PlacesSeconds, m.DocumentBytes, m.ChunkCount,
 		m.ChangedBytes, m.ParseSeconds, m.ParsePeak, m.SnapshotBytes, m.SectionText, m.SectionParse, m.SectionSnapshot,
-		m.AnswersSeconds, m.AnswersBytes, m.RefreshSeconds, m.HomeSeconds, m.RosterBytes, m.ListBytes, m.ListSeconds,
+		m.AnswersSeconds, m.AnswersBytes, m.RefreshSeconds, m.HomeSeconds, m.PlacementSeconds, m.PlacementBytes, m.PlacementCheck, m.ChoiceSeconds, m.RosterBytes, m.ListBytes, m.ListSeconds,
 		m.SmallHeartbeat, m.HeartbeatEncode, m.HeartbeatBytes, m.HeartbeatSegments, m.HeartbeatCP, m.FetchSeconds, m.EventBytes,
 		m.EventSeconds, m.BucketBytes}
 }
@@ -74,7 +77,7 @@
 		return nil, err
 	}
 	var err error
-	m.ReadBytes, m.ReadSegments, m.ReadSeconds, err = storeReads(int(m.ChunkCount.At(470_000)))
+	m.ReadBytes, m.ReadSegments, m.ReadSeconds, err = storeReads(m.ManifestNames)
 	return m, err
 }
 
@@ -121,11 +124,12 @@
 		return cpuOf(func() { mustPlaces(snapshots[n]) })
 	})
 	m.DocumentBytes = series("document", "bytes", func(n int) float64 { return float64(len(texts[n])) })
-	m.ChunkCount = series("chunks of the document", "chunks", func(n int) float64 {
-		hashes, _ := manifest.Split([]byte(texts[n]))
-		return float64(len(hashes))
+	m.ChunkCount = series("chunks of the document, with lists of hashes", "chunks", func(n int) float64 {
+		named, parts := manifest.Split([]byte(texts[n]))
+		m.ManifestNames = len(named.Chunks)
+		return float64(len(parts))
 	})
-	m.ChangedBytes = series("chunks that a new section at the start of the document changes", "bytes", func(n int) float64 {
+	m.ChangedBytes = series("bytes that a new section at the start of the document changes, with the manifest", "bytes", func(n int) float64 {
 		return changedBytes(texts[n])
 	})
 	m.ParseSeconds = series("parsing the document", "s", func(n int) float64 { return cpuOf(func() { mustParse(texts[n]) }) })
@@ -137,19 +141,19 @@
 	})
 }
 
-// changedBytes returns the size of the chunks that an instance lacks after a
-// section was added at the start.
+// changedBytes returns the size of the manifest and of the chunks that an
+// instance lacks after a section was added at the start.
 func changedBytes(text string) float64 {
-	old, _ := manifest.Split([]byte(text))
-	have := map[string]bool{}
-	for _, hash := range old {
-		have[hash] = true
+	_, have := manifest.Split([]byte(text))
+	m, parts := manifest.Split([]byte("[base/organisation/added]\nrate = 1\nburst = 1\n" + text))
+	value, err := json.Marshal(m)
+	if err != nil {
+		panic(err)
 	}
-	changed := 0
-	hashes, chunks := manifest.Split([]byte("[base/organisation/added]\nrate = 1\nburst = 1\n" + text))
-	for i, hash := range hashes {
-		if !have[hash] {
-			changed += len(chunks[i])
+	changed := len(value)
+	for hash, part := range parts {
+		if _, ok := have[hash]; !ok {
+			changed += len(part)
 		}
 	}
 	return float64(changed)
@@ -198,6 +202,7 @@
 		members, i := sampleMembers(target, n), 0
 		return cpuOf(func() { home.Of(c, servers[i%len(servers)], members); i++ })
 	})
+	m.measurePlacement(series)
 	m.RosterBytes = series("roster with the loads of 6 servers each, heap", "bytes", func(n int) float64 {
 		return heapOf(func() any { return sampleRoster(n) })
 	})
@@ -211,6 +216,37 @@
 	m.ListSeconds = series("decoding the platform's list", "s", func(n int) float64 { return decodeCost(sampleListings(n)) })
 }
 
+// measurePlacement measures the homes of 6 servers for each instance.
+func (m *Measurements) measurePlacement(series func(name, unit string, value func(n int) float64) Series) {
+	fleet := func(n int) (*configuration.Snapshot, *roster.Roster) {
+		c := mustParse(documentText(target, 0, 1, reportedServers*n)).WithVersion(1)
+		return &c, sampleRoster(n)
+	}
+	m.PlacementSeconds = series("placing all servers, 6 for each instance", "s", func(n int) float64 {
+		c, r := fleet(n)
+		return cpuOf(func() { home.NewTable(c, r.Members(), r.Self) })
+	})
+	m.PlacementBytes = series("placement of all servers, heap", "bytes", func(n int) float64 {
+		c, r := fleet(n)
+		members := r.Members()
+		return heapOf(func() any { return home.NewTable(c, members, r.Self) })
+	})
+	m.PlacementCheck = series("checking whether the placement is current", "s", func(n int) float64 {
+		c, r := fleet(n)
+		t := home.NewTable(c, r.Members(), r.Self)
+		return cpuOf(func() { t.Current(c, r.Members()) })
+	})
+	m.ChoiceSeconds = series("homes of 100 servers, for one request", "s", func(n int) float64 {
+		c, r := fleet(n)
+		t, servers := home.NewTable(c, r.Members(), r.Self), c.ServersOf("service")[:100]
+		return cpuOf(func() {
+			for _, v := range servers {
+				t.Owner(v, r.Member, r.Clock.Now(), r.Self)
+			}
+		})
+	})
+}
+
 func decodeCost(list []tamarackrun.Listing) float64 {
 	value, err := json.Marshal(list)
 	if err != nil {
--- a/internal/program/measure/model.go
+++ b/internal/program/measure/model.go
@@ -126,9 +126,13 @@
 		Cores:    x.changes() * cores, Bytes: x.changes() * bytes, Memory: x.snapshot() + peak, Mechanism: mechanism}
 }
 
-func (x model) homes(perServer, rate float64, mechanism string) Row {
-	return Row{Role: "placing homes", State: "none besides the snapshot", Messages: "none",
-		Cores: rate * x.i.Servers * perServer, Mechanism: mechanism}
+// homes is the row of today's code, which checks the placement every second and
+// places all servers again after changes.
+func (x model) homes() Row {
+	rate := x.memberChanges()*x.i.PlacementChanges + x.changes()
+	return Row{Role: "placing homes", State: "homes and reports by server", Messages: "none",
+		Cores:  rate*x.m.PlacementSeconds.At(x.i.Daemons) + x.m.PlacementCheck.At(x.i.Daemons)/x.i.PlaceSeconds,
+		Memory: x.m.PlacementBytes.At(x.i.Daemons), Mechanism: "immutable table, replaced after changes, members by failure domain"}
 }
 
 func (x model) lookupTable() Row {
@@ -158,18 +162,18 @@
 func (x model) plans() []Plan {
 	others := x.i.Daemons - 1
 	today := Plan{Name: "Today's code at the target size",
-		Text: "All pairs exchange heartbeats, each daemon watches the manifest and reads the list, and each change is read and parsed as a whole.",
+		Text: "All pairs exchange heartbeats, each daemon watches the manifest and reads the list, and each change is parsed as a whole.",
 		Rows: []Row{x.heartbeats("heartbeats, all pairs", others, others, "one yamux stream per heartbeat"),
 			x.list(x.i.ListSeconds, "whole list every second"), x.manifest(),
-			x.accept(x.document(), x.parse(), x.parsePeak(), "all chunks from the store, whole document parsed"),
-			x.homes(x.m.HomeSeconds.At(x.i.Daemons), 1/x.i.PlaceSeconds, "all servers against all members every second")}}
+			x.accept(x.m.ChangedBytes.At(x.i.Blocks), x.parse(), x.parsePeak(), "changed chunks from the store, whole document parsed"),
+			x.homes()}}
 	foreignRelays := x.relays() * (x.i.Regions - 1) / x.i.Regions
 	page := Plan{Name: "Neighbours of section 4.1 and relays of section 10, not a relay",
 		Text: "Heartbeats go to the 3 next instances of the failure domain and to all relays of the other regions.",
 		Rows: []Row{x.heartbeats("heartbeats, neighbours", x.i.Neighbours+foreignRelays, x.i.Neighbours, "one yamux stream per heartbeat"),
 			x.list(x.i.ListSeconds, "whole list every second"),
 			x.accept(x.m.ChangedBytes.At(x.i.Blocks), x.parse(), x.parsePeak(), "changed chunks from peers, whole document parsed"),
-			x.homes(x.m.HomeSeconds.At(x.i.Daemons), 1/x.i.PlaceSeconds, "all servers against all members every second")}}
+			x.homes()}}
 	relayRows := slices.Clone(page.Rows[1:])
 	relayRows[1] = x.passOn(relayRows[1])
 	relay := Plan{Name: "The same, a relay", Text: "A relay is also asked by all daemons of the other regions.",
@@ -192,12 +196,9 @@
 // all others, if each hop doubles the number of those that know.
 func (x model) hops(knowing float64) float64 { return math.Ceil(math.Log2(x.i.Daemons / knowing)) }
 
-// smallChange is what a change costs with small chunks below a manifest of two
-// levels.
-func (x model) smallChange() float64 {
-	fanOut := math.Ceil(math.Sqrt(x.document() / x.i.ChunkBytes))
-	return x.i.SectionsPerChange * (x.i.ChunkBytes + 2*fanOut*x.i.HashBytes)
-}
+// changedChunks is the number of objects that one change replaces besides the
+// manifest: a chunk and a list of hashes.
+const changedChunks = 2
 
 func (x model) proposal(name string, relay bool) Plan {
 	asks := 2 * x.i.Neighbours
@@ -209,10 +210,9 @@
 				Cores: perSecond * x.m.HeartbeatCP.At(0) / 2, Bytes: perSecond*x.smallExchange()/2 + news,
 				Memory: x.m.RosterBytes.At(x.i.Daemons), Mechanism: "64-bit incarnation, no names, no stream per heartbeat"},
 			x.list(x.i.SlowListSeconds, "whole list every 300 s"),
-			x.accept(x.smallChange(), x.parse()*x.i.SectionsPerChange*x.i.ChunkBytes/x.document(), 0,
-				"small chunks at section boundaries, fetched from the neighbour that told of them, only changed sections parsed"),
-			x.homes(x.m.HomeSeconds.At(x.daemonsPerDomain()), x.memberChanges()+x.changes()*(1-x.i.ClientChangePart),
-				"after changes only, against the members of the server's failure domain")}}
+			x.accept(x.m.ChangedBytes.At(x.i.Blocks), x.parse()*x.i.SectionsPerChange*x.i.ChunkBytes/x.document(), 0,
+				"changed chunks, fetched from the neighbour that told of them, only changed sections parsed"),
+			x.homes()}}
 	if relay {
 		p.Rows = append(p.Rows, x.manifest())
 	}
--- a/internal/program/measure/page.go
+++ b/internal/program/measure/page.go
@@ -51,11 +51,9 @@
 	return p.Within(path.Sum, p.Limits.TimeLimit)
 }
 
-// ChoiceSeconds is the time that today's code takes to find the homes of all
-// servers of a service, which it does for each request.
-func (p Page) ChoiceSeconds() float64 {
-	return p.Limits.ServiceServers * p.Measured.HomeSeconds.At(p.Limits.Daemons)
-}
+// ChoiceSeconds is the time that the homes of all servers of a service take for
+// a request.
+func (p Page) ChoiceSeconds() float64 { return p.Measured.ChoiceSeconds.At(p.Limits.Daemons) }
 
 // Within says whether a value keeps a limit.
 func (Page) Within(value, limit float64) string {
--- a/internal/protocol/manifest/manifest.go
+++ b/internal/protocol/manifest/manifest.go
@@ -10,6 +10,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"tamarackrun"
@@ -20,8 +23,6 @@
 
 const (
 	chunkPrefix = "configuration/chunk/"
-	// chunkSize keeps chunks below the platform's limit of 1 MB.
-	chunkSize = 900_000
 	// commitAttempts and commitDelay bound the time in which a write whose
 	// answer was lost is repeated: about 7 s if each attempt fails at once.
 	commitAttempts = 8
@@ -32,9 +33,13 @@
 
 // Manifest names the chunks of one accepted document.
 type Manifest struct {
-	// Chunks are the SHA-256 hashes of the parts of the document, in order.
+	// Chunks are the SHA-256 hashes of the parts of the document, in order, or
+	// those of the parts of a list of these hashes.
 	Chunks []string `json:"chunks"`
-	Author string   `json:"author"`
+	// Listed says that Chunks are those of a list. A program that does not know
+	// the field refuses the list, since it is no document.
+	Listed bool   `json:"listed,omitempty"`
+	Author string `json:"author"`
 	// Base is the version that this one replaced.
 	Base int64 `json:"base"`
 	// Nonce tells whose write took effect when the answer was lost.
@@ -72,6 +77,9 @@
 // ChunkName returns the object name of a chunk.
 func ChunkName(hash string) string { return chunkPrefix + hash }
 
+// HashIn returns the hash in the object name of a chunk.
+func HashIn(name string) (string, bool) { return strings.CutPrefix(name, chunkPrefix) }
+
 // HashOf returns the name of a content.
 func HashOf(content []byte) string {
 	sum := sha256.Sum256(content)
@@ -85,33 +93,6 @@
 	return m, err
 }
 
-// Split returns the chunks of a document and their hashes.
-func Split(text []byte) (hashes []string, chunks [][]byte) {
-	for len(text) > 0 {
-		n := min(chunkSize, len(text))
-		hashes, chunks = append(hashes, HashOf(text[:n])), append(chunks, text[:n])
-		text = text[n:]
-	}
-	return hashes, chunks
-}
-
-// Join reads all chunks with fetch, checks their hashes and returns the
-// document.
-func Join(m Manifest, fetch func(hash string) ([]byte, error)) ([]byte, error) {
-	var text []byte
-	for _, hash := range m.Chunks {
-		chunk, err := fetch(hash)
-		if err != nil {
-			return nil, err
-		}
-		if HashOf(chunk) != hash {
-			return nil, &HashError{hash}
-		}
-		text = append(text, chunk...)
-	}
-	return text, nil
-}
-
 // Read returns the latest document and its version, or version 0 if there is
 // none.
 func Read(ctx context.Context, store tamarackrun.ObjectStore) (version int64, text []byte, err error) {
@@ -131,10 +112,14 @@
 }
 
 func joinFrom(ctx context.Context, store tamarackrun.ObjectStore, m Manifest) ([]byte, error) {
-	return Join(m, func(hash string) ([]byte, error) {
+	return Join(m, fetchFrom(ctx, store))
+}
+
+func fetchFrom(ctx context.Context, store tamarackrun.ObjectStore) Fetch {
+	return func(hash string) ([]byte, error) {
 		chunk, err := store.Get(ctx, ChunkName(hash))
 		return chunk.Value, err
-	})
+	}
 }
 
 // At returns the document of an earlier version; version 0 is empty.
@@ -196,8 +181,8 @@
 type waiter func(ctx context.Context, d time.Duration) bool
 
 func write(ctx context.Context, store tamarackrun.ObjectStore, text []byte, author string, base int64, wait waiter) (int64, error) {
-	hashes, chunks := Split(text)
-	m := Manifest{Chunks: hashes, Author: author, Base: base, Nonce: rand.Text()}
+	m, parts := Split(text)
+	m.Author, m.Base, m.Nonce = author, base, rand.Text()
 	if base > 0 {
 		current, err := store.Get(ctx, ObjectName)
 		if err != nil {
@@ -206,11 +191,12 @@
 		if current.Version != base {
 			return 0, tamarackrun.ErrConflict
 		}
+		dropStored(parts, current.Value, fetchFrom(ctx, store))
 		m.Parent = HashOf(current.Value)
-		hashes, chunks = append(hashes, m.Parent), append(chunks, current.Value)
+		parts[m.Parent] = current.Value
 	}
-	for i, hash := range hashes {
-		if err := putChunk(ctx, store, hash, chunks[i]); err != nil {
+	for _, hash := range slices.Sorted(maps.Keys(parts)) {
+		if err := putChunk(ctx, store, hash, parts[hash]); err != nil {
 			return 0, err
 		}
 	}
@@ -221,6 +207,23 @@
 	return commit(ctx, store, value, m, wait)
 }
 
+// dropStored removes the parts that the replaced manifest names, which are in
+// the store already. Without the list all parts are written, which is harmless.
+func dropStored(parts map[string][]byte, replaced []byte, fetch Fetch) {
+	m, err := Decode(replaced)
+	if err != nil {
+		return
+	}
+	for _, hash := range m.Chunks {
+		delete(parts, hash)
+	}
+	if hashes, err := m.hashes(fetch); err == nil {
+		for _, hash := range hashes {
+			delete(parts, hash)
+		}
+	}
+}
+
 // putChunk writes a chunk. A conflict means that it is there already, since its
 // name is its content.
 func putChunk(ctx context.Context, store tamarackrun.ObjectStore, hash string, content []byte) error {
--- a/internal/protocol/manifest/manifest_test.go
+++ b/internal/protocol/manifest/manifest_test.go
@@ -118,24 +118,20 @@
 // Guards against a chunk whose content was changed under way.
 func TestJoinChecksHashes(t *testing.T) {
 	document := make([]byte, 2*chunkSize+1)
-	hashes, chunks := Split(document)
-	if diff := cmp.Diff(3, len(chunks)); diff != "" {
+	m, contents := Split(document)
+	if diff := cmp.Diff(3, len(m.Chunks)); diff != "" {
 		t.Fatalf("chunks (-want +got):\n%s", diff)
 	}
-	contents := map[string][]byte{}
-	for n, hash := range hashes {
-		contents[hash] = chunks[n]
-	}
 	changed := maps.Clone(contents)
-	changed[hashes[2]] = []byte("other")
+	changed[m.Chunks[2]] = []byte("other")
 	fetch := func(from map[string][]byte) func(string) ([]byte, error) {
 		return func(hash string) ([]byte, error) { return from[hash], nil }
 	}
-	if joined, err := Join(Manifest{Chunks: hashes}, fetch(contents)); err != nil || len(joined) != len(document) {
+	if joined, err := Join(m, fetch(contents)); err != nil || len(joined) != len(document) {
 		t.Errorf("joined %d bytes, error %v", len(joined), err)
 	}
 	var hash *HashError
-	if _, err := Join(Manifest{Chunks: hashes}, fetch(changed)); !errors.As(err, &hash) {
+	if _, err := Join(m, fetch(changed)); !errors.As(err, &hash) {
 		t.Errorf("error %v, want a HashError", err)
 	}
 }
