Check client blocks without a map of their text

Cause: a heap profile of parsing the document of the target size (470,000 blocks, 2000 organisations, 4860 servers) showed that a map with the text of each block took 35% of the allocated bytes and half of the processor time.

Change: positions of blocks are sorted by block. The text is copied and scanned once instead of twice and lists of blocks are allocated once.

--- a/internal/program/measure/measurements.go
+++ b/internal/program/measure/measurements.go
@@ -229,7 +229,9 @@
 	m.PlacementBytes = series("placement of all servers, heap", "bytes", func(n int) float64 {
 		c, r := fleet(n)
 		members := r.Members()
-		return heapOf(func() any { return home.NewTable(c, members, r.Self) })
+		size := heapOf(func() any { return home.NewTable(c, members, r.Self) })
+		runtime.KeepAlive(members)
+		return size
 	})
 	m.PlacementCheck = series("checking whether the placement is current", "s", func(n int) float64 {
 		c, r := fleet(n)
--- a/internal/protocol/document/document.go
+++ b/internal/protocol/document/document.go
@@ -52,11 +52,11 @@
 
 // Parse reads a document. The snapshot is valid only if there are no problems.
 func Parse(file string, text []byte) (*configuration.Snapshot, []Problem) {
-	p := &parser{file: file}
-	if p.problems = checkLines(file, text); len(p.problems) > 0 {
+	whole := string(text)
+	p := &parser{file: file, lines: scanLines(whole)}
+	if p.problems = checkLines(file, whole, p.lines); len(p.problems) > 0 {
 		return nil, p.problems
 	}
-	p.lines = scanLines(text)
 	parsed, err := ini.LoadSources(ini.LoadOptions{
 		// A value may hold ; or # (a URL with a fragment), so only whole
 		// lines are comments.
@@ -193,7 +193,7 @@
 
 func (s *section) words(key string) []string {
 	var words []string
-	for _, w := range strings.Split(s.text(key, ""), ",") {
+	for w := range strings.SplitSeq(s.text(key, ""), ",") {
 		if w = strings.TrimSpace(w); w != "" {
 			words = append(words, w)
 		}
@@ -429,7 +429,9 @@
 
 func readClients(c *configuration.Snapshot, s *section) {
 	clients := configuration.Clients{Name: s.name, Site: s.required("site")}
-	for _, w := range s.words("blocks") {
+	words := s.words("blocks")
+	clients.Blocks = make([]netip.Prefix, 0, len(words))
+	for _, w := range words {
 		prefix, err := netip.ParsePrefix(w)
 		if err != nil || prefix != prefix.Masked() {
 			s.fail("blocks", "value %q is not a CIDR block such as 10.1.0.0/16", w)
--- a/internal/protocol/document/line.go
+++ b/internal/protocol/document/line.go
@@ -1,7 +1,10 @@
 package document
 
 import (
+	"cmp"
 	"fmt"
+	"net/netip"
+	"slices"
 	"strings"
 	"unicode"
 	"unicode/utf8"
@@ -14,10 +17,10 @@
 }
 
 // scanLines returns the headers, with an empty key, and the assignments.
-func scanLines(text []byte) []line {
+func scanLines(text string) []line {
 	var found []line
 	section := ""
-	for n, l := range strings.Split(strings.TrimPrefix(string(text), byteOrderMark), "\n") {
+	for n, l := range strings.Split(strings.TrimPrefix(text, byteOrderMark), "\n") {
 		l = strings.TrimSpace(l)
 		if l == "" || comment(l) {
 			continue
@@ -41,12 +44,12 @@
 // looks: sections and keys given twice, of which it keeps the last value,
 // quoted values over several lines, and lines that are neither header,
 // assignment nor comment.
-func checkLines(file string, text []byte) []Problem {
+func checkLines(file, text string, lines []line) []Problem {
 	var problems []Problem
 	add := func(l line, format string, args ...any) {
 		problems = append(problems, Problem{File: file, Line: l.line, Section: l.section, Key: l.key, Message: fmt.Sprintf(format, args...)})
 	}
-	for n, l := range strings.Split(strings.TrimPrefix(string(text), byteOrderMark), "\n") {
+	for n, l := range strings.Split(strings.TrimPrefix(text, byteOrderMark), "\n") {
 		l = strings.TrimSuffix(l, "\r")
 		if !utf8.ValidString(l) || strings.ContainsFunc(l, func(c rune) bool { return unicode.IsControl(c) && c != '\t' || c == '\ufeff' }) {
 			add(line{line: n + 1}, "the line holds a control character or is not UTF-8")
@@ -54,7 +57,7 @@
 	}
 	type name struct{ section, key string }
 	seen := map[name]int{}
-	for _, l := range scanLines(text) {
+	for _, l := range lines {
 		if l.key == "" && l.value != "" || l.key != "" && !validKey(l.key) {
 			add(line{l.section, "", "", l.line}, "the line is neither [TEAM/KIND/NAME], KEY = VALUE nor a comment on its own line")
 			continue
@@ -117,7 +120,7 @@
 	once := func(kind, name, key, value string) {
 		u := use{kind, key, value}
 		if other, ok := first[u]; ok {
-			b.p.add(b.taken[kind+"/"+name], key, fmt.Sprintf("%s is already used by %s %q", value, kind, other))
+			b.usedTwice(kind, name, key, value, other)
 			return
 		}
 		first[u] = name
@@ -130,9 +133,36 @@
 			once("route", r.Name, "path", m+" "+r.Path)
 		}
 	}
-	for _, l := range c.Clients {
-		for _, p := range l.Blocks {
-			once("clients", l.Name, "blocks", p.String())
+	b.checkBlocks()
+}
+
+func (b *builder) usedTwice(kind, name, key, value, other string) {
+	b.p.add(b.taken[kind+"/"+name], key, fmt.Sprintf("%s is already used by %s %q", value, kind, other))
+}
+
+// checkBlocks reports client blocks that occur twice. It sorts positions, since
+// a map with the text of 470,000 blocks took a third of the memory of parsing.
+func (b *builder) checkBlocks() {
+	type position struct{ list, block int32 }
+	clients, all := b.snapshot.Clients, []position(nil)
+	for l := range clients {
+		all = slices.Grow(all, len(clients[l].Blocks))
+		for n := range clients[l].Blocks {
+			all = append(all, position{int32(l), int32(n)})
+		}
+	}
+	block := func(p position) netip.Prefix { return clients[p.list].Blocks[p.block] }
+	slices.SortFunc(all, func(x, y position) int {
+		a, b := block(x), block(y)
+		return cmp.Or(a.Addr().Compare(b.Addr()), cmp.Compare(a.Bits(), b.Bits()),
+			cmp.Compare(x.list, y.list), cmp.Compare(x.block, y.block))
+	})
+	first := 0
+	for n := 1; n < len(all); n++ {
+		if block(all[n]) != block(all[first]) {
+			first = n
+			continue
 		}
+		b.usedTwice("clients", clients[all[n].list].Name, "blocks", block(all[n]).String(), clients[all[first].list].Name)
 	}
 }
