Forget the refused attempt of an order before the next one

Its first attempt was refused by a peer's home, the second one ran at the own home and its answer was lost. The record of the first attempt remained, so that the peer was asked for the outcome, barred the first attempt and answered attemptCancelled.

Change: the record is removed before each attempt.

--- a/internal/program/instance/orders.go
+++ b/internal/program/instance/orders.go
@@ -391,6 +391,10 @@
 // dispatchOrder sends one attempt to the home of its server and settles it when
 // the link is lost.
 func (o *orders) dispatchOrder(ctx context.Context, homeName string, request tamarackrun.Request, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
+	// An earlier attempt, which was refused, must not answer for this one.
+	o.mu.Lock()
+	delete(o.sent, request.ID)
+	o.mu.Unlock()
 	if homeName == o.in.Settings.Name {
 		request.Attempt += "@" + o.in.incarnation
 		return o.in.homes.Dispatch(ctx, request, answer)
