Avoid a dead home at once and retry without the budget

Cause: after the death of one of 7 instances each request that was sent to one of its servers took a retry from the budget of 10 per 10 s until the heartbeats found the death; the others ended as homeUnreachable. Change: a home to which no exchange can be opened is avoided for one heartbeat interval, and retries of requests that reached no queue take nothing from the budget, since they add no load anywhere.

--- a/internal/program/instance/attempt.go
+++ b/internal/program/instance/attempt.go
@@ -30,6 +30,9 @@
 	links map[[2]string]*shift.Budget
 	// probes are the times of the latest probes by server.
 	probes map[string]time.Duration
+	// suspects are the homes to which no exchange could be opened, with the
+	// time until which they are avoided.
+	suspects map[string]time.Duration
 }
 
 // attempt dispatches a request until it ran or no further attempt is allowed.
@@ -59,6 +62,9 @@
 		request.Server, request.Attempt = chosen.server, fmt.Sprintf("%s.%d", request.ID, n)
 		outcome = in.dispatchOnce(ctx, c, chosen, request, guarded)
 		in.noteRefusal(c, request, outcome)
+		if outcome.Reason == tamarackrun.HomeUnreachable {
+			in.dispatching.suspect(chosen.home, in.clock.Now()+suspicion)
+		}
 		retriable := outcome.Kind == tamarackrun.NotRun || outcome.Kind == tamarackrun.Unknown && request.Idempotent
 		if !retriable || guarded.began || ctx.Err() != nil || in.clock.Now() >= request.Deadline {
 			return outcome
@@ -79,9 +85,13 @@
 	return outcome == tamarackrun.Done
 }
 
+// reachedNoQueue has the refusals that cost no home and no backend server
+// anything, so that a retry does not add load and takes nothing from the budget.
+var reachedNoQueue = map[tamarackrun.Reason]bool{tamarackrun.HomeUnreachable: true, tamarackrun.NotHome: true}
+
 // mayRetry takes a retry from the budget and records the reason.
 func (in *Instance) mayRetry(request tamarackrun.Request, outcome tamarackrun.Outcome, server string) bool {
-	if !in.dispatching.retries.Retry(in.clock.Now()) {
+	if !reachedNoQueue[outcome.Reason] && !in.dispatching.retries.Retry(in.clock.Now()) {
 		in.history.Record(event.RetryDenied, request.ID, "reason", string(outcome.Reason))
 		in.history.CountOutcome("retryDenied", outcome)
 		return false
@@ -103,6 +113,25 @@
 	return in.dispatchTo(ctx, chosen.home, request, answer)
 }
 
+// suspicion is how long a home is avoided after no exchange could be opened.
+// It is the interval of heartbeats, which find out whether the home is dead.
+const suspicion = heartbeatInterval
+
+func (d *dispatching) suspect(homeName string, until time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.suspects == nil {
+		d.suspects = map[string]time.Duration{}
+	}
+	d.suspects[homeName] = until
+}
+
+func (d *dispatching) suspected(homeName string, now time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now < d.suspects[homeName]
+}
+
 func (d *dispatching) count(server string, change int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/program/instance/choose.go
+++ b/internal/program/instance/choose.go
@@ -133,7 +133,7 @@
 func (in *Instance) candidate(c *configuration.Snapshot, v configuration.Server, members []roster.Member, request tamarackrun.Request) (candidate, bool) {
 	now := in.clock.Now()
 	owner := home.Owner(c, v, members, now, in.Settings.Name)
-	if owner == "" {
+	if owner == "" || in.dispatching.suspected(owner, now) {
 		return candidate{}, false
 	}
 	found := candidate{server: v.Name, home: owner, region: c.RegionOf(v.Domain), rank: rankOwnRegion}
