--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -44,6 +44,8 @@
 	Binaries string
 	// Load is how long load is sent.
 	Load time.Duration
+	// Hold keeps the deployment running after the load until ctx ends.
+	Hold bool
 	Out  io.Writer
 
 	directory string
@@ -78,7 +80,13 @@
 	if err != nil {
 		return err
 	}
-	return d.conclude(report)
+	if err := d.conclude(report); err != nil || !d.Hold {
+		return err
+	}
+	_, _ = fmt.Fprintf(d.Out, "running until interrupted; control port of entry-1: %s, callers' port: %s\n",
+		d.listings[0].ControlAddress, d.listings[0].CallerAddress)
+	<-ctx.Done()
+	return nil
 }
 
 func (d *Demo) startAll(ctx context.Context) error {
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -79,6 +79,7 @@
 		}}
 	c.Flags().StringVar(&d.Deployment, "deployment", "deployments/sundarban", "directory with document.ini")
 	c.Flags().StringVar(&d.Binaries, "binaries", "bin", "directory with the built programs")
+	c.Flags().BoolVar(&d.Hold, "hold", false, "keep the deployment running after the load until interrupted")
 	c.Flags().DurationVar(&d.Load, "load", 8*time.Second, "how long to send load")
 	return c
 }
