--- a/internal/program/instance/choose.go
+++ b/internal/program/instance/choose.go
@@ -130,7 +130,7 @@
 		// The first instance that serves may not be in the table yet.
 		owner = in.homes.refresh(c).Owner(v, in.roster.Member, now, in.Settings.Name)
 	}
-	if owner == "" {
+	if owner == "" || in.dispatching.suspected(owner, now) {
 		return candidate{}, false
 	}
 	found := candidate{server: v.Name, home: owner, region: c.RegionOf(v.Domain), rank: rankOwnRegion}
