--- a/internal/protocol/document/line.go
+++ b/internal/protocol/document/line.go
@@ -162,8 +162,10 @@
 	block := func(p position) netip.Prefix { return clients[p.list].Blocks[p.block] }
 	slices.SortFunc(all, func(x, y position) int {
 		a, b := block(x), block(y)
-		return cmp.Or(a.Addr().Compare(b.Addr()), cmp.Compare(a.Bits(), b.Bits()),
-			cmp.Compare(x.list, y.list), cmp.Compare(x.block, y.block))
+		if order := a.Addr().Compare(b.Addr()); order != 0 {
+			return order
+		}
+		return cmp.Or(cmp.Compare(a.Bits(), b.Bits()), cmp.Compare(x.list, y.list), cmp.Compare(x.block, y.block))
 	})
 	first := 0
 	for n := 1; n < len(all); n++ {
