--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"sort"
 	"syscall"
@@ -80,7 +81,10 @@
 	if err != nil {
 		return err
 	}
-	if err := d.conclude(report); err != nil || !d.Hold {
+	if err := d.conclude(report); err != nil {
+		return err
+	}
+	if err := d.explain(ctx, report.example); err != nil || !d.Hold {
 		return err
 	}
 	_, _ = fmt.Fprintf(d.Out, "running until interrupted; control port of entry-1: %s, callers' port: %s\n",
@@ -260,6 +264,19 @@
 	return r.print(d.Out)
 }
 
+// explain shows the story of one request as operators see it.
+func (d *Demo) explain(ctx context.Context, id string) error {
+	key := filepath.Join(d.directory, "operator.key")
+	if err := os.WriteFile(key, []byte(demoOperatorKey), 0o600); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(d.Out, "tamarackrun explain %s\n", id)
+	c := exec.CommandContext(ctx, filepath.Join(d.Binaries, "tamarackrun"), "explain", id,
+		"--instance", d.listings[0].ControlAddress, "--operator-key-file", key)
+	c.Stdout, c.Stderr = d.Out, d.Out
+	return c.Run()
+}
+
 func (d *Demo) stopAll() {
 	for _, p := range d.processes {
 		p.Signal(syscall.SIGTERM)
