--- a/internal/program/instance/control_test.go
+++ b/internal/program/instance/control_test.go
@@ -81,11 +81,12 @@
 		t.Fatalf("request: %+v", r)
 	}
 	for _, i := range f.Instances {
-		_, story := fetch(t, "http://"+i.Listing.ControlAddress+"/v1/explain/"+r.ID, fleet.OperatorKey)
 		for _, event := range []string{`"id":2001`, `"id":2002`, `"id":2003`} {
-			if !strings.Contains(story, event) {
-				t.Errorf("explain at %s lacks %s: %s", i.Listing.Name, event, story)
-			}
+			// The entry instance records the end after the caller has the answer.
+			eventually(t, event+" in explain at "+i.Listing.Name, func() bool {
+				_, story := fetch(t, "http://"+i.Listing.ControlAddress+"/v1/explain/"+r.ID, fleet.OperatorKey)
+				return strings.Contains(story, event)
+			})
 		}
 	}
 }
