Record refusals in the ledger

Cause: a request that was refused with ledgerFull left no record, so that a delayed copy of it ran once there was room, after its caller was told notRun. A request that read the clock before the expiry of its ticket could also start after another one was told that the ticket had expired.

Change: the ledger keeps refusals of tickets without a record until they expire, bounded as a whole and for each organisation; without room the outcome is unknown. The ledger's time never goes back.

--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -24,7 +24,10 @@
 	// organisationPart is the divisor that gives the most records of one
 	// organisation, so that one organisation cannot fill the ledger.
 	organisationPart = 4
-	sweepInterval    = 10 * time.Second
+	// DefaultBars bounds the refusals that are kept for tickets without a
+	// record. They take about 9 MiB.
+	DefaultBars   = 1 << 16
+	sweepInterval = 10 * time.Second
 )
 
 // Answer is an answer of a backend server.
@@ -99,19 +102,26 @@
 
 // Ledger holds one record for each used ticket. It is safe for concurrent use.
 type Ledger struct {
-	// MaxRecords and MaxAnswerBytes are set before the first Begin.
+	// MaxRecords, MaxAnswerBytes and MaxBars are set before the first Begin.
 	MaxRecords     int
 	MaxAnswerBytes int
+	MaxBars        int
 
 	mu      sync.Mutex
 	records map[uint64]*record
 	// perOrganisation counts the records of each organisation.
 	perOrganisation map[string]int
+	// bars has the refusals of tickets without a record, until they expire;
+	// barsOf counts those of each organisation.
+	bars   map[uint64]bar
+	barsOf map[string]int
 	// stored has the records with a kept answer, the oldest first; storedBytes
 	// is the sum of their sizes.
 	stored      []uint64
 	storedBytes int
-	swept       time.Duration
+	// now is the latest time that the ledger has seen.
+	now   time.Duration
+	swept time.Duration
 	// floor is above the sequence of every dropped record that had run or may
 	// have run.
 	floor  uint64
@@ -120,8 +130,8 @@
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{MaxRecords: DefaultRecords, MaxAnswerBytes: DefaultAnswerBytes,
-		records: map[uint64]*record{}, perOrganisation: map[string]int{}}
+	return &Ledger{MaxRecords: DefaultRecords, MaxAnswerBytes: DefaultAnswerBytes, MaxBars: DefaultBars,
+		records: map[uint64]*record{}, perOrganisation: map[string]int{}, bars: map[uint64]bar{}, barsOf: map[string]int{}}
 }
 
 // Begin returns the run of a request. If fresh is true, the caller must start
@@ -129,7 +139,7 @@
 func (l *Ledger) Begin(now time.Duration, e Entry) (run *Run, fresh bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sweep(now)
+	now = l.advance(now)
 	refuse := func(reason tamarackrun.Reason) (*Run, bool) { return settled(tamarackrun.Refused(reason), nil), false }
 	if now >= e.Expiry+KeepAfterExpiry {
 		return settled(tamarackrun.Uncertain(tamarackrun.RecordDropped), nil), false
@@ -150,10 +160,13 @@
 		return refuse(tamarackrun.TicketExpired)
 	case l.closed:
 		return refuse(tamarackrun.TicketSealed)
+	case r == nil && e.Try <= l.bars[e.Sequence].try:
+		return refuse(l.bars[e.Sequence].reason)
 	case r == nil && (len(l.records) >= l.MaxRecords || l.perOrganisation[e.Organisation] >= max(1, l.MaxRecords/organisationPart)):
-		return refuse(tamarackrun.LedgerFull)
+		return settled(l.bar(e, tamarackrun.LedgerFull), nil), false
 	}
 	if r == nil {
+		l.dropBar(e.Sequence)
 		r = &record{entry: e}
 		l.records[e.Sequence] = r
 		l.perOrganisation[e.Organisation]++
@@ -214,6 +227,15 @@
 	return r.run
 }
 
+// advance returns the time at which a request is judged. A caller that was
+// held up after it read the clock must not start a ticket that the ledger has
+// called expired.
+func (l *Ledger) advance(now time.Duration) time.Duration {
+	l.now = max(l.now, now)
+	l.sweep(l.now)
+	return l.now
+}
+
 // sweep drops records that are no longer needed. A record NotRun is not needed
 // after the expiry, since the ticket then answers TicketExpired.
 func (l *Ledger) sweep(now time.Duration) {
@@ -221,6 +243,11 @@
 		return
 	}
 	l.swept = now
+	for sequence, b := range l.bars {
+		if now >= b.expiry {
+			l.dropBar(sequence)
+		}
+	}
 	for sequence, r := range l.records {
 		running := r.running()
 		notRun := !running && r.run.outcome.Kind == tamarackrun.NotRun
