Make refusals by entry instances true of the order

Cause: refusals that an entry instance decided before it asked the ledger (keyWithdrawn, routeForbidden, routeUnknown, keyInBody, bodyTooLarge and others) said notRun although an earlier request with the same ticket may have run. A caller that placed the order again under a new ticket ran it twice.

Change: such refusals are settled by the own ledger, which also bars delayed copies, or by a sealed ledger in memory; else the outcome is unknown with the reason of the refusal. A ticket on a route that became idempotent is still run at most once. Orders do not start while all keys of the organisation are withdrawn; issuer and home check this again.

--- a/internal/program/instance/orders.go
+++ b/internal/program/instance/orders.go
@@ -139,31 +139,22 @@
 		return tamarackrun.Refused(tamarackrun.TicketRequired)
 	}
 	t, ok := ticket.Parse(text)
-	if !ok || !matches(t, request) {
+	if !ok || t.Organisation != request.Organisation {
+		// Nothing of this organisation ran under the ticket.
 		return tamarackrun.Refused(tamarackrun.TicketInvalid)
 	}
-	try := uint64(1)
-	if text := r.Header.Get(caller.TryHeader); text != "" {
-		n, err := strconv.ParseUint(text, 10, 32)
-		if err != nil {
-			return tamarackrun.Refused(tamarackrun.Malformed)
-		}
-		try = n
+	if t.Route != request.Route {
+		// The path may have been the ticket's route when the order ran.
+		return o.refused(r, request.ID, tamarackrun.Refused(tamarackrun.TicketInvalid))
 	}
-	if t.Incarnation == o.in.incarnation {
-		return o.execute(r.Context(), text, uint32(try), request, answer)
+	try, ok := tryOf(r)
+	if !ok {
+		return o.refused(r, request.ID, tamarackrun.Refused(tamarackrun.Malformed))
 	}
-	return o.forward(r.Context(), t, text, uint32(try), request, answer)
-}
-
-// withoutLedger is the outcome of a request that an entry instance refuses
-// before it asked the issuer. An earlier request with the same ticket may have
-// run, so that only the issuer may say notRun.
-func withoutLedger(r *http.Request, reason tamarackrun.Reason) tamarackrun.Outcome {
-	if r.Header.Get(caller.TicketHeader) != "" {
-		return tamarackrun.Uncertain(reason)
+	if t.Incarnation == o.in.incarnation {
+		return o.execute(r.Context(), text, try, request, answer)
 	}
-	return tamarackrun.Refused(reason)
+	return o.forward(r.Context(), t, text, try, request, answer)
 }
 
 func matches(t ticket.Ticket, request tamarackrun.Request) bool {
@@ -243,7 +234,7 @@
 
 func (o *orders) executeForPeer(ctx context.Context, e *wire.Execute, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
 	if e.Request == nil {
-		return tamarackrun.Refused(tamarackrun.Malformed)
+		return tamarackrun.Uncertain(tamarackrun.Malformed)
 	}
 	request := frame.ToRequest(e.Request, o.in.clock.Now())
 	request.Idempotent = false
@@ -320,6 +311,9 @@
 	if o.in.clock.Now() >= request.Deadline {
 		return tamarackrun.Refused(tamarackrun.DeadlinePassed)
 	}
+	if allWithdrawn(c, request.Organisation) {
+		return tamarackrun.Refused(tamarackrun.KeyWithdrawn)
+	}
 	if request.Organisation != "" {
 		var outcome tamarackrun.Outcome
 		if request.Admitted, outcome = o.in.rates.admit(ctx, request.Organisation, request.Deadline); outcome != tamarackrun.Done {
@@ -513,6 +507,9 @@
 		return tamarackrun.Refused(tamarackrun.CallerCancelled)
 	case o.in.clock.Now() >= request.Deadline:
 		return tamarackrun.Refused(tamarackrun.DeadlinePassed)
+	case allWithdrawn(o.in.snapshot.Load(), request.Organisation):
+		// The key may have been withdrawn while the order waited for its slot.
+		return tamarackrun.Refused(tamarackrun.KeyWithdrawn)
 	}
 	if outcome := o.attempts.Begin(request.Attempt, o.in.clock.Now()); outcome != tamarackrun.Done {
 		return outcome
--- a/internal/program/instance/orders_test.go
+++ b/internal/program/instance/orders_test.go
@@ -36,6 +36,8 @@
 	c      *caller.Caller
 	ticket string
 	body   string
+	// unused are further tickets of the same issuer.
+	unused []string
 }
 
 func newLine(t *testing.T, f *fleet.Fleet, issuer int, body string) *line {
--- a/internal/program/instance/steering.go
+++ b/internal/program/instance/steering.go
@@ -8,6 +8,7 @@
 	"tamarackrun"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/state/configuration"
+	"tamarackrun/internal/transport/caller"
 )
 
 // Steer runs one request of a caller.
@@ -28,30 +29,20 @@
 
 func (in *Instance) steer(r *http.Request, id string, body []byte, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
 	c := in.snapshot.Load()
-	if c == nil {
-		return withoutLedger(r, tamarackrun.NotReady)
-	}
-	route, found, known := c.RouteOf(r.Method, r.URL.Path)
-	if !found {
-		if known {
-			return tamarackrun.Refused(tamarackrun.MethodForbidden)
-		}
-		return tamarackrun.Refused(tamarackrun.RouteUnknown)
-	}
-	organisation, outcome := in.authenticate(c, route, r)
+	route, organisation, outcome := in.check(c, r, body)
 	if outcome != tamarackrun.Done {
-		return outcome
-	}
-	if keyInBody(r, body) {
-		return tamarackrun.Refused(tamarackrun.KeyInBody)
+		return in.orders.refused(r, id, outcome)
 	}
+	// A ticket promises that the order runs at most once, also if its route has
+	// become idempotent since.
+	ordered := !route.Idempotent || r.Header.Get(caller.TicketHeader) != ""
 	request := tamarackrun.Request{
 		ID: id, Organisation: organisation, Route: route.Name, Service: route.Service,
 		OriginRegion: in.originRegion(c, r), Method: r.Method, Target: r.URL.RequestURI(),
-		Header: forwardedHeader(r.Header, route), Body: body, Idempotent: route.Idempotent,
+		Header: forwardedHeader(r.Header, route), Body: body, Idempotent: !ordered,
 		Deadline: in.clock.Now() + in.timeout(r, route),
 	}
-	if !route.Idempotent {
+	if ordered {
 		return in.orders.accept(r, request, answer)
 	}
 	if organisation != "" {
@@ -63,6 +54,29 @@
 	return in.attempt(r.Context(), c, route, request, answer)
 }
 
+// check decides whether the request may be steered. Its refusals concern this
+// request only; orders.refused makes them true of the ticket.
+func (in *Instance) check(c *configuration.Snapshot, r *http.Request, body []byte) (configuration.Route, string, tamarackrun.Outcome) {
+	refuse := func(reason tamarackrun.Reason) (configuration.Route, string, tamarackrun.Outcome) {
+		return configuration.Route{}, "", tamarackrun.Refused(reason)
+	}
+	if c == nil {
+		return refuse(tamarackrun.NotReady)
+	}
+	route, found, known := c.RouteOf(r.Method, r.URL.Path)
+	switch {
+	case !found && known:
+		return refuse(tamarackrun.MethodForbidden)
+	case !found:
+		return refuse(tamarackrun.RouteUnknown)
+	}
+	organisation, outcome := in.authenticate(c, route, r)
+	if outcome == tamarackrun.Done && keyInBody(r, body) {
+		return refuse(tamarackrun.KeyInBody)
+	}
+	return route, organisation, outcome
+}
+
 // timeout is the route's, or the caller's if that is shorter.
 func (in *Instance) timeout(r *http.Request, route configuration.Route) time.Duration {
 	millis, err := strconv.Atoi(r.Header.Get("Tamarackrun-Timeout-Ms"))
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -46,6 +46,7 @@
 	LedgerSealed          tamarackrun.EventID = 2106
 	LedgerReceived        tamarackrun.EventID = 2107
 	LedgerNotStored       tamarackrun.EventID = 2108
+	RefusalSettled        tamarackrun.EventID = 2110
 	ShareChanged          tamarackrun.EventID = 2301
 	TermLost              tamarackrun.EventID = 2302
 	TermReturned          tamarackrun.EventID = 2303
@@ -105,6 +106,7 @@
 	{LedgerSealed, "ledgerSealed", "info", "the instance starts no more orders; peers and the platform got the outcomes"},
 	{LedgerReceived, "ledgerReceived", "info", "the instance can answer for the tickets of a stopped instance"},
 	{LedgerNotStored, "ledgerNotStored", "warn", "the platform did not take a sealed ledger"},
+	{RefusalSettled, "refusalSettled", "info", "an entry instance refused a request with a ticket; the outcome says what is known of the order"},
 	{ShareChanged, "shareChanged", "info", "the instance's part of an organisation's rate changed, in billionths"},
 	{TermLost, "termLost", "warn", "another instance reclaimed this instance's shares; it starts a new term"},
 	{TermReturned, "termReturned", "info", "the instance gave up the shares of a term"},
--- a/internal/transport/caller/caller.go
+++ b/internal/transport/caller/caller.go
@@ -51,6 +51,8 @@
 // tamarackrun.Dispatcher.
 type Steerer interface {
 	Steer(r *http.Request, id string, body []byte, answer tamarackrun.AnswerWriter) tamarackrun.Outcome
+	// Refused returns the outcome of a request that is refused before Steer.
+	Refused(r *http.Request, id string, reason tamarackrun.Reason) tamarackrun.Outcome
 }
 
 // Server is the callers' port.
@@ -95,7 +97,7 @@
 		WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.RouteUnknown))
 	})
 	mux.HandleFunc("/", s.steer)
-	s.server.Handler = s.closing(refuseUnclean(mux))
+	s.server.Handler = s.closing(s.refuseUnclean(mux))
 	err := s.server.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -119,14 +121,15 @@
 // refuseUnclean refuses paths such as /a//b or /a/../b. The mux would answer
 // them with a redirect, after which a POST becomes a GET in many clients, and a
 // backend server may read such a path as another route's.
-func refuseUnclean(next http.Handler) http.Handler {
+func (s *Server) refuseUnclean(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		clean := path.Clean(r.URL.Path)
 		if clean != "/" && strings.HasSuffix(r.URL.Path, "/") {
 			clean += "/"
 		}
 		if !strings.HasPrefix(r.RequestURI, "/") || clean != r.URL.Path {
-			WriteOutcome(w, "", tamarackrun.Refused(tamarackrun.Malformed))
+			id := rand.Text()
+			WriteOutcome(w, id, s.Steerer.Refused(r, id, tamarackrun.Malformed))
 			return
 		}
 		next.ServeHTTP(w, r)
@@ -137,7 +140,7 @@
 	id := rand.Text()
 	body, refusal := readBody(w, r)
 	if refusal != "" {
-		WriteOutcome(w, id, tamarackrun.Refused(refusal))
+		WriteOutcome(w, id, s.Steerer.Refused(r, id, refusal))
 		return
 	}
 	answer := &answerWriter{w: w, id: id, timeout: s.PieceTimeout}
--- a/internal/transport/caller/caller_test.go
+++ b/internal/transport/caller/caller_test.go
@@ -27,6 +27,10 @@
 	return f.steer(answer)
 }
 
+func (f *fakeSteerer) Refused(_ *http.Request, _ string, reason tamarackrun.Reason) tamarackrun.Outcome {
+	return tamarackrun.Refused(reason)
+}
+
 func wholeAnswer(answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
 	_ = answer.Head(http.StatusOK, http.Header{"Content-Length": {"5"}})
 	_ = answer.Body([]byte("whole"))
