Bound the age of messages that start orders

Cause: an Execute or Dispatch that lay in the buffer of a paused instance got its full remaining time on waking, so that an order could start long after its caller gave up. A request could also be checked against an old configuration with the proof of freshness of a newer one, both read after a pause.

Change: messages carry the sender's incarnation and clock, heartbeats the clock. The receiver subtracts the message's age, which the latest heartbeat bounds from above. Orders of a sender that is not known by heartbeat do not start. The check of a request is repeated if the configuration changed meanwhile.

--- a/internal/program/instance/attempt.go
+++ b/internal/program/instance/attempt.go
@@ -221,7 +221,7 @@
 		return tamarackrun.Refused(tamarackrun.HomeUnreachable)
 	}
 	defer func() { _ = stream.Close() }()
-	message := &wire.Envelope{Kind: &wire.Envelope_Dispatch{Dispatch: frame.FromRequest(request, in.clock.Now())}}
+	message := &wire.Envelope{Kind: &wire.Envelope_Dispatch{Dispatch: in.toMessage(request)}}
 	if stream.Send(message) != nil {
 		return tamarackrun.Uncertain(tamarackrun.HomeLost)
 	}
--- a/internal/program/instance/homes_dispatch.go
+++ b/internal/program/instance/homes_dispatch.go
@@ -21,8 +21,12 @@
 func (in *Instance) serveDispatch(ctx context.Context, message *wire.Dispatch, stream tamarackrun.Stream) {
 	in.homes.running.Add(1)
 	defer in.homes.running.Add(-1)
-	request := frame.ToRequest(message, in.clock.Now())
 	sender := frame.NewSender(stream)
+	request, known := in.fromMessage(message)
+	if !known && !request.Idempotent {
+		_ = sender.Finish(tamarackrun.Refused(tamarackrun.HomeUnreachable))
+		return
+	}
 	_ = sender.Finish(in.homes.Dispatch(ctx, request, sender))
 }
 
--- a/internal/program/instance/instance.go
+++ b/internal/program/instance/instance.go
@@ -265,7 +265,7 @@
 		FailureDomain: in.Settings.FailureDomain, Phase: in.phase(), Servers: in.homes.loads(),
 		ConfigurationVersion: uint64(in.version()), ProofAgeMillis: in.proofs.ageMillis(), CutOff: in.proofs.refuses(),
 		CallerAddress: in.Settings.CallerAddress, PeerAddress: in.Settings.PeerAddress,
-		ControlAddress: in.Settings.ControlAddress}
+		ControlAddress: in.Settings.ControlAddress, ClockMillis: clockMillis(in.clock.Now())}
 	return state
 }
 
--- a/internal/program/instance/orders.go
+++ b/internal/program/instance/orders.go
@@ -168,8 +168,7 @@
 	if s, ok := o.sealed.get(t.Incarnation); ok {
 		return s.answer(text, request, answer)
 	}
-	name, _ := splitIncarnation(t.Incarnation)
-	member, listed := o.in.roster.Member(name)
+	member, listed := o.in.roster.Member(nameOf(t.Incarnation))
 	gone := !listed || member.Reachable && member.State.GetIncarnation() != t.Incarnation
 	if !gone && member.Reachable {
 		return o.forwardTo(ctx, member.Listing.PeerAddress, text, try, request, answer)
@@ -185,13 +184,9 @@
 	return tamarackrun.Uncertain(tamarackrun.IssuerLost)
 }
 
-// splitIncarnation returns the name of the instance and its random part.
-func splitIncarnation(incarnation string) (name, run string) {
-	i := strings.LastIndexByte(incarnation, '-')
-	if i < 0 {
-		return "", incarnation
-	}
-	return incarnation[:i], incarnation[i+1:]
+// nameOf returns the name of the instance that an incarnation is a run of.
+func nameOf(incarnation string) string {
+	return incarnation[:max(0, strings.LastIndexByte(incarnation, '-'))]
 }
 
 func (o *orders) forwardTo(ctx context.Context, address, text string, try uint32, request tamarackrun.Request, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
@@ -204,7 +199,7 @@
 	defer func() { _ = stream.Close() }()
 	o.in.history.Record(event.OrderForwarded, request.ID, "address", address)
 	message := &wire.Envelope{Kind: &wire.Envelope_Execute{Execute: &wire.Execute{
-		Ticket: text, Try: try, Request: frame.FromRequest(request, o.in.clock.Now())}}}
+		Ticket: text, Try: try, Request: o.in.toMessage(request)}}}
 	if stream.Send(message) != nil {
 		return tamarackrun.Uncertain(tamarackrun.IssuerLost)
 	}
@@ -236,7 +231,10 @@
 	if e.Request == nil {
 		return tamarackrun.Uncertain(tamarackrun.Malformed)
 	}
-	request := frame.ToRequest(e.Request, o.in.clock.Now())
+	request, known := o.in.fromMessage(e.Request)
+	if !known {
+		return tamarackrun.Uncertain(tamarackrun.IssuerLost)
+	}
 	request.Idempotent = false
 	t, ok := ticket.Parse(e.Ticket)
 	switch {
@@ -418,7 +416,7 @@
 		return tamarackrun.Refused(tamarackrun.HomeUnreachable), false
 	}
 	defer func() { _ = stream.Close() }()
-	message := &wire.Envelope{Kind: &wire.Envelope_Dispatch{Dispatch: frame.FromRequest(request, o.in.clock.Now())}}
+	message := &wire.Envelope{Kind: &wire.Envelope_Dispatch{Dispatch: o.in.toMessage(request)}}
 	if stream.Send(message) != nil {
 		// A part of the message may have been sent, or all of it.
 		return tamarackrun.Uncertain(tamarackrun.HomeLost), true
--- a/internal/program/instance/orders_test.go
+++ b/internal/program/instance/orders_test.go
@@ -486,3 +486,45 @@
 		s.t.Errorf("only %d of %d orders ran", ran, len(s.last))
 	}
 }
+
+// An order whose message lay in the buffer of a paused home or issuer must not
+// start after its caller's deadline. With the full remaining time on waking it
+// started after a pause of any length.
+func TestOldMessagesStartNothing(t *testing.T) {
+	t.Parallel()
+	for _, v := range []struct {
+		name   string
+		victim int
+	}{{"home", 0}, {"issuer", 1}} {
+		t.Run(v.name, func(t *testing.T) {
+			t.Parallel()
+			f := orderFleet(t, "1s")
+			const orders = 10
+			var lines []*line
+			results := make(chan caller.Result, orders)
+			for n := range orders {
+				lines = append(lines, newLine(t, f, 1, fmt.Sprintf("order-%d", n)))
+			}
+			f.Instances[v.victim].Pause()
+			for _, l := range lines {
+				go func() { results <- l.send(t.Context(), 2) }()
+			}
+			for range lines {
+				if r := <-results; r.Outcome == "ran" {
+					t.Errorf("ran while an instance was paused: %+v", r)
+				}
+			}
+			f.Instances[v.victim].Resume()
+			// Without remaining time the repeats start nothing themselves.
+			expired := shaped{header: http.Header{"Tamarackrun-Timeout-Ms": {"0"}}}
+			for _, l := range lines {
+				var r caller.Result
+				await(t, "settled outcome", func() bool {
+					r = expired.send(l, 2, l.ticket)
+					return r.Outcome == "ran" || r.Outcome == "notRun"
+				})
+				l.expect(r, "notRun", r.Reason, 0)
+			}
+		})
+	}
+}
--- a/internal/program/instance/steering.go
+++ b/internal/program/instance/steering.go
@@ -30,6 +30,12 @@
 func (in *Instance) steer(r *http.Request, id string, body []byte, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
 	c := in.snapshot.Load()
 	route, organisation, outcome := in.check(c, r, body)
+	// The proof of freshness that the check used may be of a newer version, as
+	// after a pause of the process.
+	for now := in.snapshot.Load(); now != c; now = in.snapshot.Load() {
+		c = now
+		route, organisation, outcome = in.check(c, r, body)
+	}
 	if outcome != tamarackrun.Done {
 		return in.orders.refused(r, id, outcome)
 	}
