Model refusals by entry instances

Cause: the model began at the ledger and had no copy that is refused before it.

Change: a copy may be refused by the issuer without a run. EARLY_REFUSAL (notRun without the ledger) and NO_BAR (the refusal is not recorded) are refuted.

--- a/spec/ticket.pml
+++ b/spec/ticket.pml
@@ -15,7 +15,9 @@
    NO_INCARNATION  a restarted home answers for its predecessor
    RERUN_UNKNOWN   an unknown outcome may run again
    NO_TRY          a delayed copy may run after an answer notRun
-   LATE_CLOSE      the ledger is sealed while it still starts requests */
+   LATE_CLOSE      the ledger is sealed while it still starts requests
+   EARLY_REFUSAL   an entry instance says notRun without asking the ledger
+   NO_BAR          the issuer's refusal of an unused ticket is not recorded */
 
 /* Two copies and two attempts show every variant; three of each are too many
    for a check of seconds. */
@@ -40,6 +42,7 @@
 bool sealed = false;
 byte record = NONE;
 byte recordTry = 0;
+byte barredTry = 0;	/* the highest try refused while there was no record */
 byte runs = 0;
 byte outcomeOf[COPIES];	/* by run */
 byte doubtful = ATTEMPTS;	/* the attempt behind an unknown outcome */
@@ -71,8 +74,29 @@
 	bool fresh = false;
 	atomic { t = denied + 1 }
 	if
+	/* The instance refuses the copy before the ledger, for instance because
+	   its key was withdrawn, and ends the request. */
+#ifdef EARLY_REFUSAL
+	:: atomic { deny(t); goto end }
+#else
+	:: atomic { alive ->	/* the issuer itself */
+		if
+		:: record == NONE || record == NOTRUN ->
+#ifndef NO_BAR
+			if
+			:: record == NONE && t > barredTry -> barredTry = t
+			:: record != NONE && t > recordTry -> recordTry = t
+			:: else
+			fi;
+#endif
+			deny(t)
+		:: else	/* unknown, with the reason of the refusal */
+		fi;
+		goto end }
+#endif
 	:: atomic { alive ->
 		if
+		:: record == NONE && t <= barredTry -> deny(t); goto end
 		:: record == RUNNING -> turn = runs - 1
 		:: record == RAN -> goto end
 		:: record == UNKNOWN ->
--- a/spec/ticket.sh
+++ b/spec/ticket.sh
@@ -24,6 +24,6 @@
 }
 
 check 0
-for variant in NO_MARK SPLIT NO_INCARNATION RERUN_UNKNOWN NO_TRY LATE_CLOSE; do
+for variant in NO_MARK SPLIT NO_INCARNATION RERUN_UNKNOWN NO_TRY LATE_CLOSE EARLY_REFUSAL NO_BAR; do
 	check 1 "$variant"
 done
