--- a/internal/program/instance/orders_test.go
+++ b/internal/program/instance/orders_test.go
@@ -356,6 +356,9 @@
 			}
 			lost.expect(lost.send(t.Context(), n), "unknown", "answerLost", 1)
 			unused.expect(unused.send(t.Context(), n), "notRun", "ticketSealed", 0)
+			refused := shaped{target: "/order//a"}
+			ran.expect(refused.send(ran, n, ran.ticket), "unknown", "malformed", 1)
+			unused.expect(refused.send(unused, n, unused.ticket), "notRun", "malformed", 0)
 			other := *ran
 			other.body = "other"
 			other.expect(other.send(t.Context(), n), "notRun", "ticketReused", 0)
