--- /dev/null
+++ b/internal/coordination/rate/skew_test.go
@@ -0,0 +1,145 @@
+package rate
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const tick = 5 * time.Millisecond
+
+// skew is a run in virtual time with all demand on one of the holders.
+type skew struct {
+	limit     Limit
+	roundTrip time.Duration
+	// at and killed say when the demand moves and whether the former entry
+	// instance dies then.
+	at     time.Duration
+	killed bool
+
+	now      time.Duration
+	random   *rand.Rand
+	nodes    []*node
+	due      map[time.Duration][]func()
+	messages int
+}
+
+type node struct {
+	*Bucket
+	dead               bool
+	waiting            []time.Duration
+	nextRound, backoff time.Duration
+	open               map[[2]uint64]bool
+}
+
+func (s *skew) send(run func()) {
+	at := (s.now + s.roundTrip/2 + tick).Truncate(tick)
+	s.due[at] = append(s.due[at], run)
+}
+
+// ask is one exchange; like the product, one is open at a time for the same
+// lender and loan.
+func (s *skew) ask(from, to int, ask Ask) {
+	a, b, key := s.nodes[from], s.nodes[to], [2]uint64{uint64(to), ask.ID}
+	if a.open[key] || b.dead {
+		return
+	}
+	a.open[key] = true
+	s.messages++
+	requested := s.now
+	s.send(func() {
+		l := b.Lend(s.now, ask, s.random.Uint64())
+		s.send(func() {
+			delete(a.open, key)
+			if a.Accept(s.now, requested, name(to), ask, l) {
+				a.backoff = 20 * time.Millisecond
+				a.nextRound = min(a.nextRound, requested+a.backoff)
+			}
+		})
+	})
+}
+
+func name(n int) string { return string(rune('a' + n)) }
+
+func (s *skew) borrow(i int) {
+	n := s.nodes[i]
+	want := n.Want(s.now, len(n.waiting))
+	if want.Part == 0 && want.Tokens == 0 || s.now < n.nextRound {
+		return
+	}
+	n.backoff = min(max(2*n.backoff, 20*time.Millisecond), 200*time.Millisecond)
+	n.nextRound = s.now + n.backoff
+	for other := range s.nodes {
+		if other != i {
+			s.ask(i, other, want.Split(len(s.nodes)-1))
+		}
+	}
+}
+
+func (s *skew) change(i int, list []Change) {
+	for _, c := range list {
+		s.ask(i, int(c.Lender[0]-'a'), c.Ask)
+	}
+}
+
+// run returns the share of refused requests and the exchanges per second.
+func (s *skew) run(perSecond float64, duration time.Duration) (refused, exchanges float64) {
+	const instances, warmUp, waitLimit = 7, 5 * time.Second, 300 * time.Millisecond
+	s.random, s.due = rand.New(rand.NewPCG(2310, 1)), map[time.Duration][]func(){}
+	for _, b := range holders(instances, s.limit) {
+		s.nodes = append(s.nodes, &node{Bucket: b, open: map[[2]uint64]bool{}})
+	}
+	next, sent, lost := warmUp, 0, 0
+	for s.now = warmUp; s.now < warmUp+duration; s.now += tick {
+		for _, run := range s.due[s.now] {
+			run()
+		}
+		delete(s.due, s.now)
+		entry := 0
+		if s.now >= warmUp+s.at {
+			entry, s.nodes[0].dead = 1, s.killed
+		}
+		for ; next <= s.now; next += time.Duration(s.random.ExpFloat64() / perSecond * float64(time.Second)) {
+			sent++
+			s.nodes[entry].Arrive(s.now)
+			s.nodes[entry].waiting = append(s.nodes[entry].waiting, s.now)
+		}
+		for i, n := range s.nodes {
+			for len(n.waiting) > 0 && !n.dead && n.Take(s.now) {
+				n.waiting = n.waiting[1:]
+			}
+			for len(n.waiting) > 0 && s.now-n.waiting[0] >= waitLimit {
+				n.waiting, lost = n.waiting[1:], lost+1
+			}
+			if n.dead {
+				continue
+			}
+			if s.now%(100*time.Millisecond) == 0 {
+				s.change(i, n.Extensions(s.now))
+				s.change(i, n.Returns(s.now))
+			}
+			if len(n.waiting) > 0 || s.now%(100*time.Millisecond) == 0 {
+				s.borrow(i)
+			}
+		}
+	}
+	return 100 * float64(lost) / float64(sent), float64(s.messages) / duration.Seconds()
+}
+
+// Guards against requests that are refused inside the rate when the demand
+// moves and when the borrower dies.
+func TestSkewedDemandIsServed(t *testing.T) {
+	for _, limit := range []Limit{{Rate: 200, Burst: 100}, {Rate: 20, Burst: 5}} {
+		for _, roundTrip := range []time.Duration{0, 110 * time.Millisecond} {
+			for _, c := range []struct {
+				name   string
+				at     time.Duration
+				killed bool
+			}{{"none", time.Hour, false}, {"moved", 5 * time.Second, false}, {"killed", 5 * time.Second, true}} {
+				s := &skew{limit: limit, roundTrip: roundTrip, at: c.at, killed: c.killed}
+				refused, exchanges := s.run(0.8*limit.Rate, 15*time.Second)
+				t.Logf("rate %g, round trip %v, %s: %.2f%% refused, %.1f exchanges/s", limit.Rate, roundTrip, c.name, refused, exchanges)
+			}
+		}
+	}
+}
