Lend for 2 s instead of 5 s

The loans of a killed borrower come back only at the end of their term, and a call back cannot be confirmed by a dead process. With 2 s and an extension 1 s before the end, two tries of 500 ms fit even at 110 ms round trip. Lenders still grant 5 s to instances of the former version. The test of a pause counts the lender's hold from the constants instead of a literal of the same value.

--- a/internal/coordination/rate/bucket_test.go
+++ b/internal/coordination/rate/bucket_test.go
@@ -107,7 +107,7 @@
 		t.Errorf("tokens after a pause (-want +got):\n%s", diff)
 	}
 	lender := 0
-	for list[1].Take(7151 * time.Millisecond) {
+	for list[1].Take(2*time.Second + hold(Term) + time.Millisecond) {
 		lender++
 	}
 	if diff := cmp.Diff(0, lender); diff != "" {
--- a/internal/coordination/rate/loan.go
+++ b/internal/coordination/rate/loan.go
@@ -3,8 +3,14 @@
 import "time"
 
 const (
-	// Term is the duration of a loan for its receiver, from its request.
-	Term = 5 * time.Second
+	// Term is the duration of a loan for its receiver, from its request. The
+	// parts of a killed borrower return to their lenders only at its end. In
+	// 2 s an extension can be tried twice with a round trip of 110 ms between
+	// regions, each within acceptLimit.
+	Term = 2 * time.Second
+	// longestTerm is the longest that a lender grants. Instances of the
+	// version before ask for 5 s.
+	longestTerm = 5 * time.Second
 	// acceptLimit is how long after its request a receiver accepts a loan.
 	acceptLimit = 500 * time.Millisecond
 	// driftPercent and holdMargin lengthen the term for the lender, so that
@@ -30,7 +36,7 @@
 	lookahead = 150 * time.Millisecond
 	// extendBefore is the remaining time at which a borrower asks for an
 	// extension; it leaves time for a second attempt.
-	extendBefore = 2 * time.Second
+	extendBefore = time.Second
 )
 
 // Ask is what a borrower wants of one lender.
@@ -68,7 +74,7 @@
 		return b.extend(ask)
 	}
 	part := min(b.partOf(ask), b.lendable(hold(ask.Term))-b.kept())
-	if b.closed || part < smallest || ask.Term <= 0 || ask.Term > Term {
+	if b.closed || part < smallest || ask.Term <= 0 || ask.Term > longestTerm {
 		return Loan{}
 	}
 	tokens := min(b.tokens, b.limit.Burst*float64(part)/float64(Whole))
@@ -108,7 +114,7 @@
 	free := b.lendable(hold(ask.Term))
 	for i := range b.lent {
 		if l := &b.lent[i]; l.id == ask.ID {
-			if b.closed || free < b.kept() || free < 0 || ask.Term > Term {
+			if b.closed || free < b.kept() || free < 0 || ask.Term > longestTerm {
 				return Loan{}
 			}
 			l.until = max(l.until, b.last+hold(ask.Term))
