Return unused loans as soon as others ask

Lenders had lent everything and did not know to whom.

Loans now name their borrower. A lender that grants less than asked tells its borrowers (Borrow with recall set, at most every 250 ms), and for 500 ms a told borrower looks every 20 ms for what its present demand does not need. The present demand falls as soon as the gap since the last request is longer than arrivals explain. A recall frees nothing by itself, so the bound does not depend on it; TestBoundHolds now sends recalls and requires that they happened.

--- a/internal/coordination/rate/bound_test.go
+++ b/internal/coordination/rate/bound_test.go
@@ -52,7 +52,7 @@
 		total["admitted"] += len(s.admissions)
 	})
 	t.Log(total)
-	for _, name := range []string{"admitted", "refused", "loan", "lateLoan", "return", "freeze", "lostAnswer", "lateWrite",
+	for _, name := range []string{"admitted", "refused", "loan", "lateLoan", "return", "recall", "freeze", "lostAnswer", "lateWrite",
 		"conflict", "heldTooLong", "handBack", "TR2301", "TR2302", "TR2303", "TR2304"} {
 		if total[name] == 0 {
 			t.Errorf("the runs never had %s, so they did not test it", name)
--- a/internal/coordination/rate/bucket.go
+++ b/internal/coordination/rate/bucket.go
@@ -31,8 +31,8 @@
 	id    uint64
 	part  Fraction
 	until time.Duration
-	// lender is set on borrowed parts.
-	lender string
+	// peer is the lender of a borrowed part and the borrower of a lent one.
+	peer string
 }
 
 // Bucket is one instance's part of an organisation's token bucket. Its part is
@@ -57,6 +57,9 @@
 	// time at which the part changes.
 	last, next time.Duration
 	demand     demand
+	// wantedUntil is how long others are known to ask for parts, and recalled
+	// is when the borrowers of own parts were last told so.
+	wantedUntil, recalled time.Duration
 	// closed refuses new loans.
 	closed bool
 	// overlend leaves the lender's part as it is, so that tests can show that
--- a/internal/coordination/rate/demand.go
+++ b/internal/coordination/rate/demand.go
@@ -27,3 +27,12 @@
 	}
 	return d.perSecond * math.Exp(-(now-d.last).Seconds()/demandWindow.Seconds())
 }
+
+// current is the estimate for the present: it falls at once when no request
+// comes for longer than the gaps between requests explain. Gaps of Poisson
+// arrivals exceed twice their mean in 13% of cases and 4 times in 2%.
+func (d *demand) current(now time.Duration) float64 {
+	const usualGaps = 2
+	missed := d.perSecond * (now - d.last).Seconds()
+	return d.at(now) * min(1, math.Exp(usualGaps-missed))
+}
--- a/internal/coordination/rate/fleet_test.go
+++ b/internal/coordination/rate/fleet_test.go
@@ -415,6 +415,7 @@
 	delay := func() time.Duration { return time.Duration(s.random.ExpFloat64() * 0.08 * float64(time.Second)) }
 	lost := func() bool { return s.random.Float64() < 0.05 || s.now < a.cutUntil || s.now < lender.cutUntil }
 	requested := a.Now()
+	ask.Borrower = a.name
 	a.perhapsFreeze(0.0005)
 	if lost() {
 		return
@@ -423,6 +424,11 @@
 		now := lender.Now()
 		lender.perhapsFreeze(0.0005)
 		l := lender.pool.Bucket(organisation).Lend(now, ask, s.random.Uint64())
+		for _, peer := range lender.pool.Bucket(organisation).Recalls(lender.Now(), ask, l) {
+			if !lost() {
+				s.recall(peer, delay())
+			}
+		}
 		if l.ID == 0 || lost() {
 			return
 		}
@@ -438,6 +444,18 @@
 	})
 }
 
+// recall tells a borrower that others ask, and it returns what it can.
+func (s *simulation) recall(borrower string, delay time.Duration) {
+	for _, a := range s.actors {
+		if a.name == borrower && !a.dead {
+			s.after(a, delay, func() {
+				s.counts["recall"]++
+				a.pool.Bucket(organisation).Recall(a.Now())
+			})
+		}
+	}
+}
+
 // sumParts checks what the bound follows from: instances that are paused count,
 // because they may wake at any moment.
 func (s *simulation) sumParts() {
--- a/internal/coordination/rate/loan.go
+++ b/internal/coordination/rate/loan.go
@@ -1,6 +1,9 @@
 package rate
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// Term is the duration of a loan for its receiver, from its request. The
@@ -34,6 +37,11 @@
 	// lookahead is the demand that a borrower wants to have tokens for, about
 	// the round trip between two regions.
 	lookahead = 150 * time.Millisecond
+	// RecallTime is how long a borrower returns everything beyond its present
+	// demand after it was told that others ask, and recallSpacing is the least
+	// pause before a lender tells it again.
+	RecallTime    = 500 * time.Millisecond
+	recallSpacing = RecallTime / 2
 	// extendBefore is the remaining time at which a borrower asks for an
 	// extension; it leaves time for a second attempt.
 	extendBefore = time.Second
@@ -41,6 +49,8 @@
 
 // Ask is what a borrower wants of one lender.
 type Ask struct {
+	// Borrower is the instance that asks.
+	Borrower string
 	// ID is 0 for a new loan, else the loan to extend, or to return if Term is
 	// 0. Tokens are then returned with it.
 	ID   uint64
@@ -79,7 +89,7 @@
 	}
 	tokens := min(b.tokens, b.limit.Burst*float64(part)/float64(Whole))
 	b.tokens -= tokens
-	b.lent = append(b.lent, loan{id: id, part: part, until: b.last + hold(ask.Term)})
+	b.lent = append(b.lent, loan{id: id, part: part, until: b.last + hold(ask.Term), peer: ask.Borrower})
 	b.lentPart += part
 	b.update()
 	return Loan{ID: id, Part: part, Tokens: tokens}
@@ -100,7 +110,7 @@
 
 // kept is the part that the own demand needs.
 func (b *Bucket) kept() Fraction {
-	d := b.demand.at(b.last)
+	d := b.demand.current(b.last)
 	if d < quiet {
 		return 0
 	}
@@ -153,7 +163,7 @@
 	if ask.ID != 0 {
 		return b.prolong(l, until)
 	}
-	b.borrowed = append(b.borrowed, loan{id: l.ID, part: l.Part, until: until, lender: lender})
+	b.borrowed = append(b.borrowed, loan{id: l.ID, part: l.Part, until: until, peer: lender})
 	b.borrowedPart += l.Part
 	b.update()
 	// The lender may still apply a higher burst than this instance.
@@ -187,7 +197,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	d := b.demand.at(b.last)
+	d := b.demand.current(b.last)
 	ask := Ask{Term: Term}
 	if d < quiet && waiting == 0 || len(b.borrowed) >= maxLoans {
 		return ask
@@ -220,7 +230,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	need := Fraction(min(1, returnHeadroom*b.demand.at(b.last)/b.limit.Rate) * float64(Whole))
+	d := returnHeadroom * b.demand.at(b.last)
+	if b.last < b.wantedUntil {
+		d = headroom * b.demand.current(b.last)
+	}
+	need := Fraction(min(1, d/b.limit.Rate) * float64(Whole))
 	var list []Change
 	kept := b.borrowed[:0]
 	for _, l := range b.borrowed {
@@ -231,13 +245,45 @@
 		b.borrowedPart -= l.part
 		before := b.tokens
 		b.update()
-		list = append(list, Change{l.lender, Ask{ID: l.id, Tokens: before - b.tokens}})
+		list = append(list, Change{l.peer, Ask{ID: l.id, Tokens: before - b.tokens}})
 	}
 	b.borrowed = kept
 	b.update()
 	return list
 }
 
+// Recalls returns the instances to tell that another one asks for parts, after
+// a reply that granted less than it asked for. Telling them frees nothing by
+// itself: a part is lent again only after its borrower returned it or its loan
+// ended, so that a lost or ignored recall costs time but never the bound.
+func (b *Bucket) Recalls(now time.Duration, ask Ask, granted Loan) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	if ask.ID != 0 || granted.Part >= ask.Part || b.last-b.recalled < recallSpacing && b.recalled > 0 {
+		return nil
+	}
+	var peers []string
+	for _, l := range b.lent {
+		if l.peer != "" && l.peer != ask.Borrower && !slices.Contains(peers, l.peer) {
+			peers = append(peers, l.peer)
+		}
+	}
+	if len(peers) > 0 {
+		b.recalled = b.last
+	}
+	return peers
+}
+
+// Recall notes that others ask for parts, so that Returns gives up all that the
+// present demand does not need.
+func (b *Bucket) Recall(now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.wantedUntil = b.last + RecallTime
+}
+
 // Change is an extension or a return of a loan at its lender.
 type Change struct {
 	Lender string
@@ -249,7 +295,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	need := Fraction(min(1, headroom*b.demand.at(b.last)/b.limit.Rate) * float64(Whole))
+	need := Fraction(min(1, headroom*b.demand.current(b.last)/b.limit.Rate) * float64(Whole))
 	spare := b.part() - need
 	var list []Change
 	for _, l := range b.borrowed {
@@ -260,7 +306,7 @@
 			spare -= l.part
 			continue
 		}
-		list = append(list, Change{l.lender, Ask{ID: l.id, Part: l.part, Term: Term}})
+		list = append(list, Change{l.peer, Ask{ID: l.id, Part: l.part, Term: Term}})
 	}
 	return list
 }
--- a/internal/coordination/rate/skew_test.go
+++ b/internal/coordination/rate/skew_test.go
@@ -29,6 +29,7 @@
 	dead               bool
 	waiting            []time.Duration
 	nextRound, backoff time.Duration
+	recalledUntil      time.Duration
 	open               map[[2]uint64]bool
 }
 
@@ -47,8 +48,13 @@
 	a.open[key] = true
 	s.messages++
 	requested := s.now
+	ask.Borrower = name(from)
 	s.send(func() {
 		l := b.Lend(s.now, ask, s.random.Uint64())
+		for _, peer := range b.Recalls(s.now, ask, l) {
+			s.messages++
+			s.send(func() { s.recall(int(peer[0] - 'a')) })
+		}
 		s.send(func() {
 			delete(a.open, key)
 			if a.Accept(s.now, requested, name(to), ask, l) {
@@ -59,6 +65,16 @@
 	})
 }
 
+// recall tells a borrower that others ask; it looks for what to return until
+// the recall ends.
+func (s *skew) recall(i int) {
+	n := s.nodes[i]
+	if !n.dead {
+		n.Recall(s.now)
+		n.recalledUntil = s.now + RecallTime
+	}
+}
+
 func name(n int) string { return string(rune('a' + n)) }
 
 func (s *skew) borrow(i int) {
@@ -116,6 +132,8 @@
 			}
 			if s.now%(100*time.Millisecond) == 0 {
 				s.change(i, n.Extensions(s.now))
+			}
+			if s.now%(100*time.Millisecond) == 0 || s.now < n.recalledUntil && s.now%(20*time.Millisecond) == 0 {
 				s.change(i, n.Returns(s.now))
 			}
 			if len(n.waiting) > 0 || s.now%(100*time.Millisecond) == 0 {
@@ -135,10 +153,14 @@
 				name   string
 				at     time.Duration
 				killed bool
-			}{{"none", time.Hour, false}, {"moved", 5 * time.Second, false}, {"killed", 5 * time.Second, true}} {
+				most   float64
+			}{{"none", time.Hour, false, 0.1}, {"moved", 5 * time.Second, false, 2}, {"killed", 5 * time.Second, true, 15}} {
 				s := &skew{limit: limit, roundTrip: roundTrip, at: c.at, killed: c.killed}
 				refused, exchanges := s.run(0.8*limit.Rate, 15*time.Second)
 				t.Logf("rate %g, round trip %v, %s: %.2f%% refused, %.1f exchanges/s", limit.Rate, roundTrip, c.name, refused, exchanges)
+				if refused > c.most {
+					t.Errorf("more than %g%% are refused", c.most)
+				}
 			}
 		}
 	}
--- a/internal/program/instance/rates.go
+++ b/internal/program/instance/rates.go
@@ -47,11 +47,14 @@
 	queues   map[string]*queue
 	// asking holds the lenders with an open exchange, by organisation.
 	asking map[exchange]bool
+	// returning holds the organisations whose unused parts are being returned
+	// because others ask.
+	returning map[string]bool
 }
 
 func newRates(in *Instance) *rates {
 	pool := rate.NewPool()
-	return &rates{in: in, pool: pool, started: in.clock.Now(), queues: map[string]*queue{}, asking: map[exchange]bool{},
+	return &rates{in: in, pool: pool, started: in.clock.Now(), queues: map[string]*queue{}, asking: map[exchange]bool{}, returning: map[string]bool{},
 		manager: share.New(in.store, in.clock, pool, in.history, in.incarnation)}
 }
 
--- a/internal/program/instance/rates_borrow.go
+++ b/internal/program/instance/rates_borrow.go
@@ -21,6 +21,9 @@
 	// borrowInterval is the pause between two looks at all organisations for
 	// a demand above the own part and for loans that end soon.
 	borrowInterval = 100 * time.Millisecond
+	// recallInterval is the pause between two looks for parts to return while
+	// others ask. Demand that moved away shows only as a gap between requests.
+	recallInterval = 20 * time.Millisecond
 )
 
 // exchange is an open request for a loan.
@@ -96,7 +99,11 @@
 // extend extends the loans that the demand needs and returns the others.
 func (r *rates) extend(organisation string, b *rate.Bucket) {
 	now := r.in.clock.Now()
-	for _, e := range append(b.Extensions(now), b.Returns(now)...) {
+	r.change(organisation, b, append(b.Extensions(now), b.Returns(now)...))
+}
+
+func (r *rates) change(organisation string, b *rate.Bucket, list []rate.Change) {
+	for _, e := range list {
 		if m, ok := r.in.roster.Member(e.Lender); ok && m.Reachable {
 			r.ask(organisation, m, b, e.Ask)
 		}
@@ -126,7 +133,7 @@
 	requested := r.in.clock.Now()
 	reply, err := r.in.mesh.Call(ctx, m.Listing.PeerAddress, &wire.Envelope{Kind: &wire.Envelope_Borrow{
 		Borrow: &wire.Borrow{Organisation: organisation, Tokens: ask.Tokens, Part: int64(ask.Part), Loan: ask.ID,
-			TermMillis: uint64(ask.Term.Milliseconds())}}})
+			Borrower: r.in.Settings.Name, TermMillis: uint64(ask.Term.Milliseconds())}}})
 	if err != nil {
 		return
 	}
@@ -143,8 +150,47 @@
 	if b == nil {
 		return &wire.Loan{}
 	}
-	ask := rate.Ask{ID: request.Loan, Part: rate.Fraction(request.Part), Tokens: request.Tokens,
+	now := r.in.clock.Now()
+	if request.Recall {
+		r.recalled(request.Organisation, b)
+		return &wire.Loan{}
+	}
+	ask := rate.Ask{Borrower: request.Borrower, ID: request.Loan, Part: rate.Fraction(request.Part), Tokens: request.Tokens,
 		Term: time.Duration(request.TermMillis) * time.Millisecond}
-	l := b.Lend(r.in.clock.Now(), ask, rand.Uint64())
+	l := b.Lend(now, ask, rand.Uint64())
+	for _, peer := range b.Recalls(now, ask, l) {
+		go r.recall(request.Organisation, peer)
+	}
 	return &wire.Loan{Loan: l.ID, Part: int64(l.Part), Tokens: l.Tokens}
 }
+
+// recall tells a borrower that another instance asks for parts.
+func (r *rates) recall(organisation, borrower string) {
+	m, ok := r.in.roster.Member(borrower)
+	if !ok || !m.Reachable {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
+	defer cancel()
+	_, _ = r.in.mesh.Call(ctx, m.Listing.PeerAddress, &wire.Envelope{Kind: &wire.Envelope_Borrow{
+		Borrow: &wire.Borrow{Organisation: organisation, Recall: true}}})
+}
+
+// recalled returns unused parts at short intervals until the recall ends.
+func (r *rates) recalled(organisation string, b *rate.Bucket) {
+	b.Recall(r.in.clock.Now())
+	r.queuesMu.Lock()
+	defer r.queuesMu.Unlock()
+	if r.returning[organisation] {
+		return
+	}
+	r.returning[organisation] = true
+	go func() {
+		for end := r.in.clock.Now() + rate.RecallTime; r.in.clock.Now() < end; time.Sleep(recallInterval) {
+			r.change(organisation, b, b.Returns(r.in.clock.Now()))
+		}
+		r.queuesMu.Lock()
+		delete(r.returning, organisation)
+		r.queuesMu.Unlock()
+	}()
+}
