Read only the share records and terms that are needed

Cause: every instance listed share/ and term/ in full about every 1.5 s, and one object that could not be decoded stopped all share changes without an event.

It reads a holder's term only if the holder is silent or the record leaves too little for the own target. An outage is noticed by the renewal, and nothing is fenced while it fails. An object that can't be decoded, or whose parts are negative or sum to more than the whole, is reported once per version (TR2310) and skipped, and the others go on.

--- a/internal/coordination/share/manager.go
+++ b/internal/coordination/share/manager.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"sort"
-	"strings"
 	"time"
 
 	"tamarackrun"
@@ -41,6 +39,9 @@
 	Recorder tamarackrun.Recorder
 	// Incarnation names the holder in the store.
 	Incarnation string
+	// Silent says that the holder of a term looks dead or gone, so that its
+	// term has to be read. If nil, all terms are read.
+	Silent func(incarnation string) bool
 	// Upper and Floor are how long the halves of a share count after a
 	// renewal. Set before use, like Margin and Grace.
 	Upper, Floor, Margin, Grace time.Duration
@@ -57,6 +58,9 @@
 	// whose answer was lost. It may still take effect at that version.
 	unresolved map[string]int64
 	seen       map[string]sighting
+	looks      map[string]look
+	// reported is the version of each object that could not be decoded.
+	reported map[string]int64
 	// answering is the time since which all reads succeeded.
 	answering time.Duration
 	failing   bool
@@ -73,28 +77,32 @@
 	return &Manager{Store: store, Clock: clock, Pool: pool, Recorder: recorder, Incarnation: incarnation,
 		Upper: DefaultUpper, Floor: DefaultFloor, Margin: DefaultMargin, Grace: DefaultGrace,
 		own: ownTerm{name: incarnation}, local: map[string]part{}, unresolved: map[string]int64{},
-		seen: map[string]sighting{}, failing: true}
+		seen: map[string]sighting{}, looks: map[string]look{}, reported: map[string]int64{}, failing: true}
 }
 
 // Step renews the term when it is due and moves the own shares towards the
 // targets. It says whether nothing is left to do.
 func (m *Manager) Step(ctx context.Context, targets map[string]rate.Fraction) (settled bool) {
-	renewed := m.renew(ctx)
-	terms, ok := list[term](ctx, m.Store, termPrefix)
-	var records map[string]stored[record]
+	settled = m.renew(ctx)
+	records, ok := m.readRecords(ctx, targets)
+	var terms map[string]stored[term]
 	if ok {
-		records, ok = list[record](ctx, m.Store, recordPrefix)
+		terms, ok = m.readTerms(ctx, records, targets)
 	}
-	m.noteRead(ok)
+	// Records are rarely read, so that an outage shows in the renewal.
+	m.noteRead(ok && settled)
 	if !ok {
 		return false
 	}
 	m.sight(terms)
 	m.fence(ctx, terms, records)
 	m.giveUpFormer(ctx)
-	settled = renewed && len(m.former) == 0
+	settled = settled && len(m.former) == 0
 	for _, organisation := range m.order(targets) {
-		settled = m.move(ctx, organisation, targets[organisation], records[organisation], terms) && settled
+		if r, due := records[organisation]; due {
+			m.looked(organisation, m.move(ctx, organisation, targets[organisation], r, terms))
+		}
+		settled = m.looks[organisation].settled && settled
 	}
 	return settled
 }
@@ -195,6 +203,7 @@
 	}
 	clear(m.local)
 	clear(m.unresolved)
+	clear(m.looks)
 	m.setTerm(0, 0)
 }
 
@@ -203,21 +212,3 @@
 		b.SetTerm(m.Clock.Now(), upperUntil, floorUntil)
 	}
 }
-
-// list reads all objects with a prefix.
-func list[T any](ctx context.Context, store tamarackrun.ObjectStore, prefix string) (map[string]stored[T], bool) {
-	objects, err := store.List(ctx, prefix)
-	if err != nil {
-		return nil, false
-	}
-	values := map[string]stored[T]{}
-	for _, o := range objects {
-		var s stored[T]
-		if json.Unmarshal(o.Value, &s.value) != nil {
-			return nil, false
-		}
-		s.version = o.Version
-		values[strings.TrimPrefix(o.Name, prefix)] = s
-	}
-	return values, true
-}
--- a/internal/coordination/share/manager_test.go
+++ b/internal/coordination/share/manager_test.go
@@ -89,8 +89,8 @@
 	for _, write := range late {
 		_ = write()
 	}
-	records, _ := list[record](t.Context(), store, recordPrefix)
-	if diff := cmp.Diff(m.Pool.Bucket("tea").Part(clock.now), records["tea"].value.Parts["a"].sum()); diff != "" || len(late) != 1 {
+	r, _, _ := read[record](t.Context(), m, recordPrefix+"tea")
+	if diff := cmp.Diff(m.Pool.Bucket("tea").Part(clock.now), r.value.Parts["a"].sum()); diff != "" || len(late) != 1 {
 		t.Errorf("recorded part after %d late writes (-applied +recorded):\n%s", len(late), diff)
 	}
 }
--- a/internal/coordination/share/record.go
+++ b/internal/coordination/share/record.go
@@ -32,6 +32,18 @@
 	Parts map[string]part `json:"parts"`
 }
 
+// valid says that no part is negative and that they sum to at most the whole.
+func (r record) valid() bool {
+	left := rate.Whole
+	for _, p := range r.Parts {
+		if p.Upper < 0 || p.Floor < 0 || p.Upper > left || p.Floor > left-p.Upper {
+			return false
+		}
+		left -= p.sum()
+	}
+	return true
+}
+
 func (r record) free() rate.Fraction {
 	free := rate.Whole
 	for _, p := range r.Parts {
@@ -49,6 +61,9 @@
 	reclaimed      state = "reclaimed"
 )
 
+// valid accepts the zero value of a term that does not exist.
+func (s state) valid() bool { return s == "" || s == held || s == upperReclaimed || s == reclaimed }
+
 // term is the value of term/INCARNATION.
 type term struct {
 	// Counter grows with each renewal.
--- a/internal/coordination/share/term.go
+++ b/internal/coordination/share/term.go
@@ -72,7 +72,11 @@
 		return true
 	}
 	var t term
-	if err != nil || json.Unmarshal(o.Value, &t) != nil {
+	if err != nil {
+		return false
+	}
+	if json.Unmarshal(o.Value, &t) != nil {
+		m.unreadable(termPrefix+m.own.name, o.Version)
 		return false
 	}
 	switch {
@@ -171,7 +175,7 @@
 
 // fence reclaims the terms of holders that did not renew for long enough.
 func (m *Manager) fence(ctx context.Context, terms map[string]stored[term], records map[string]stored[record]) {
-	if m.Clock.Now()-m.answering < m.Grace {
+	if m.failing || m.Clock.Now()-m.answering < m.Grace {
 		return
 	}
 	holders := map[string]bool{}
@@ -183,7 +187,7 @@
 	for name, t := range terms {
 		s := m.seen[name]
 		next := lapsed(t.value.State, m.Clock.Now()-s.at, m.wait(m.Upper), m.wait(m.Floor))
-		if !holders[name] || next == t.value.State {
+		if !holders[name] || next == t.value.State || t.version == 0 {
 			continue
 		}
 		value := term{t.value.Counter, next}
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -50,6 +50,8 @@
 	TermLost              tamarackrun.EventID = 2302
 	TermReturned          tamarackrun.EventID = 2303
 	TermReclaimed         tamarackrun.EventID = 2304
+	ShareUnreadable       tamarackrun.EventID = 2310
+	ShareNotReturned      tamarackrun.EventID = 2311
 	KeyEndedStream        tamarackrun.EventID = 2401
 	RetryDenied           tamarackrun.EventID = 2501
 )
@@ -109,6 +111,8 @@
 	{TermLost, "termLost", "warn", "another instance reclaimed this instance's shares; it starts a new term"},
 	{TermReturned, "termReturned", "info", "the instance gave up the shares of a term"},
 	{TermReclaimed, "termReclaimed", "warn", "this instance reclaimed the shares of one that did not renew its term"},
+	{ShareUnreadable, "shareUnreadable", "error", "a share record or term can't be decoded; the shares in it stay as they are"},
+	{ShareNotReturned, "shareNotReturned", "warn", "a stopping instance could not return its shares; others reclaim them when its term ends"},
 	{KeyEndedStream, "keyEndedStream", "warn", "a running request ends because its key was withdrawn"},
 	{RetryDenied, "retryDenied", "warn", "a request is not dispatched again because the retry budget is used up"},
 }
