Ask only holders for loans and stop within 2 s without the store

The hand-back of a planned stop ends after 2 s instead of 8 s while the store is out. Loans have ended by then, because lending stops when the instance leaves the look-ups.

--- a/internal/program/instance/rates.go
+++ b/internal/program/instance/rates.go
@@ -10,6 +10,7 @@
 	"tamarackrun"
 	"tamarackrun/internal/coordination/rate"
 	"tamarackrun/internal/coordination/share"
+	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/state/configuration"
 	"tamarackrun/internal/state/roster"
 )
@@ -28,9 +29,11 @@
 	// heard of are candidates, so that a fleet that starts together divides
 	// its rates once.
 	firstContact = 10 * time.Second
-	// handBackLimit bounds a planned stop while the store is out. It is longer
-	// than a loan, since the share cannot be returned before.
-	handBackLimit = 8 * time.Second
+	// handBackLimit bounds a planned stop while the store is out. It covers the
+	// end of a loan, since the share cannot be returned before. When it passes,
+	// the shares are stranded as after a kill: the others lack the upper half
+	// for share.DefaultUpper and the floor half for share.DefaultFloor.
+	handBackLimit = 2 * time.Second
 )
 
 // rates admits requests within the rates of their organisations.
@@ -40,8 +43,9 @@
 	started time.Duration
 
 	// mu guards manager.
-	mu      sync.Mutex
-	manager *share.Manager
+	mu        sync.Mutex
+	manager   *share.Manager
+	placement placement
 
 	queuesMu sync.Mutex
 	queues   map[string]*queue
@@ -54,8 +58,10 @@
 
 func newRates(in *Instance) *rates {
 	pool := rate.NewPool()
-	return &rates{in: in, pool: pool, started: in.clock.Now(), queues: map[string]*queue{}, asking: map[exchange]bool{}, returning: map[string]bool{},
+	r := &rates{in: in, pool: pool, started: in.clock.Now(), queues: map[string]*queue{}, asking: map[exchange]bool{}, returning: map[string]bool{},
 		manager: share.New(in.store, in.clock, pool, in.history, in.incarnation)}
+	r.manager.Silent = r.placement.isSilent
+	return r
 }
 
 // run keeps the own shares until ctx ends.
@@ -101,23 +107,6 @@
 	r.pool.SetLimits(r.in.clock.Now(), limits)
 }
 
-// targets are the own parts of all organisations.
-func (r *rates) targets(c *configuration.Snapshot) map[string]rate.Fraction {
-	var candidates []share.Candidate
-	for _, m := range r.in.roster.Members() {
-		if r.isCandidate(m) {
-			candidates = append(candidates, share.Candidate{Name: m.Listing.Name, Region: c.RegionOf(m.Listing.FailureDomain)})
-		}
-	}
-	targets := map[string]rate.Fraction{}
-	for name := range c.Organisations {
-		if r.pool.Bucket(name) != nil {
-			targets[name] = share.Target(r.in.Settings.Name, share.Holders(name, candidates))
-		}
-	}
-	return targets
-}
-
 func (r *rates) isCandidate(m roster.Member) bool {
 	now := r.in.clock.Now()
 	switch {
@@ -147,7 +136,11 @@
 	defer cancel()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for ctx.Err() == nil && !r.manager.HandBack(ctx) {
+	for !r.manager.HandBack(ctx) {
+		if ctx.Err() != nil {
+			r.in.history.Record(event.ShareNotReturned, "", "incarnation", r.in.incarnation)
+			return
+		}
 		pause(ctx, shareRetry)
 	}
 }
--- a/internal/program/instance/rates_borrow.go
+++ b/internal/program/instance/rates_borrow.go
@@ -48,14 +48,14 @@
 	}
 }
 
-// borrow asks all reachable instances for parts of what is missing.
+// borrow asks all reachable holders for parts of what is missing.
 func (r *rates) borrow(organisation string, q *queue, b *rate.Bucket, waiting int) {
 	now := r.in.clock.Now()
 	want := b.Want(now, waiting)
 	if want.Part == 0 && want.Tokens == 0 || !q.beginRound(now) {
 		return
 	}
-	lenders := r.lenders()
+	lenders := r.lenders(organisation)
 	for _, m := range lenders {
 		r.ask(organisation, m, b, want.Split(len(lenders)))
 	}
@@ -86,16 +86,6 @@
 	}
 }
 
-func (r *rates) lenders() []roster.Member {
-	var lenders []roster.Member
-	for _, m := range r.in.roster.Members() {
-		if m.Reachable && m.Listing.Name != r.in.Settings.Name {
-			lenders = append(lenders, m)
-		}
-	}
-	return lenders
-}
-
 // extend extends the loans that the demand needs and returns the others.
 func (r *rates) extend(organisation string, b *rate.Bucket) {
 	now := r.in.clock.Now()
