--- a/internal/program/instance/rates_test.go
+++ b/internal/program/instance/rates_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"sort"
 	"strings"
 	"sync"
@@ -184,3 +185,22 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// Guards against a planned stop that waits long for a store that is out, or
+// that loses the shares without an event.
+func TestPlannedStopWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: browse(50)})
+	awaitShares(t, f, 3)
+	f.Platform.SetFaults(platform.Faults{Outage: true})
+	began := time.Now()
+	f.Instances[2].Terminate()
+	if !f.Instances[2].Wait(time.Minute) {
+		t.Fatal("the instance did not stop")
+	}
+	t.Logf("stopped after %v", time.Since(began).Round(100*time.Millisecond))
+	log, err := os.ReadFile(f.Instances[2].LogFile)
+	if err != nil || !strings.Contains(string(log), "shareNotReturned") {
+		t.Errorf("the log has no shareNotReturned (%v):\n%s", err, log)
+	}
+}
