Compare fair queueing with FIFO in virtual time

Cause: the fairness figures came from one test with made-up sizes. Change: measure policy reads the users' documents and runs the queue of the slots and FIFO on the same arrivals.

--- a/Makefile
+++ b/Makefile
@@ -50,5 +50,8 @@
 latency: build ## Measure the latency that instances add to a request.
 	./$(BIN)/measure path
 
+bench: build ## Compare each policy with its baseline in one table.
+	./$(BIN)/measure policy
+
 clean: ## Remove built files.
 	rm -rf $(BIN)
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -5,10 +5,11 @@
 	"os"
 
 	"tamarackrun/internal/program/measure"
+	"tamarackrun/internal/program/measure/policy"
 	"tamarackrun/internal/standin/fleet"
 	"tamarackrun/internal/standin/path"
 )
 
 func main() {
-	os.Exit(measure.Run(os.Args[1:], os.Stdout, os.Stderr, fleet.Identities, path.NewCommand()))
+	os.Exit(measure.Run(os.Args[1:], os.Stdout, os.Stderr, fleet.Identities, path.NewCommand(), policy.NewCommand()))
 }
--- a/internal/coordination/slot/queue.go
+++ b/internal/coordination/slot/queue.go
@@ -24,6 +24,9 @@
 	Batch  bool
 	// Cost is the expected service time; 0 means that it is not known yet.
 	Cost time.Duration
+	// Rate is the organisation's part of its rate at this server, in requests
+	// per second; 0 means that it is not limited here.
+	Rate float64
 	// Deadline is the latest time at which the request may start.
 	Deadline time.Duration
 	// Shifted says that the request comes from another region. It starts at
