Serve organisations above their rate from slots that others leave free

Change: a meter per organisation and server puts requests above 1.5 times the organisation's rate into a lane of their own. It gets slots only when nothing else waits.

--- a/internal/coordination/slot/queue.go
+++ b/internal/coordination/slot/queue.go
@@ -14,6 +14,13 @@
 	// batchDebt is the interactive service time that may start per batch
 	// service time while batch requests wait. It leaves batch 10%.
 	batchDebt = 9
+	// rateMargin and rateBurst are the surplus over an organisation's rate at
+	// one server that does not count as such, because requests come at random
+	// and not in equal parts to the servers. rateBurst is in seconds of the
+	// rate, and at least leastBurst requests.
+	rateMargin = 1.5
+	rateBurst  = 0.5
+	leastBurst = 4
 )
 
 // Entry describes a request that asks for a slot.
@@ -41,7 +48,9 @@
 // waiter is one entry in a queue. The queue answers it exactly once.
 type waiter struct {
 	Entry
-	began time.Duration
+	// surplus says that the organisation is above its rate.
+	surplus bool
+	began   time.Duration
 	// ready gets the answer; it has room for it.
 	ready chan tamarackrun.Outcome
 }
@@ -163,6 +172,17 @@
 	return costs
 }
 
+// costs returns the costs of all waiting requests.
+func (l *lane) costs() []time.Duration {
+	var costs []time.Duration
+	for _, f := range l.flows {
+		for _, w := range f.waiting {
+			costs = append(costs, w.Cost)
+		}
+	}
+	return costs
+}
+
 // queue decides which requests run on one server. It is pure: time is passed
 // in.
 type queue struct {
@@ -172,6 +192,11 @@
 	// shifted is the number of running requests of other regions.
 	shifted            int
 	interactive, batch *lane
+	// surplus holds the requests of organisations above their rate. They get
+	// only slots for which nothing else waits.
+	surplus *lane
+	// meters find organisations above their rate.
+	meters map[string]*meter
 	// debt is the interactive service time, in seconds, that started while
 	// batch requests waited, less what batch requests got in return.
 	debt float64
@@ -180,21 +205,55 @@
 }
 
 func newQueue(slots int) *queue {
-	return &queue{slots: slots, running: map[*waiter]struct{}{}, interactive: newLane(), batch: newLane()}
+	return &queue{slots: slots, running: map[*waiter]struct{}{}, interactive: newLane(), batch: newLane(),
+		surplus: newLane(), meters: map[string]*meter{}}
 }
 
 func (q *queue) lane(w *waiter) *lane {
-	if w.Batch {
+	switch {
+	case w.surplus:
+		return q.surplus
+	case w.Batch:
 		return q.batch
 	}
 	return q.interactive
 }
 
-func (q *queue) waiting() int { return q.interactive.count + q.batch.count }
+// lanes returns all lanes in the order in which they lose requests when the
+// queue is full.
+func (q *queue) lanes() []*lane { return []*lane{q.surplus, q.batch, q.interactive} }
+
+func (q *queue) waiting() int { return q.interactive.count + q.batch.count + q.surplus.count }
+
+// meter is a token bucket of an organisation's requests at this server.
+type meter struct {
+	tokens float64
+	last   time.Duration
+}
+
+// above counts a request and says whether its organisation is above its rate.
+func (q *queue) above(now time.Duration, e Entry) bool {
+	if e.Rate <= 0 {
+		return false
+	}
+	burst := max(leastBurst, rateBurst*e.Rate)
+	m := q.meters[e.Organisation]
+	if m == nil {
+		m = &meter{tokens: burst, last: now}
+		q.meters[e.Organisation] = m
+	}
+	m.tokens = min(burst, m.tokens+rateMargin*e.Rate*(now-m.last).Seconds())
+	m.last = now
+	if m.tokens < 1 {
+		return true
+	}
+	m.tokens--
+	return false
+}
 
 // enter takes a request. The waiter gets its answer now or later.
 func (q *queue) enter(now time.Duration, e Entry) *waiter {
-	w := &waiter{Entry: e, ready: make(chan tamarackrun.Outcome, 1)}
+	w := &waiter{Entry: e, ready: make(chan tamarackrun.Outcome, 1), surplus: q.above(now, e)}
 	if reason := q.refusal(now, w); reason != "" {
 		w.answer(tamarackrun.Refused(reason))
 		return w
@@ -219,7 +278,7 @@
 		return tamarackrun.ShiftCapped
 	case free:
 		return ""
-	case q.held(w.Organisation) >= q.shareOf(w):
+	case q.held(w.Organisation) >= q.shareOf(w) && (w.surplus || !q.dropSurplus(w.Organisation)):
 		return tamarackrun.QueueFull
 	case now+q.expectedWait(now, w) > w.Deadline:
 		return tamarackrun.QueueTimeout
@@ -233,7 +292,7 @@
 
 func (q *queue) held(organisation string) int {
 	n := 0
-	for _, l := range []*lane{q.interactive, q.batch} {
+	for _, l := range q.lanes() {
 		if f := l.flows[organisation]; f != nil {
 			n += len(f.waiting)
 		}
@@ -245,7 +304,7 @@
 // share among the organisations that wait, at least 1.
 func (q *queue) shareOf(w *waiter) int {
 	weights := map[string]int{w.Organisation: max(1, w.Weight)}
-	for _, l := range []*lane{q.interactive, q.batch} {
+	for _, l := range q.lanes() {
 		for name, f := range l.flows {
 			weights[name] = max(1, f.waiting[0].Weight)
 		}
@@ -266,7 +325,7 @@
 	}
 	var victim *waiter
 	most := 0
-	for _, l := range []*lane{q.batch, q.interactive} {
+	for _, l := range q.lanes() {
 		for name, f := range l.flows {
 			w := f.waiting[len(f.waiting)-1]
 			excess := q.held(name) - q.shareOf(w)
@@ -280,8 +339,23 @@
 		// the shares sum to more than the capacity.
 		return q.held(newcomer.Organisation) == 0
 	}
-	q.lane(victim).remove(victim)
-	victim.answer(tamarackrun.Refused(tamarackrun.QueueFull))
+	q.drop(victim)
+	return true
+}
+
+func (q *queue) drop(w *waiter) {
+	q.lane(w).remove(w)
+	w.answer(tamarackrun.Refused(tamarackrun.QueueFull))
+}
+
+// dropSurplus refuses the latest waiting surplus request of an organisation in
+// favour of one that is inside its rate.
+func (q *queue) dropSurplus(organisation string) bool {
+	f := q.surplus.flows[organisation]
+	if f == nil {
+		return false
+	}
+	q.drop(f.waiting[len(f.waiting)-1])
 	return true
 }
 
@@ -305,6 +379,9 @@
 
 func (q *queue) before(w *waiter) []time.Duration {
 	costs := q.lane(w).ahead(w)
+	if w.surplus {
+		return append(costs, append(q.interactive.costs(), q.batch.costs()...)...)
+	}
 	if !w.Batch {
 		return costs
 	}
@@ -339,6 +416,7 @@
 			continue
 		}
 		switch {
+		case w.surplus:
 		case w.Batch:
 			q.debt = max(0, q.debt-batchDebt*w.units())
 		case q.batch.count > 0:
@@ -353,6 +431,9 @@
 
 func (q *queue) next() *waiter {
 	interactive, batch := q.interactive.first(), q.batch.first()
+	if interactive == nil && batch == nil {
+		return q.surplus.first()
+	}
 	if interactive == nil || batch != nil && q.debt >= batchDebt*batch.units() {
 		return batch
 	}
@@ -387,12 +468,12 @@
 // close refuses all waiting and later requests.
 func (q *queue) close(reason tamarackrun.Reason) {
 	q.closed = reason
-	for _, l := range []*lane{q.interactive, q.batch} {
+	for _, l := range q.lanes() {
 		for _, f := range l.flows {
 			for _, w := range f.waiting {
 				w.answer(tamarackrun.Refused(reason))
 			}
 		}
 	}
-	q.interactive, q.batch = newLane(), newLane()
+	q.interactive, q.batch, q.surplus = newLane(), newLane(), newLane()
 }
