Order organisations by virtual start time and forget idle use

Cause: an organisation of low weight waited for several requests of each heavier one although all were inside their rates, and use of slots that nobody waited for put an organisation behind others later. Change: the queue orders by start time, of equal ones by arrival where rates are known, and forgets past use when a slot is free. Homes pass an organisation's rate at the server.

--- a/internal/coordination/slot/queue.go
+++ b/internal/coordination/slot/queue.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"cmp"
 	"sort"
 	"time"
 
@@ -50,6 +51,8 @@
 	Entry
 	// surplus says that the organisation is above its rate.
 	surplus bool
+	// number is the order of arrival.
+	number uint64
 	began   time.Duration
 	// ready gets the answer; it has room for it.
 	ready chan tamarackrun.Outcome
@@ -102,16 +105,34 @@
 
 // first returns the waiting request with the lowest virtual finish time.
 func (l *lane) first() *waiter {
-	var best *waiter
-	var bestFinish float64
+	var best *flow
 	for _, f := range l.flows {
-		w := f.waiting[0]
-		finish := f.start + w.share()
-		if best == nil || finish < bestFinish || finish == bestFinish && w.Organisation < best.Organisation {
-			best, bestFinish = w, finish
+		if best == nil || f.before(best) {
+			best = f
 		}
 	}
-	return best
+	if best == nil {
+		return nil
+	}
+	return best.waiting[0]
+}
+
+func (f *flow) finish() float64 { return f.start + f.waiting[0].share() }
+
+// before orders flows by virtual start time. Ordered by finish time, an
+// organisation of low weight waits for several requests of each other one even
+// while all are inside their rates.
+func (f *flow) before(other *flow) bool {
+	return cmp.Or(cmp.Compare(f.start, other.start), f.tie(other)) < 0
+}
+
+// tie orders flows of equal virtual times: by arrival where rates are known.
+func (f *flow) tie(other *flow) int {
+	a, b := f.waiting[0], other.waiting[0]
+	if a.Rate > 0 && b.Rate > 0 {
+		return cmp.Compare(a.number, b.number)
+	}
+	return cmp.Or(cmp.Compare(f.finish(), other.finish()), cmp.Compare(a.Organisation, b.Organisation))
 }
 
 // started removes the first request of a flow and advances the virtual time.
@@ -129,6 +150,15 @@
 	}
 }
 
+// forgive forgets past use. A free slot means that nobody waited for what was
+// used, so it must not put an organisation behind others later.
+func (l *lane) forgive() {
+	for _, last := range l.last {
+		l.virtual = max(l.virtual, last)
+	}
+	clear(l.last)
+}
+
 func (l *lane) remove(w *waiter) bool {
 	f := l.flows[w.Organisation]
 	if f == nil {
@@ -200,6 +230,8 @@
 	// debt is the interactive service time, in seconds, that started while
 	// batch requests waited, less what batch requests got in return.
 	debt float64
+	// arrivals numbers the requests.
+	arrivals uint64
 	// closed is the reason for refusing all requests.
 	closed tamarackrun.Reason
 }
@@ -253,7 +285,8 @@
 
 // enter takes a request. The waiter gets its answer now or later.
 func (q *queue) enter(now time.Duration, e Entry) *waiter {
-	w := &waiter{Entry: e, ready: make(chan tamarackrun.Outcome, 1), surplus: q.above(now, e)}
+	w := &waiter{Entry: e, ready: make(chan tamarackrun.Outcome, 1), surplus: q.above(now, e), number: q.arrivals}
+	q.arrivals++
 	if reason := q.refusal(now, w); reason != "" {
 		w.answer(tamarackrun.Refused(reason))
 		return w
@@ -407,6 +440,9 @@
 	for len(q.running) < q.slots {
 		w := q.next()
 		if w == nil {
+			for _, l := range q.lanes() {
+				l.forgive()
+			}
 			return
 		}
 		l := q.lane(w)
--- a/internal/program/instance/homes_dispatch.go
+++ b/internal/program/instance/homes_dispatch.go
@@ -175,12 +175,25 @@
 			e.Batch = r.Class == configuration.Batch
 		}
 	}
+	e.Rate = rateAt(c, request.Organisation, v)
 	if e.Shifted {
 		e.ShiftLimit, e.Reserve = h.shiftLimit(c, v, o)
 	}
 	return e
 }
 
+// rateAt is the part of an organisation's rate that one server gets if all its
+// requests come from one region to one service.
+func rateAt(c *configuration.Snapshot, organisation string, v configuration.Server) float64 {
+	slots := 0
+	for _, other := range c.ServersOf(v.Service) {
+		if c.RegionOf(other.Domain) == c.RegionOf(v.Domain) {
+			slots += other.Slots
+		}
+	}
+	return c.Organisations[organisation].Rate * float64(v.Slots) / float64(max(1, slots))
+}
+
 // shiftLimit returns the slots of a server that requests of other regions may
 // use now, and those that its own region must leave free for that.
 func (h *homes) shiftLimit(c *configuration.Snapshot, v configuration.Server, o *owned) (limit, reserve int) {
