Let a request inside the rate replace one above it

Change: the request takes the place of the other one. Conclusion: the test passes; it fails when the meter never says surplus.

--- a/internal/coordination/slot/queue.go
+++ b/internal/coordination/slot/queue.go
@@ -53,7 +53,7 @@
 	surplus bool
 	// number is the order of arrival.
 	number uint64
-	began   time.Duration
+	began  time.Duration
 	// ready gets the answer; it has room for it.
 	ready chan tamarackrun.Outcome
 }
@@ -302,6 +302,7 @@
 
 func (q *queue) refusal(now time.Duration, w *waiter) tamarackrun.Reason {
 	free := len(q.running) < q.slots && q.waiting() == 0
+	full := q.held(w.Organisation) >= q.shareOf(w)
 	switch {
 	case q.closed != "":
 		return q.closed
@@ -311,10 +312,14 @@
 		return tamarackrun.ShiftCapped
 	case free:
 		return ""
-	case q.held(w.Organisation) >= q.shareOf(w) && (w.surplus || !q.dropSurplus(w.Organisation)):
+	case full && (w.surplus || q.surplus.flows[w.Organisation] == nil):
 		return tamarackrun.QueueFull
 	case now+q.expectedWait(now, w) > w.Deadline:
 		return tamarackrun.QueueTimeout
+	case full:
+		// The request replaces one above the rate of the same organisation.
+		f := q.surplus.flows[w.Organisation]
+		q.drop(f.waiting[len(f.waiting)-1])
 	case !q.makeRoom(w):
 		return tamarackrun.QueueFull
 	}
@@ -381,17 +386,6 @@
 	w.answer(tamarackrun.Refused(tamarackrun.QueueFull))
 }
 
-// dropSurplus refuses the latest waiting surplus request of an organisation in
-// favour of one that is inside its rate.
-func (q *queue) dropSurplus(organisation string) bool {
-	f := q.surplus.flows[organisation]
-	if f == nil {
-		return false
-	}
-	q.drop(f.waiting[len(f.waiting)-1])
-	return true
-}
-
 // expectedWait predicts when a slot will be free for w by the expected service
 // times of what runs and of what goes before it.
 func (q *queue) expectedWait(now time.Duration, w *waiter) time.Duration {
