Compare choice, shifts, rates and drains with their baselines

Cause: the figures of the policies came from separate tests and loads. Change: measure policy runs them in virtual time beside round robin, shift at once, no shift, static shares and fixed waits.

--- a/internal/program/measure/policy/command.go
+++ b/internal/program/measure/policy/command.go
@@ -4,6 +4,9 @@
 package policy
 
 import (
+	"slices"
+	"sync"
+
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 )
@@ -14,13 +17,14 @@
 	if err != nil {
 		return Table{}, err
 	}
-	t := Table{Seed: seed}
-	for _, experiment := range []func(uint64, user) []Row{fairness} {
-		for _, u := range users {
-			t.Rows = append(t.Rows, experiment(seed, u)...)
-		}
+	experiments := []func(uint64, user) []Row{fairness, choice, shifting, rates, drains}
+	parts := make([][]Row, len(experiments)*len(users))
+	var group sync.WaitGroup
+	for i := range parts {
+		group.Go(func() { parts[i] = experiments[i/len(users)](seed, users[i%len(users)]) })
 	}
-	return t, nil
+	group.Wait()
+	return Table{seed, slices.Concat(parts...)}, nil
 }
 
 // NewCommand returns the command that prints the table.
