--- a/internal/program/measure/policy/choice.go
+++ b/internal/program/measure/policy/choice.go
@@ -64,7 +64,7 @@
 )
 
 func newFleet(seed uint64, u user, policy bool, fault choiceFault, lag time.Duration, ownOnly bool) *fleet {
-	f := &fleet{loop: newLoop(seed, 0), slots: u.slots(), policy: policy, ownOnly: ownOnly, latency: newLatencies(), load: newLatencies()}
+	f := &fleet{loop: newLoop(seed), slots: u.slots(), policy: policy, ownOnly: ownOnly, latency: newLatencies(), load: newLatencies()}
 	var domains []string
 	for _, v := range u.ServersOf(u.main) {
 		f.servers = append(f.servers, &backend{gate: slot.New(f.slots, f)})
--- a/internal/program/measure/policy/fairness.go
+++ b/internal/program/measure/policy/fairness.go
@@ -118,7 +118,7 @@
 }
 
 func serve(seed uint64, slots int, fair bool, sources []source) served {
-	l := newLoop(seed, 0)
+	l := newLoop(seed)
 	s := newStation(l, slots, fair)
 	result := served{map[string]latencies{}, map[string]int{}}
 	for i, f := range sources {
--- a/internal/program/measure/policy/loop.go
+++ b/internal/program/measure/policy/loop.go
@@ -36,8 +36,8 @@
 	return last
 }
 
-func newLoop(seed, stream uint64) *loop {
-	return &loop{random: rand.New(rand.NewPCG(seed, stream))}
+func newLoop(seed uint64) *loop {
+	return &loop{random: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // Now returns the virtual time.
--- a/internal/program/measure/policy/rates.go
+++ b/internal/program/measure/policy/rates.go
@@ -38,7 +38,7 @@
 type pick func(now time.Duration, random *rand.Rand) int
 
 func newHolders(seed uint64, u user, loans bool, l rate.Limit) *holders {
-	h := &holders{loop: newLoop(seed, 0), loans: loans, waiting: make([]int, instances), dead: -1}
+	h := &holders{loop: newLoop(seed), loans: loans, waiting: make([]int, instances), dead: -1}
 	for _, r := range u.Regions {
 		h.delay = r.Delay
 	}
--- a/internal/program/measure/policy/shifting.go
+++ b/internal/program/measure/policy/shifting.go
@@ -51,7 +51,7 @@
 }
 
 func newDestination(seed uint64, u user, mode shiftMode, domainLost bool) *destination {
-	d := &destination{loop: newLoop(seed, 0), mode: mode, domainLost: domainLost, latency: newLatencies()}
+	d := &destination{loop: newLoop(seed), mode: mode, domainLost: domainLost, latency: newLatencies()}
 	region := u.regions()[0]
 	for _, v := range u.ServersOf(u.main) {
 		if u.RegionOf(v.Domain) == region {
