--- a/internal/coordination/slot/queue.go
+++ b/internal/coordination/slot/queue.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"cmp"
 	"sort"
 	"time"
 
@@ -14,6 +15,13 @@
 	// batchDebt is the interactive service time that may start per batch
 	// service time while batch requests wait. It leaves batch 10%.
 	batchDebt = 9
+	// rateMargin and rateBurst are the surplus over an organisation's rate at
+	// one server that does not count as such, because requests come at random
+	// and not in equal parts to the servers. rateBurst is in seconds of the
+	// rate, and at least leastBurst requests.
+	rateMargin = 1.5
+	rateBurst  = 0.5
+	leastBurst = 4
 )
 
 // Entry describes a request that asks for a slot.
@@ -24,6 +32,9 @@
 	Batch  bool
 	// Cost is the expected service time; 0 means that it is not known yet.
 	Cost time.Duration
+	// Rate is the organisation's part of its rate at this server, in requests
+	// per second; 0 means that it is not limited here.
+	Rate float64
 	// Deadline is the latest time at which the request may start.
 	Deadline time.Duration
 	// Shifted says that the request comes from another region. It starts at
@@ -38,7 +49,11 @@
 // waiter is one entry in a queue. The queue answers it exactly once.
 type waiter struct {
 	Entry
-	began time.Duration
+	// surplus says that the organisation is above its rate.
+	surplus bool
+	// number is the order of arrival.
+	number uint64
+	began  time.Duration
 	// ready gets the answer; it has room for it.
 	ready chan tamarackrun.Outcome
 }
@@ -90,16 +105,34 @@
 
 // first returns the waiting request with the lowest virtual finish time.
 func (l *lane) first() *waiter {
-	var best *waiter
-	var bestFinish float64
+	var best *flow
 	for _, f := range l.flows {
-		w := f.waiting[0]
-		finish := f.start + w.share()
-		if best == nil || finish < bestFinish || finish == bestFinish && w.Organisation < best.Organisation {
-			best, bestFinish = w, finish
+		if best == nil || f.before(best) {
+			best = f
 		}
 	}
-	return best
+	if best == nil {
+		return nil
+	}
+	return best.waiting[0]
+}
+
+func (f *flow) finish() float64 { return f.start + f.waiting[0].share() }
+
+// before orders flows by virtual start time. Ordered by finish time, an
+// organisation of low weight waits for several requests of each other one even
+// while all are inside their rates.
+func (f *flow) before(other *flow) bool {
+	return cmp.Or(cmp.Compare(f.start, other.start), f.tie(other)) < 0
+}
+
+// tie orders flows of equal virtual times: by arrival where rates are known.
+func (f *flow) tie(other *flow) int {
+	a, b := f.waiting[0], other.waiting[0]
+	if a.Rate > 0 && b.Rate > 0 {
+		return cmp.Compare(a.number, b.number)
+	}
+	return cmp.Or(cmp.Compare(f.finish(), other.finish()), cmp.Compare(a.Organisation, b.Organisation))
 }
 
 // started removes the first request of a flow and advances the virtual time.
@@ -117,6 +150,15 @@
 	}
 }
 
+// forgive forgets past use. A free slot means that nobody waited for what was
+// used, so it must not put an organisation behind others later.
+func (l *lane) forgive() {
+	for _, last := range l.last {
+		l.virtual = max(l.virtual, last)
+	}
+	clear(l.last)
+}
+
 func (l *lane) remove(w *waiter) bool {
 	f := l.flows[w.Organisation]
 	if f == nil {
@@ -160,6 +202,17 @@
 	return costs
 }
 
+// costs returns the costs of all waiting requests.
+func (l *lane) costs() []time.Duration {
+	var costs []time.Duration
+	for _, f := range l.flows {
+		for _, w := range f.waiting {
+			costs = append(costs, w.Cost)
+		}
+	}
+	return costs
+}
+
 // queue decides which requests run on one server. It is pure: time is passed
 // in.
 type queue struct {
@@ -169,29 +222,71 @@
 	// shifted is the number of running requests of other regions.
 	shifted            int
 	interactive, batch *lane
+	// surplus holds the requests of organisations above their rate. They get
+	// only slots for which nothing else waits.
+	surplus *lane
+	// meters find organisations above their rate.
+	meters map[string]*meter
 	// debt is the interactive service time, in seconds, that started while
 	// batch requests waited, less what batch requests got in return.
 	debt float64
+	// arrivals numbers the requests.
+	arrivals uint64
 	// closed is the reason for refusing all requests.
 	closed tamarackrun.Reason
 }
 
 func newQueue(slots int) *queue {
-	return &queue{slots: slots, running: map[*waiter]struct{}{}, interactive: newLane(), batch: newLane()}
+	return &queue{slots: slots, running: map[*waiter]struct{}{}, interactive: newLane(), batch: newLane(),
+		surplus: newLane(), meters: map[string]*meter{}}
 }
 
 func (q *queue) lane(w *waiter) *lane {
-	if w.Batch {
+	switch {
+	case w.surplus:
+		return q.surplus
+	case w.Batch:
 		return q.batch
 	}
 	return q.interactive
 }
 
-func (q *queue) waiting() int { return q.interactive.count + q.batch.count }
+// lanes returns all lanes in the order in which they lose requests when the
+// queue is full.
+func (q *queue) lanes() []*lane { return []*lane{q.surplus, q.batch, q.interactive} }
+
+func (q *queue) waiting() int { return q.interactive.count + q.batch.count + q.surplus.count }
+
+// meter is a token bucket of an organisation's requests at this server.
+type meter struct {
+	tokens float64
+	last   time.Duration
+}
+
+// above counts a request and says whether its organisation is above its rate.
+func (q *queue) above(now time.Duration, e Entry) bool {
+	if e.Rate <= 0 {
+		return false
+	}
+	burst := max(leastBurst, rateBurst*e.Rate)
+	m := q.meters[e.Organisation]
+	if m == nil {
+		m = &meter{tokens: burst, last: now}
+		q.meters[e.Organisation] = m
+	}
+	m.tokens = min(burst, m.tokens+rateMargin*e.Rate*(now-m.last).Seconds())
+	m.last = now
+	if m.tokens < 1 {
+		return true
+	}
+	m.tokens--
+	return false
+}
 
 // enter takes a request. The waiter gets its answer now or later.
 func (q *queue) enter(now time.Duration, e Entry) *waiter {
-	w := &waiter{Entry: e, ready: make(chan tamarackrun.Outcome, 1)}
+	w := &waiter{Entry: e, ready: make(chan tamarackrun.Outcome, 1), surplus: q.above(now, e), number: q.arrivals}
+	q.arrivals++
 	if reason := q.refusal(now, w); reason != "" {
 		w.answer(tamarackrun.Refused(reason))
 		return w
@@ -207,6 +302,7 @@
 
 func (q *queue) refusal(now time.Duration, w *waiter) tamarackrun.Reason {
 	free := len(q.running) < q.slots && q.waiting() == 0
+	full := q.held(w.Organisation) >= q.shareOf(w)
 	switch {
 	case q.closed != "":
 		return q.closed
@@ -216,10 +312,14 @@
 		return tamarackrun.ShiftCapped
 	case free:
 		return ""
-	case q.held(w.Organisation) >= q.shareOf(w):
+	case full && (w.surplus || q.surplus.flows[w.Organisation] == nil):
 		return tamarackrun.QueueFull
 	case now+q.expectedWait(now, w) > w.Deadline:
 		return tamarackrun.QueueTimeout
+	case full:
+		// The request replaces one above the rate of the same organisation.
+		f := q.surplus.flows[w.Organisation]
+		q.drop(f.waiting[len(f.waiting)-1])
 	case !q.makeRoom(w):
 		return tamarackrun.QueueFull
 	}
@@ -230,7 +330,7 @@
 
 func (q *queue) held(organisation string) int {
 	n := 0
-	for _, l := range []*lane{q.interactive, q.batch} {
+	for _, l := range q.lanes() {
 		if f := l.flows[organisation]; f != nil {
 			n += len(f.waiting)
 		}
@@ -242,7 +342,7 @@
 // share among the organisations that wait, at least 1.
 func (q *queue) shareOf(w *waiter) int {
 	weights := map[string]int{w.Organisation: max(1, w.Weight)}
-	for _, l := range []*lane{q.interactive, q.batch} {
+	for _, l := range q.lanes() {
 		for name, f := range l.flows {
 			weights[name] = max(1, f.waiting[0].Weight)
 		}
@@ -263,7 +363,7 @@
 	}
 	var victim *waiter
 	most := 0
-	for _, l := range []*lane{q.batch, q.interactive} {
+	for _, l := range q.lanes() {
 		for name, f := range l.flows {
 			w := f.waiting[len(f.waiting)-1]
 			excess := q.held(name) - q.shareOf(w)
@@ -277,11 +377,15 @@
 		// the shares sum to more than the capacity.
 		return q.held(newcomer.Organisation) == 0
 	}
-	q.lane(victim).remove(victim)
-	victim.answer(tamarackrun.Refused(tamarackrun.QueueFull))
+	q.drop(victim)
 	return true
 }
 
+func (q *queue) drop(w *waiter) {
+	q.lane(w).remove(w)
+	w.answer(tamarackrun.Refused(tamarackrun.QueueFull))
+}
+
 // expectedWait predicts when a slot will be free for w by the expected service
 // times of what runs and of what goes before it.
 func (q *queue) expectedWait(now time.Duration, w *waiter) time.Duration {
@@ -302,6 +406,9 @@
 
 func (q *queue) before(w *waiter) []time.Duration {
 	costs := q.lane(w).ahead(w)
+	if w.surplus {
+		return append(costs, append(q.interactive.costs(), q.batch.costs()...)...)
+	}
 	if !w.Batch {
 		return costs
 	}
@@ -327,6 +434,9 @@
 	for len(q.running) < q.slots {
 		w := q.next()
 		if w == nil {
+			for _, l := range q.lanes() {
+				l.forgive()
+			}
 			return
 		}
 		l := q.lane(w)
@@ -336,6 +446,7 @@
 			continue
 		}
 		switch {
+		case w.surplus:
 		case w.Batch:
 			q.debt = max(0, q.debt-batchDebt*w.units())
 		case q.batch.count > 0:
@@ -350,6 +461,9 @@
 
 func (q *queue) next() *waiter {
 	interactive, batch := q.interactive.first(), q.batch.first()
+	if interactive == nil && batch == nil {
+		return q.surplus.first()
+	}
 	if interactive == nil || batch != nil && q.debt >= batchDebt*batch.units() {
 		return batch
 	}
@@ -384,12 +498,12 @@
 // close refuses all waiting and later requests.
 func (q *queue) close(reason tamarackrun.Reason) {
 	q.closed = reason
-	for _, l := range []*lane{q.interactive, q.batch} {
+	for _, l := range q.lanes() {
 		for _, f := range l.flows {
 			for _, w := range f.waiting {
 				w.answer(tamarackrun.Refused(reason))
 			}
 		}
 	}
-	q.interactive, q.batch = newLane(), newLane()
+	q.interactive, q.batch, q.surplus = newLane(), newLane(), newLane()
 }
