Check keys and freshness again before each dispatch

Two more ways led to the same: a judgement was used for 500 ms, and an instance that woke and had heard of no fresh peer, or that stood alone in the only region, concluded that the store was out although it had not tried to read it.

The store counts as out only after an own read that was sent within 5 s failed, and never by an instance that reaches none of its neighbours. The key's hash travels in Dispatch, and entry instance, issuer and home check key, route and freshness immediately before the dispatch, after all waiting.

Before: the new test of the order of events failed in three of four cases, and an order that waited in the queue ran after its key was withdrawn. After: both pass.

--- a/internal/coordination/freshness/freshness.go
+++ b/internal/coordination/freshness/freshness.go
@@ -64,6 +64,10 @@
 	// Regions are the regions of the fleet without those declared lost.
 	Regions []string
 	Peers   []Peer
+	// FailureAge is the time since the latest failed read of the store was
+	// sent, or Never. An instance that wakes from a pause has no recent
+	// failure: its proof is old because it did not run.
+	FailureAge time.Duration
 }
 
 // Judge returns the state.
@@ -71,16 +75,27 @@
 	if v.ProofAge <= ProofLimit {
 		return Fresh
 	}
+	if v.FailureAge > ProofLimit {
+		return CutOff
+	}
 	reached := map[string]bool{v.Region: true}
+	neighbours, alone := false, true
 	for _, p := range v.Peers {
+		neighbours = neighbours || p.Region == v.Region
 		if !p.Reachable {
 			continue
 		}
+		alone = false
 		if p.ProofAge <= ProofLimit {
 			return CutOff
 		}
 		reached[p.Region] = true
 	}
+	// Without this rule an instance that lost all others would stand for the
+	// whole fleet where that is one region.
+	if alone && neighbours {
+		return CutOff
+	}
 	for _, r := range v.Regions {
 		if !reached[r] {
 			return CutOff
--- a/internal/coordination/freshness/freshness_test.go
+++ b/internal/coordination/freshness/freshness_test.go
@@ -20,11 +20,14 @@
 		"own proof":                {View{Region: "a", ProofAge: fresh, Regions: both}, Fresh},
 		"alone":                    {View{Region: "a", ProofAge: stale, Regions: both}, CutOff},
 		"no proof ever":            {View{Region: "a", ProofAge: Never, Regions: both}, CutOff},
-		"all stale":                {View{"a", stale, both, []Peer{{"b", true, stale}}}, StoreOut},
-		"all without any proof":    {View{"a", Never, both, []Peer{{"b", true, Never}}}, StoreOut},
-		"a peer is fresh":          {View{"a", stale, both, []Peer{{"b", true, stale}, {"a", true, fresh}}}, CutOff},
-		"unreachable peer":         {View{"a", stale, both, []Peer{{"b", false, stale}}}, CutOff},
-		"region lost and declared": {View{"a", stale, []string{"a"}, []Peer{{"b", false, fresh}}}, StoreOut},
+		"all stale":                {View{"a", stale, both, []Peer{{"b", true, stale}}, fresh}, StoreOut},
+		"woken, no read yet":       {View{"a", stale, both, []Peer{{"b", true, stale}}, stale}, CutOff},
+		"never read":               {View{"a", stale, both, []Peer{{"b", true, stale}}, Never}, CutOff},
+		"alone in the only region": {View{"a", stale, []string{"a"}, []Peer{{"a", false, stale}}, fresh}, CutOff},
+		"all without any proof":    {View{"a", Never, both, []Peer{{"b", true, Never}}, fresh}, StoreOut},
+		"a peer is fresh":          {View{"a", stale, both, []Peer{{"b", true, stale}, {"a", true, fresh}}, fresh}, CutOff},
+		"unreachable peer":         {View{"a", stale, both, []Peer{{"b", false, stale}}, fresh}, CutOff},
+		"region lost and declared": {View{"a", stale, []string{"a"}, []Peer{{"b", false, fresh}}, fresh}, StoreOut},
 	} {
 		if diff := cmp.Diff(c.want, Judge(c.view)); diff != "" {
 			t.Errorf("%s: (-want +got):\n%s", name, diff)
--- a/internal/program/instance/attempt.go
+++ b/internal/program/instance/attempt.go
@@ -56,10 +56,18 @@
 			}
 			return outcome
 		}
+		if reason := in.recheckKey(request); reason != "" {
+			if outcome.Kind != tamarackrun.Unknown {
+				outcome = tamarackrun.Refused(reason)
+			}
+			return outcome
+		}
 		request.Server, request.Attempt = chosen.server, fmt.Sprintf("%s.%d", request.ID, n)
 		outcome = in.dispatchOnce(ctx, c, chosen, request, guarded)
 		in.noteRefusal(c, request, outcome)
 		retriable := outcome.Kind == tamarackrun.NotRun || outcome.Kind == tamarackrun.Unknown && request.Idempotent
+		// Another home may not have learnt of the withdrawal yet.
+		retriable = retriable && outcome.Reason != tamarackrun.KeyWithdrawn && outcome.Reason != tamarackrun.RouteForbidden
 		if !retriable || guarded.began || ctx.Err() != nil || in.clock.Now() >= request.Deadline {
 			return outcome
 		}
--- a/internal/program/instance/configuration.go
+++ b/internal/program/instance/configuration.go
@@ -114,6 +114,8 @@
 		f.noteStore(ctx, err)
 		if err == nil {
 			err = f.accept(ctx, object.Version, object.Value, f.fromStore)
+		} else if !errors.Is(err, tamarackrun.ErrNotFound) {
+			f.in.proofs.storeFailed(sent)
 		}
 		if err == nil && f.in.version() == object.Version {
 			f.in.proofs.add(sent)
--- a/internal/program/instance/freshness.go
+++ b/internal/program/instance/freshness.go
@@ -13,8 +13,8 @@
 	"tamarackrun/internal/state/configuration"
 )
 
-// judgeInterval is how often the state is judged; a judgement is used for twice
-// this time.
+// judgeInterval is how often the state is judged for the events. Requests are
+// judged by the clock each time.
 const judgeInterval = 250 * time.Millisecond
 
 // noProof is sent in heartbeats when there is no proof.
@@ -29,10 +29,13 @@
 	// it counts only if proved is true.
 	latest time.Duration
 	proved bool
+	// failed is when the latest failed read of the store was sent; it counts
+	// only if hasFailed is true.
+	failed    time.Duration
+	hasFailed bool
 	// lost holds the regions that an operator declared lost at this instance.
-	lost     map[string]bool
-	state    freshness.State
-	judgedAt time.Duration
+	lost  map[string]bool
+	state freshness.State
 }
 
 func newProofs(in *Instance) *proofs { return &proofs{in: in, lost: map[string]bool{}} }
@@ -46,6 +49,22 @@
 	}
 }
 
+// storeFailed notes a failed read of the store that was sent at the time.
+func (p *proofs) storeFailed(at time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failed, p.hasFailed = at, true
+}
+
+func (p *proofs) failureAge() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.hasFailed {
+		return freshness.Never
+	}
+	return p.in.clock.Now() - p.failed
+}
+
 // fromPeer takes the proof in a heartbeat reply. The age counts from before the
 // heartbeat was sent, since the reply may have been under way for long. A proof
 // of another version says nothing about the own one.
@@ -89,7 +108,7 @@
 	if c == nil {
 		return freshness.CutOff
 	}
-	view := freshness.View{Region: c.RegionOf(p.in.Settings.FailureDomain), ProofAge: p.age()}
+	view := freshness.View{Region: c.RegionOf(p.in.Settings.FailureDomain), ProofAge: p.age(), FailureAge: p.failureAge()}
 	for _, m := range p.in.roster.Members() {
 		if m.Listing.Name != p.in.Settings.Name && m.State != nil {
 			view.Peers = append(view.Peers, freshness.Peer{Region: c.RegionOf(m.Listing.FailureDomain),
@@ -103,7 +122,7 @@
 	state := freshness.Judge(view)
 	p.mu.Lock()
 	changed := p.state != state
-	p.state, p.judgedAt = state, p.in.clock.Now()
+	p.state = state
 	p.mu.Unlock()
 	if changed {
 		p.in.history.Record(event.FreshnessChanged, "", "state", state.String(), "proofAge", ageText(view.ProofAge))
@@ -142,22 +161,13 @@
 	return regions
 }
 
-// current returns the latest judgement, or a new one if that is old, as after
-// a pause of the process.
-func (p *proofs) current() freshness.State {
-	p.mu.Lock()
-	state, fresh := p.state, p.in.clock.Now()-p.judgedAt <= 2*judgeInterval
-	p.mu.Unlock()
-	if state != 0 && fresh {
-		return state
-	}
-	return p.judge()
-}
-
 // refuses says whether keyed requests are refused by the routes' default rule.
+// It judges anew, since a judgement made before a pause of the process says
+// nothing afterwards. Callers load the snapshot after they asked: a proof of a
+// newer version says nothing about a snapshot that was loaded before.
 func (p *proofs) refuses() bool {
 	age := p.age()
-	return age > freshness.RefuseLimit && freshness.Refuses(p.current(), age)
+	return age > freshness.RefuseLimit && freshness.Refuses(p.judge(), age)
 }
 
 // run judges the state, so that changes are recorded also without requests.
--- a/internal/program/instance/homes_dispatch.go
+++ b/internal/program/instance/homes_dispatch.go
@@ -101,6 +101,9 @@
 	if !h.in.renewToken(ctx, &request) {
 		return tamarackrun.Refused(tamarackrun.HeldTooLong), health.Nothing
 	}
+	if reason := h.in.recheckKey(request); reason != "" {
+		return tamarackrun.Refused(reason), health.Nothing
+	}
 	return h.send(ctx, o, request, answer, entry.Shifted)
 }
 
--- a/internal/program/instance/keys.go
+++ b/internal/program/instance/keys.go
@@ -73,12 +73,42 @@
 		return "", tamarackrun.Refused(tamarackrun.KeyWithdrawn)
 	case len(route.Organisations) > 0 && !slices.Contains(route.Organisations, key.Organisation):
 		return "", tamarackrun.Refused(tamarackrun.RouteForbidden)
-	case route.CutOff == configuration.RefuseWhenCutOff && in.proofs.refuses():
-		return "", tamarackrun.Refused(tamarackrun.CutOff)
+	}
+	// The snapshot may be older than the latest proof.
+	if reason := in.recheckKey(tamarackrun.Request{Organisation: key.Organisation, Route: route.Name,
+		KeyHash: document.HashKey(presented), KeyVersion: c.Version}); reason != "" {
+		return "", tamarackrun.Refused(reason)
 	}
 	return key.Organisation, tamarackrun.Done
 }
 
+// recheckKey returns the reason why a request that was accepted earlier may not
+// be dispatched now, or "". It is asked immediately before each dispatch, since
+// the request may have waited, or the process may have been paused.
+func (in *Instance) recheckKey(request tamarackrun.Request) tamarackrun.Reason {
+	if request.Organisation == "" {
+		return ""
+	}
+	// The order matters: a proof that arrives in between may be of a version
+	// that withdraws the key.
+	refuses := in.proofs.refuses()
+	c := in.snapshot.Load()
+	key, ok := c.Keys[request.KeyHash]
+	// A home may not know a key yet that its sender learnt from a newer version.
+	newer := !ok && request.KeyVersion > c.Version
+	if !newer && (!ok || key.Withdrawn || key.Organisation != request.Organisation) {
+		return tamarackrun.KeyWithdrawn
+	}
+	route, ok := routeNamed(c, request.Route)
+	switch {
+	case refuses && (!ok || route.CutOff == configuration.RefuseWhenCutOff):
+		return tamarackrun.CutOff
+	case len(route.Organisations) > 0 && !slices.Contains(route.Organisations, request.Organisation):
+		return tamarackrun.RouteForbidden
+	}
+	return ""
+}
+
 // misplacedKey returns the reason to refuse a request that would show a key to
 // a backend server, or "". Cookies are checked even if the route does not pass
 // them on, since a key there is a fault of the caller that others may see.
--- a/internal/program/instance/keys_test.go
+++ b/internal/program/instance/keys_test.go
@@ -278,3 +278,61 @@
 		}
 	}
 }
+
+// Guards against a request that starts after its key was withdrawn while it
+// waited in the home's queue. Orders are not cancelled by the entry instance, so
+// that only the check before the dispatch stops them.
+func TestWithdrawnKeyStartsNothingFromTheQueue(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: []fleet.Service{
+		{Name: "browse", Servers: 1, Slots: 1, Route: "methods = GET\nidempotent = yes\ntimeout = 60s"},
+		{Name: "order", Servers: 1, Slots: 1, Route: "methods = POST\nidempotent = no\ntimeout = 60s"}},
+		Organisations: map[string]fleet.Rate{"tea": {Rate: 1000, Burst: 1000}, "jute": {Rate: 1000, Burst: 1000}}})
+	for _, s := range f.Servers {
+		s.SetFaults(server.Faults{WorkMillis: 6000})
+	}
+	send := func(organisation string) map[string]<-chan caller.Result {
+		results := map[string]<-chan caller.Result{}
+		for _, name := range []string{"browse", "order"} {
+			result := make(chan caller.Result, 1)
+			results[name] = result
+			c := f.Caller(organisation)
+			c.Client.Timeout = time.Minute
+			ticket, method := "", http.MethodGet
+			if name == "order" {
+				tickets, r := c.Tickets(t.Context(), f.Instances[1].Listing.CallerAddress, name, 1)
+				if len(tickets) != 1 {
+					t.Fatalf("no ticket: %+v", r)
+				}
+				ticket, method = tickets[0], http.MethodPost
+			}
+			go func() {
+				result <- c.SendWithTicket(t.Context(), f.Instances[2].Listing.CallerAddress, ticket, method, "/"+name+"/"+organisation, nil)
+			}()
+		}
+		return results
+	}
+	before := send("jute")
+	await(t, "requests that hold the slots", func() bool { return f.Executions("") == 2 })
+	waiting := send("tea")
+	await(t, "requests in the queues", func() bool {
+		_, status := control(t, f.Instances[0], http.MethodGet, "/v1/status", fleet.OperatorKey, "")
+		return strings.Count(status, `"queued":1`) >= 2
+	})
+	putDocument(t, f, withoutKey(f, "tea"))
+	for name, result := range waiting {
+		// The entry instance cancels idempotent requests and then does not
+		// wait for their outcome.
+		r := <-result
+		if r.Outcome != "notRun" && name == "order" || r.Outcome == "notRun" && r.Reason != "keyWithdrawn" || r.Outcome == "ran" {
+			t.Errorf("%s that waited ended with %+v", name, r)
+		}
+		if r := <-before[name]; r.Outcome != "ran" {
+			t.Errorf("%s with a valid key ended with %+v", name, r)
+		}
+	}
+	// All bodies are empty.
+	if n := f.Executions(""); n != len(before) {
+		t.Errorf("%d requests ran; the withdrawn key had none", n)
+	}
+}
--- a/internal/program/instance/resolve_test.go
+++ b/internal/program/instance/resolve_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"tamarackrun"
+	"tamarackrun/internal/protocol/document"
 	"tamarackrun/internal/protocol/frame"
 	"tamarackrun/internal/protocol/wire"
 	"tamarackrun/internal/standin/fleet"
@@ -66,7 +67,8 @@
 		i.t.Fatal(err)
 	}
 	request := tamarackrun.Request{ID: attempt, Attempt: attempt, Organisation: "tea", Route: "order", Service: "order",
-		Server: "order-01", Method: "POST", Target: "/order", Body: []byte(body), Deadline: 10 * time.Second}
+		Server: "order-01", Method: "POST", Target: "/order", Body: []byte(body), Deadline: 10 * time.Second,
+		KeyHash: document.HashKey(fleet.CallerKey("tea"))}
 	if err := stream.Send(&wire.Envelope{Kind: &wire.Envelope_Dispatch{Dispatch: frame.FromRequest(request, 0)}}); err != nil {
 		i.t.Fatal(err)
 	}
--- a/internal/program/instance/steering.go
+++ b/internal/program/instance/steering.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/protocol/document"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/state/configuration"
 )
@@ -51,6 +52,9 @@
 		Header: forwardedHeader(r.Header, route), Body: body, Idempotent: route.Idempotent,
 		Deadline: in.clock.Now() + in.timeout(r, route),
 	}
+	if organisation != "" {
+		request.KeyHash, request.KeyVersion = document.HashKey(presentedKey(r.Header)), c.Version
+	}
 	if !route.Idempotent {
 		return in.orders.accept(r, request, answer)
 	}
--- a/internal/protocol/frame/exchange.go
+++ b/internal/protocol/frame/exchange.go
@@ -30,7 +30,12 @@
 
 // FromRequest converts a request for a message. now is on the local clock.
 func FromRequest(r tamarackrun.Request, now time.Duration) *wire.Dispatch {
+	var keyHash []byte
+	if r.Organisation != "" {
+		keyHash = r.KeyHash[:]
+	}
 	return &wire.Dispatch{
+		KeyHash: keyHash, KeyVersion: uint64(r.KeyVersion),
 		Id: r.ID, Attempt: r.Attempt, Organisation: r.Organisation, Route: r.Route, Service: r.Service,
 		Server: r.Server, OriginRegion: r.OriginRegion, Method: r.Method, Target: r.Target,
 		Header: HeaderFields(r.Header), Body: r.Body, Idempotent: r.Idempotent,
@@ -41,7 +46,10 @@
 
 // ToRequest converts a message to a request. now is on the local clock.
 func ToRequest(d *wire.Dispatch, now time.Duration) tamarackrun.Request {
+	var keyHash [32]byte
+	copy(keyHash[:], d.KeyHash)
 	return tamarackrun.Request{
+		KeyHash: keyHash, KeyVersion: int64(d.KeyVersion),
 		ID: d.Id, Attempt: d.Attempt, Organisation: d.Organisation, Route: d.Route, Service: d.Service,
 		Server: d.Server, OriginRegion: d.OriginRegion, Method: d.Method, Target: d.Target,
 		Header: Header(d.Header), Body: d.Body, Idempotent: d.Idempotent,
--- a/tamarackrun.go
+++ b/tamarackrun.go
@@ -73,8 +73,13 @@
 	// Organisation is empty on routes that are open to all. It was settled
 	// by the entry instance from the caller's key.
 	Organisation string
-	Route        string
-	Service      string
+	// KeyHash is the SHA-256 of the caller's key, and KeyVersion the version of
+	// the configuration by which it was accepted. A request without
+	// Organisation has none.
+	KeyHash    [32]byte
+	KeyVersion int64
+	Route      string
+	Service    string
 	// Server is the name of the chosen backend server.
 	Server string
 	// OriginRegion is the region of the instance that accepted the request.
