Make one relay of the two in the test fleet

Cause: Link and Relay passed on connections in two ways; a silent Link read on and closed the far end when the near end closed, which a lost path does not.

A silent connection is neither read nor closed until the link is cut.

--- a/internal/program/instance/links_test.go
+++ b/internal/program/instance/links_test.go
@@ -89,7 +89,7 @@
 		t.Run(map[bool]string{false: "plain", true: "TLS"}[secured], func(t *testing.T) {
 			t.Parallel()
 			f := linked(t, secured)
-			relay, cleanup, err := fleet.NewRelay(f.Instances[0].Listing.PeerAddress)
+			relay, cleanup, err := fleet.NewLink("127.0.0.1", f.Instances[0].Listing.PeerAddress)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -110,7 +110,7 @@
 	}
 }
 
-func testSilentLink(t *testing.T, f *fleet.Fleet, relay *fleet.Relay) {
+func testSilentLink(t *testing.T, f *fleet.Fleet, relay *fleet.Link) {
 	f.Servers["once-01"].SetFaults(server.Faults{WorkMillis: 300})
 	links := relay.Connections()
 	relay.Silence()
--- a/internal/standin/fleet/link.go
+++ b/internal/standin/fleet/link.go
@@ -29,34 +29,58 @@
 	Silent
 )
 
-// Link is a TCP relay that can be cut or made silent.
+// Link passes TCP connections on to a target. It can be cut or made silent, as a
+// network path is that was lost without a reset.
 type Link struct {
-	address  string
 	target   string
 	listener net.Listener
 
-	mu    sync.Mutex
-	state LinkState
-	// conns holds both ends of each connection; a silent one stays silent for
-	// ever.
-	conns map[net.Conn]*pair
+	mu          sync.Mutex
+	state       LinkState
+	connections int
+	// pairs holds the relayed connections; a silent one stays silent for ever.
+	pairs map[*pair]bool
 }
 
 // pair is one relayed connection.
 type pair struct {
 	near, far net.Conn
-	silent    bool
+	// silent and closed are closed to silence and to end the pair.
+	silent, closed chan struct{}
+	silence, close func()
 }
 
-// newLink listens on the host and relays to the target.
-func newLink(host, target string) (*Link, error) {
+func newPair(near, far net.Conn) *pair {
+	p := &pair{near: near, far: far, silent: make(chan struct{}), closed: make(chan struct{})}
+	p.silence = sync.OnceFunc(func() { close(p.silent) })
+	p.close = sync.OnceFunc(func() {
+		close(p.closed)
+		_ = near.Close()
+		_ = far.Close()
+	})
+	return p
+}
+
+// NewLink listens on a free port of the host. The clean-up function closes all
+// connections.
+func NewLink(host, target string) (*Link, func(), error) {
 	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	l := &Link{address: listener.Addr().String(), target: target, listener: listener, conns: map[net.Conn]*pair{}}
+	l := &Link{target: target, listener: listener, pairs: map[*pair]bool{}}
 	go l.run()
-	return l, nil
+	return l, l.close, nil
+}
+
+// Address is where the link listens.
+func (l *Link) Address() string { return l.listener.Addr().String() }
+
+// Connections returns how many connections were passed on.
+func (l *Link) Connections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.connections
 }
 
 func (l *Link) run() {
@@ -70,46 +94,54 @@
 }
 
 func (l *Link) relay(near net.Conn) {
-	l.mu.Lock()
-	state := l.state
-	l.mu.Unlock()
-	if state == Cut {
-		_ = near.Close()
-		return
-	}
 	far, err := net.DialTimeout("tcp", l.target, linkDialTimeout)
 	if err != nil {
 		_ = near.Close()
 		return
 	}
-	p := &pair{near: near, far: far}
-	l.mu.Lock()
-	p.silent = l.state == Silent
-	l.conns[near] = p
-	l.mu.Unlock()
+	p := newPair(near, far)
+	defer p.close()
+	if !l.add(p) {
+		return
+	}
 	var group sync.WaitGroup
-	group.Go(func() { l.copy(p, near, far) })
-	group.Go(func() { l.copy(p, far, near) })
+	group.Go(func() { p.copy(near, far) })
+	group.Go(func() { p.copy(far, near) })
 	group.Wait()
 	l.mu.Lock()
-	delete(l.conns, near)
+	delete(l.pairs, p)
 	l.mu.Unlock()
 }
 
-func (l *Link) copy(p *pair, from, to net.Conn) {
-	defer func() { _ = p.near.Close(); _ = p.far.Close() }()
+// add returns false if the link is cut.
+func (l *Link) add(p *pair) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.state == Cut {
+		return false
+	}
+	if l.state == Silent {
+		p.silence()
+	}
+	l.connections++
+	l.pairs[p] = true
+	return true
+}
+
+// copy passes bytes on until either end closes. A silent connection is neither
+// read nor closed, so that neither end learns of the other.
+func (p *pair) copy(from, to net.Conn) {
 	buffer := make([]byte, linkBufferSize)
 	for {
 		n, err := from.Read(buffer)
-		l.mu.Lock()
-		silent := p.silent
-		l.mu.Unlock()
-		if !silent && n > 0 {
-			if _, err := to.Write(buffer[:n]); err != nil {
-				return
-			}
+		select {
+		case <-p.silent:
+			<-p.closed
+			return
+		default:
 		}
-		if err != nil {
+		if _, failed := to.Write(buffer[:n]); failed != nil || err != nil {
+			p.close()
 			return
 		}
 	}
@@ -120,13 +152,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.state = state
-	for _, p := range l.conns {
+	for p := range l.pairs {
 		switch state {
 		case Cut:
-			_ = p.near.Close()
-			_ = p.far.Close()
+			p.close()
 		case Silent:
-			p.silent = true
+			p.silence()
 		}
 	}
 }
@@ -135,8 +166,8 @@
 func (l *Link) Silence() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, p := range l.conns {
-		p.silent = true
+	for p := range l.pairs {
+		p.silence()
 	}
 }
 
@@ -151,10 +182,10 @@
 // openLinks opens a link from each instance to each other and to the platform.
 func (f *Fleet) openLinks() error {
 	open := func(from, to, target string) error {
-		l, err := newLink(f.ip, target)
+		l, cleanup, err := NewLink(f.ip, target)
 		if err == nil {
 			f.links[route{from, to}] = l
-			f.cleanups = append(f.cleanups, l.close)
+			f.cleanups = append(f.cleanups, cleanup)
 		}
 		return err
 	}
@@ -183,7 +214,7 @@
 // platformOf returns the address at which an instance reaches the platform.
 func (f *Fleet) platformOf(i *Instance) string {
 	if l := f.links[route{i.Listing.Name, ""}]; l != nil {
-		return l.address
+		return l.Address()
 	}
 	return f.PlatformAddress()
 }
@@ -202,7 +233,7 @@
 		_ = json.Unmarshal(b.content.Bytes(), &list)
 		for n := range list {
 			if l := f.links[route{i.Listing.Name, list[n].Name}]; l != nil {
-				list[n].PeerAddress = l.address
+				list[n].PeerAddress = l.Address()
 			}
 		}
 		_ = json.NewEncoder(w).Encode(list)
--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -194,7 +194,7 @@
 				a = authority(t)
 			}
 			client, server := start(t, a, a, "a", "b"), start(t, a, a, "b", "a")
-			relay, cleanup, err := fleet.NewRelay(server.Address())
+			relay, cleanup, err := fleet.NewLink("127.0.0.1", server.Address())
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -204,7 +204,7 @@
 	}
 }
 
-func testSilence(t *testing.T, client *end, relay *fleet.Relay) {
+func testSilence(t *testing.T, client *end, relay *fleet.Link) {
 	probe := func(limit time.Duration) error {
 		ctx, cancel := context.WithTimeout(t.Context(), limit)
 		defer cancel()
