Say that an unreadable version withholds proofs

Cause: a stored version that instances cannot read gave no proof, and nothing said why they refused.

Change: event TR2410, unreadableVersion in the status and a line in the status command. Routes with cutOff = serve go on, and a readable version ends the refusals, which the new test checks on a fleet.

--- a/internal/program/command/operator.go
+++ b/internal/program/command/operator.go
@@ -121,6 +121,9 @@
 func printStatus(out io.Writer, s operator.Status) error {
 	_, _ = fmt.Fprintf(out, "instance %s, configuration version %d, %s, last proof %s ago\n",
 		s.Instance, s.ConfigurationVersion, s.Freshness, s.ProofAge)
+	if s.UnreadableVersion > 0 {
+		_, _ = fmt.Fprintf(out, "version %d cannot be read and may withdraw keys; a readable version ends the refusals\n", s.UnreadableVersion)
+	}
 	if len(s.LostRegions) > 0 {
 		_, _ = fmt.Fprintf(out, "declared lost: %s\n", strings.Join(s.LostRegions, ", "))
 	}
--- a/internal/program/instance/configuration.go
+++ b/internal/program/instance/configuration.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/freshness"
 	"tamarackrun/internal/protocol/document"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/manifest"
@@ -53,7 +54,7 @@
 	// mu allows one acceptance at a time.
 	mu sync.Mutex
 	// rejected is the highest version that could not be read.
-	rejected int64
+	rejected atomic.Int64
 }
 
 func newFollower(in *Instance) *follower {
@@ -199,15 +200,28 @@
 	return nil
 }
 
-// reject records a version that cannot be read, once.
+// reject records a version that cannot be read, once. The version in force gets
+// no further proof: the unreadable version may withdraw keys, so that keyed
+// requests have to be refused once the latest proof is too old.
 func (f *follower) reject(version int64, err error) error {
-	if version > f.rejected {
-		f.rejected = version
+	if version > f.rejected.Load() {
+		f.rejected.Store(version)
 		f.in.history.Record(event.ConfigurationRejected, "", "version", strconv.FormatInt(version, 10), "error", err.Error())
+		f.in.history.Record(event.ProofWithheld, "", "version", strconv.FormatInt(version, 10),
+			"refusesAfter", freshness.RefuseLimit.String())
 	}
 	return err
 }
 
+// unreadable returns the stored version that could not be read and that no
+// later version replaced, or 0.
+func (f *follower) unreadable() int64 {
+	if version := f.rejected.Load(); version > f.in.version() {
+		return version
+	}
+	return 0
+}
+
 // version returns the version in force, or 0.
 func (in *Instance) version() int64 {
 	if c := in.snapshot.Load(); c != nil {
--- a/internal/program/instance/control.go
+++ b/internal/program/instance/control.go
@@ -222,7 +222,8 @@
 // Status reports the fleet as this instance sees it.
 func (in *Instance) Status(context.Context) operator.Status {
 	report := operator.Status{Instance: in.Settings.Name, ConfigurationVersion: in.version(),
-		Freshness: in.proofs.judge().String(), ProofAge: ageText(in.proofs.age()), LostRegions: in.proofs.lostRegions()}
+		Freshness: in.proofs.judge().String(), ProofAge: ageText(in.proofs.age()), LostRegions: in.proofs.lostRegions(),
+		UnreadableVersion: in.follower.unreadable()}
 	for _, m := range in.roster.Members() {
 		report.Members = append(report.Members, operator.Member{
 			Name: m.Listing.Name, FailureDomain: m.Listing.FailureDomain, Reachable: m.Reachable, Serving: m.Serving(),
--- a/internal/program/instance/freshness_test.go
+++ b/internal/program/instance/freshness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -344,3 +345,34 @@
 		return !strings.Contains(status, "lostRegions")
 	})
 }
+
+// Guards against keys that go on working because the version that withdraws them
+// cannot be read: all instances then lack proofs although the store answers, which
+// is no outage.
+func TestUnreadableVersionRefusesAndSaysSo(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleet.Options{Services: cutOffServices})
+	putDocument(t, f, withoutKey(f, "tea")+"\n[base/unknownKind/a]\n")
+	for _, i := range f.Instances {
+		await(t, "refusal as cut off", func() bool { return reasonAt(t, f, i, "/browse/a") == "notRun cutOff" })
+		if got := reasonAt(t, f, i, "/checks/a"); got != "ran" {
+			t.Errorf("%s: route with cutOff = serve: %s", i.Listing.Name, got)
+		}
+		_, status := control(t, i, http.MethodGet, "/v1/status", fleet.OperatorKey, "")
+		if !strings.Contains(status, `"unreadableVersion":2`) {
+			t.Errorf("%s: status %s", i.Listing.Name, status)
+		}
+		log, _ := os.ReadFile(i.LogFile)
+		if n := strings.Count(string(log), "proofWithheld"); n != 1 {
+			t.Errorf("%s recorded the event %d times", i.Listing.Name, n)
+		}
+	}
+	putDocument(t, f, f.Document)
+	for _, i := range f.Instances {
+		await(t, "traffic with a readable version", func() bool { return reasonAt(t, f, i, "/browse/a") == "ran" })
+		_, status := control(t, i, http.MethodGet, "/v1/status", fleet.OperatorKey, "")
+		if strings.Contains(status, "unreadableVersion") {
+			t.Errorf("%s: status %s", i.Listing.Name, status)
+		}
+	}
+}
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -51,6 +51,7 @@
 	TermReturned          tamarackrun.EventID = 2303
 	TermReclaimed         tamarackrun.EventID = 2304
 	KeyEndedStream        tamarackrun.EventID = 2401
+	ProofWithheld         tamarackrun.EventID = 2410
 	RetryDenied           tamarackrun.EventID = 2501
 )
 
@@ -110,6 +111,7 @@
 	{TermReturned, "termReturned", "info", "the instance gave up the shares of a term"},
 	{TermReclaimed, "termReclaimed", "warn", "this instance reclaimed the shares of one that did not renew its term"},
 	{KeyEndedStream, "keyEndedStream", "warn", "a running request ends because its key was withdrawn"},
+	{ProofWithheld, "proofWithheld", "error", "a stored version cannot be read and may withdraw keys, so the version in force gets no further proof and keyed requests will be refused"},
 	{RetryDenied, "retryDenied", "warn", "a request is not dispatched again because the retry budget is used up"},
 }
 
--- a/internal/transport/operator/operator.go
+++ b/internal/transport/operator/operator.go
@@ -237,6 +237,10 @@
 	// Freshness is fresh, storeOut or cutOff.
 	Freshness string `json:"freshness"`
 	ProofAge  string `json:"proofAge"`
+	// UnreadableVersion is a stored version that this instance cannot read. As
+	// it may withdraw keys, the instance is cut off until a later version
+	// replaces it.
+	UnreadableVersion int64 `json:"unreadableVersion,omitempty"`
 	// LostRegions were declared lost at this instance.
 	LostRegions []string `json:"lostRegions,omitempty"`
 	Members     []Member `json:"members"`
