Serve callers over TLS and bound the memory of bodies

Cause: callers had no TLS, and 4,096 connections could hold 4 GiB of bodies.

All bodies together take at most 64 MiB until their requests end; more are refused with bodiesFull after the header, and with the outcome unknown if a ticket came with them, as is now also said of bodyTimeout.

TLS for [control] is missing.

--- a/internal/program/instance/instance.go
+++ b/internal/program/instance/instance.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"io"
 	"net/http"
 	"sync"
@@ -148,7 +149,14 @@
 }
 
 func (in *Instance) openPorts() (func(), error) {
-	callers, closeCallers, err := caller.New(in.Settings.CallerAddress)
+	var secure *tls.Config
+	if s := in.Settings; s.CallerCertificateFile != "" {
+		var err error
+		if secure, err = caller.NewTLS(s.CallerCertificateFile, s.CallerKeyFile); err != nil {
+			return nil, err
+		}
+	}
+	callers, closeCallers, err := caller.New(in.Settings.CallerAddress, secure)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -32,6 +32,8 @@
 	// The files hold the fleet's certificate authority and the instance's
 	// own certificate and key.
 	AuthorityFile, CertificateFile, KeyFile string
+	// The files hold the certificate and key for callers; both or none.
+	CallerCertificateFile, CallerKeyFile string
 }
 
 // Error is a fault of a settings file.
@@ -63,6 +65,8 @@
 	{"instance", "name", true, func(s *Settings) *string { return &s.Name }, checkName},
 	{"instance", "failureDomain", true, func(s *Settings) *string { return &s.FailureDomain }, checkName},
 	{"caller", "address", true, func(s *Settings) *string { return &s.CallerAddress }, checkAddress},
+	{"caller", "certificateFile", false, func(s *Settings) *string { return &s.CallerCertificateFile }, nil},
+	{"caller", "keyFile", false, func(s *Settings) *string { return &s.CallerKeyFile }, nil},
 	{"peer", "address", true, func(s *Settings) *string { return &s.PeerAddress }, checkAddress},
 	{"peer", "authorityFile", false, func(s *Settings) *string { return &s.AuthorityFile }, nil},
 	{"peer", "certificateFile", false, func(s *Settings) *string { return &s.CertificateFile }, nil},
@@ -144,6 +148,9 @@
 	if err := s.readLinkMode(file, parsed); err != nil {
 		return s, err
 	}
+	if (s.CallerCertificateFile == "") != (s.CallerKeyFile == "") {
+		return s, &Error{file, "caller", "certificateFile", s.CallerCertificateFile, "certificateFile and keyFile are given both or not at all"}
+	}
 	return s, s.checkAddresses(file)
 }
 
--- a/internal/protocol/settings/settings_test.go
+++ b/internal/protocol/settings/settings_test.go
@@ -43,8 +43,14 @@
 			"authorityFile, certificateFile and keyFile are required unless insecure = yes"},
 		"key instead of its hash": {"[platform]", "bootstrapKeyHash = secret\n[platform]",
 			`f.ini: [control] bootstrapKeyHash = "": must be a SHA-256 hash of 64 hexadecimal digits`},
-		"level":   {"[platform]", "[log]\nlevel = all\n[platform]", `f.ini: [log] level = "all": must be debug, info, warn or error`},
-		"not INI": {"[platform]", "[platform", "f.ini: not an INI file: unclosed section: [platform"},
+		"certificate alone": {"[peer]", "certificateFile = a.pem\n[peer]",
+			`f.ini: [caller] certificateFile = "a.pem": certificateFile and keyFile are given both or not at all`},
+		"key file alone": {"[peer]", "keyFile = a.key\n[peer]",
+			`f.ini: [caller] certificateFile = "": certificateFile and keyFile are given both or not at all`},
+		"empty key file": {"[peer]", "certificateFile = a.pem\nkeyFile =\n[peer]", `f.ini: [caller] keyFile = "": must not be empty`},
+		"both files":     {"[peer]", "certificateFile = a.pem\nkeyFile = a.key\n[peer]", ""},
+		"level":          {"[platform]", "[log]\nlevel = all\n[platform]", `f.ini: [log] level = "all": must be debug, info, warn or error`},
+		"not INI":        {"[platform]", "[platform", "f.ini: not an INI file: unclosed section: [platform"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			got := ""
--- a/internal/standin/fleet/certificate.go
+++ b/internal/standin/fleet/certificate.go
@@ -4,6 +4,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -59,6 +60,13 @@
 		NotBefore: now.Add(-time.Hour), NotAfter: now.Add(certificateLifetime)}
 }
 
+// Trust returns the configuration of a client of the named instance.
+func (a *Authority) Trust(name string) *tls.Config {
+	pool := x509.NewCertPool()
+	pool.AddCert(a.certificate)
+	return &tls.Config{RootCAs: pool, ServerName: name}
+}
+
 func (a *Authority) files(name string) (certificate, key string) {
 	return filepath.Join(a.directory, name+".pem"), filepath.Join(a.directory, name+".key")
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -81,6 +82,8 @@
 	BootstrapKey string
 	// TLS secures the links between instances with generated certificates.
 	TLS bool
+	// CallerTLS secures the callers' ports with certificates of CallerAuthority.
+	CallerTLS bool
 }
 
 // Rate is an organisation's rate and burst.
@@ -106,6 +109,10 @@
 	// Authority signs the instances' certificates; nil without TLS.
 	Authority *Authority
 
+	// CallerAuthority signs the certificates of the callers' ports; nil without
+	// CallerTLS.
+	CallerAuthority *Authority
+
 	// ip is a loopback address of this fleet alone, so that fleets of
 	// parallel tests do not meet on a port.
 	ip       string
@@ -168,6 +175,15 @@
 			return err
 		}
 	}
+	if f.Options.CallerTLS {
+		directory := filepath.Join(f.Options.Directory, "callers")
+		if err := os.Mkdir(directory, 0o700); err != nil {
+			return err
+		}
+		if f.CallerAuthority, err = NewAuthority(directory); err != nil {
+			return err
+		}
+	}
 	domains := f.domains()
 	for n := range f.Options.Instances {
 		f.Instances = append(f.Instances, &Instance{Listing: tamarackrun.Listing{
@@ -270,7 +286,7 @@
 failureDomain = %s
 [caller]
 address = %s
-[peer]
+%s[peer]
 address = %s
 %s
 [control]
@@ -296,7 +312,15 @@
 	if err != nil {
 		return err
 	}
-	text := fmt.Sprintf(settingsFormat, l.Name, l.FailureDomain, l.CallerAddress, l.PeerAddress, link, l.ControlAddress,
+	callers := ""
+	if f.CallerAuthority != nil {
+		if err := f.CallerAuthority.Issue(l.Name); err != nil {
+			return err
+		}
+		certificate, key := f.CallerAuthority.files(l.Name)
+		callers = "certificateFile = " + certificate + "\nkeyFile = " + key + "\n"
+	}
+	text := fmt.Sprintf(settingsFormat, l.Name, l.FailureDomain, l.CallerAddress, callers, l.PeerAddress, link, l.ControlAddress,
 		bootstrap, f.platformOf(i), level)
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		return err
@@ -349,13 +373,29 @@
 	for _, i := range f.Instances {
 		seeds = append(seeds, i.Listing.CallerAddress)
 	}
-	c := &caller.Caller{Seeds: seeds, Client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{}}}
+	c := &caller.Caller{Seeds: seeds, Client: &http.Client{Timeout: requestTimeout, Transport: f.transport()}}
 	if organisation != "" {
 		c.Key = CallerKey(organisation)
 	}
 	return c
 }
 
+// transport speaks HTTP/1.1, inside TLS if the callers' ports have it.
+func (f *Fleet) transport() *http.Transport {
+	if f.CallerAuthority == nil {
+		return &http.Transport{}
+	}
+	return &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		for _, i := range f.Instances {
+			if i.Listing.CallerAddress == address {
+				d := tls.Dialer{Config: f.CallerAuthority.Trust(i.Listing.Name)}
+				return d.DialContext(ctx, network, address)
+			}
+		}
+		return nil, errors.New("no instance listens at " + address)
+	}}
+}
+
 // Terminate asks an instance to stop gracefully.
 func (i *Instance) Terminate() { i.Signal(syscall.SIGTERM) }
 
--- a/internal/transport/caller/caller.go
+++ b/internal/transport/caller/caller.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -45,6 +46,12 @@
 	defaultPieceTimeout = 10 * time.Second
 	idleTimeout         = 30 * time.Second
 	maxConnections      = 4096
+	// maxBodies bounds the memory of bodies that are being read or held; 4,096
+	// connections times MaxBody would be 4 GiB.
+	maxBodies = 64 << 20
+	// maxStreams bounds the requests that run at a time on one HTTP/2
+	// connection.
+	maxStreams = 100
 )
 
 // Steerer runs one request of a caller. The answer's rules are those of
@@ -70,18 +77,20 @@
 	listener net.Listener
 	server   *http.Server
 	latest   latest
+	bodies   budget
 }
 
-// New listens on the address. The clean-up function closes the listener and
-// all connections.
-func New(address string) (*Server, func(), error) {
+// New listens on the address, with TLS if there is a configuration for it. The
+// clean-up function closes the listener and all connections.
+func New(address string, secure *tls.Config) (*Server, func(), error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, err
 	}
-	s := &Server{listener: limitListener(listener, maxConnections), PieceTimeout: defaultPieceTimeout}
+	s := &Server{listener: limitListener(listener, maxConnections), PieceTimeout: defaultPieceTimeout, bodies: budget{limit: maxBodies}}
 	s.server = &http.Server{
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		TLSConfig: secure, HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 	}
 	return s, func() { _ = s.server.Close(); _ = listener.Close() }, nil
 }
@@ -96,7 +105,11 @@
 	})
 	mux.HandleFunc("/", s.steer)
 	s.server.Handler = s.closing(refuseUnclean(mux))
-	err := s.server.Serve(s.listener)
+	serve := func() error { return s.server.Serve(s.listener) }
+	if s.server.TLSConfig != nil {
+		serve = func() error { return s.server.ServeTLS(s.listener, "", "") }
+	}
+	err := serve()
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -135,9 +148,17 @@
 
 func (s *Server) steer(w http.ResponseWriter, r *http.Request) {
 	id := rand.Text()
+	size := bodySize(r)
+	if !s.bodies.take(size) {
+		WriteOutcome(w, id, unread(r, tamarackrun.BodiesFull))
+		return
+	}
 	body, refusal := readBody(w, r)
+	// The body is held until the request ends, since it may be sent again.
+	s.bodies.give(size - int64(len(body)))
+	defer s.bodies.give(int64(len(body)))
 	if refusal != "" {
-		WriteOutcome(w, id, tamarackrun.Refused(refusal))
+		WriteOutcome(w, id, unread(r, refusal))
 		return
 	}
 	answer := &answerWriter{w: w, id: id, timeout: s.PieceTimeout}
@@ -152,6 +173,17 @@
 	}
 }
 
+// unread is the outcome of a request whose body was not read. An order that is
+// repeated may have run before, which only the issuer of its ticket knows; a
+// body that is malformed or too large was never accepted.
+func unread(r *http.Request, reason tamarackrun.Reason) tamarackrun.Outcome {
+	passing := reason == tamarackrun.BodiesFull || reason == tamarackrun.BodyTimeout
+	if passing && r.Header.Get(TicketHeader) != "" {
+		return tamarackrun.Uncertain(reason)
+	}
+	return tamarackrun.Refused(reason)
+}
+
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, tamarackrun.Reason) {
 	if len(r.Header.Values("Upgrade")) > 0 || len(r.Trailer) > 0 {
 		return nil, tamarackrun.Malformed
--- a/internal/transport/caller/caller_test.go
+++ b/internal/transport/caller/caller_test.go
@@ -36,7 +36,7 @@
 
 func startServer(t *testing.T, f *fakeSteerer) *Server {
 	t.Helper()
-	s, cleanup, err := New("127.0.0.1:0")
+	s, cleanup, err := New("127.0.0.1:0", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/outcome.go
+++ b/outcome.go
@@ -65,6 +65,7 @@
 	IssuerUnreached  Reason = "issuerUnreachable"
 	LedgerFull       Reason = "ledgerFull"
 	BodyTooLarge     Reason = "bodyTooLarge"
+	BodiesFull       Reason = "bodiesFull"
 	BodyTimeout      Reason = "bodyTimeout"
 	Malformed        Reason = "malformed"
 	HeldTooLong      Reason = "heldTooLong"
