--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"sort"
 	"syscall"
@@ -44,6 +45,8 @@
 	Binaries string
 	// Load is how long load is sent.
 	Load time.Duration
+	// Hold keeps the deployment running after the load until ctx ends.
+	Hold bool
 	Out  io.Writer
 
 	directory string
@@ -78,7 +81,16 @@
 	if err != nil {
 		return err
 	}
-	return d.conclude(report)
+	if err := d.conclude(report); err != nil {
+		return err
+	}
+	if err := d.explain(ctx, report.example); err != nil || !d.Hold {
+		return err
+	}
+	_, _ = fmt.Fprintf(d.Out, "running until interrupted; control port of entry-1: %s, callers' port: %s\n",
+		d.listings[0].ControlAddress, d.listings[0].CallerAddress)
+	<-ctx.Done()
+	return nil
 }
 
 func (d *Demo) startAll(ctx context.Context) error {
@@ -252,6 +264,19 @@
 	return r.print(d.Out)
 }
 
+// explain shows the story of one request as operators see it.
+func (d *Demo) explain(ctx context.Context, id string) error {
+	key := filepath.Join(d.directory, "operator.key")
+	if err := os.WriteFile(key, []byte(demoOperatorKey), 0o600); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(d.Out, "tamarackrun explain %s\n", id)
+	c := exec.CommandContext(ctx, filepath.Join(d.Binaries, "tamarackrun"), "explain", id,
+		"--instance", d.listings[0].ControlAddress, "--operator-key-file", key)
+	c.Stdout, c.Stderr = d.Out, d.Out
+	return c.Run()
+}
+
 func (d *Demo) stopAll() {
 	for _, p := range d.processes {
 		p.Signal(syscall.SIGTERM)
