--- a/internal/program/instance/attempt_test.go
+++ b/internal/program/instance/attempt_test.go
@@ -16,6 +16,7 @@
 func TestDeadHomeIsAvoidedAtOnce(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, fleet.Options{Regions: []int{3}})
+	awaitShares(t, f, 3)
 	c := f.Caller("tea")
 	f.Instances[1].Kill()
 	outcomes := map[string]int{}
--- a/internal/program/instance/steering.go
+++ b/internal/program/instance/steering.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/protocol/document"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/state/configuration"
 	"tamarackrun/internal/transport/caller"
@@ -48,6 +49,9 @@
 		Header: forwardedHeader(r.Header, route), Body: body, Idempotent: !ordered,
 		Deadline: in.clock.Now() + in.timeout(r, route),
 	}
+	if organisation != "" {
+		request.KeyHash, request.KeyVersion = document.HashKey(presentedKey(r.Header)), c.Version
+	}
 	if ordered {
 		return in.orders.accept(r, request, answer)
 	}
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -54,6 +54,7 @@
 	ShareUnreadable       tamarackrun.EventID = 2310
 	ShareNotReturned      tamarackrun.EventID = 2311
 	KeyEndedStream        tamarackrun.EventID = 2401
+	ProofWithheld         tamarackrun.EventID = 2410
 	RetryDenied           tamarackrun.EventID = 2501
 )
 
@@ -116,6 +117,7 @@
 	{ShareUnreadable, "shareUnreadable", "error", "a share record or term can't be decoded; the shares in it stay as they are"},
 	{ShareNotReturned, "shareNotReturned", "warn", "a stopping instance could not return its shares; others reclaim them when its term ends"},
 	{KeyEndedStream, "keyEndedStream", "warn", "a running request ends because its key was withdrawn"},
+	{ProofWithheld, "proofWithheld", "error", "a stored version cannot be read and may withdraw keys, so the version in force gets no further proof and keyed requests will be refused"},
 	{RetryDenied, "retryDenied", "warn", "a request is not dispatched again because the retry budget is used up"},
 }
 
--- a/internal/transport/caller/caller_test.go
+++ b/internal/transport/caller/caller_test.go
@@ -27,7 +27,11 @@
 	return f.steer(answer)
 }
 
-func (f *fakeSteerer) Refused(_ *http.Request, _ string, reason tamarackrun.Reason) tamarackrun.Outcome {
+// Refused knows nothing of any ticket, like an instance that did not issue it.
+func (f *fakeSteerer) Refused(r *http.Request, _ string, reason tamarackrun.Reason) tamarackrun.Outcome {
+	if r.Header.Get(TicketHeader) != "" {
+		return tamarackrun.Uncertain(reason)
+	}
 	return tamarackrun.Refused(reason)
 }
 
@@ -40,7 +44,7 @@
 
 func startServer(t *testing.T, f *fakeSteerer) *Server {
 	t.Helper()
-	s, cleanup, err := New("127.0.0.1:0")
+	s, cleanup, err := New("127.0.0.1:0", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
