--- a/internal/program/instance/age_test.go
+++ b/internal/program/instance/age_test.go
@@ -8,8 +8,10 @@
 	"github.com/google/go-cmp/cmp"
 
 	"tamarackrun"
+	"tamarackrun/internal/protocol/document"
 	"tamarackrun/internal/protocol/frame"
 	"tamarackrun/internal/protocol/wire"
+	"tamarackrun/internal/standin/fleet"
 	"tamarackrun/internal/state/boottime"
 )
 
@@ -44,7 +46,8 @@
 	l := newLine(t, i.f, 0, "")
 	exchange := func(execute bool, sentBy, body string, age time.Duration) tamarackrun.Outcome {
 		request := tamarackrun.Request{ID: body, Attempt: body + "@" + i.incarnation, Organisation: "tea", Route: "order", Service: "order",
-			Server: "order-01", Method: "POST", Target: "/order", Body: []byte(body), Deadline: 5 * time.Second}
+			Server: "order-01", Method: "POST", Target: "/order", Body: []byte(body), Deadline: 5 * time.Second,
+			KeyHash: document.HashKey(fleet.CallerKey("tea")), KeyVersion: 1}
 		d := frame.FromRequest(request, 0)
 		d.Sender, d.SentMillis = sentBy, uint64((boottime.Clock{}.Now() - age).Milliseconds())
 		message := &wire.Envelope{Kind: &wire.Envelope_Dispatch{Dispatch: d}}
