Return from Pause when all threads have stopped

SIGSTOP takes effect after the signal was sent, so that a home could begin an order whose answer then timed out during the pause; its outcome stays unknown, which is allowed, while TestPausedHomeWakes expects orders that were sent to a stopped home. It failed once in about 20 runs under load.

--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -51,8 +53,30 @@
 	<-p.ended
 }
 
-// Pause freezes the process until Resume.
-func (p *Process) Pause() { p.Signal(syscall.SIGSTOP) }
+// Pause freezes the process until Resume. It returns when all threads have
+// stopped; the signal alone takes effect later, and a thread may still begin a
+// request.
+func (p *Process) Pause() {
+	p.Signal(syscall.SIGSTOP)
+	for !p.stopped() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// stopped reads the states of all threads; a process that has ended counts as
+// stopped.
+func (p *Process) stopped() bool {
+	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.PID()))
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		// The state follows the program's name, which is in brackets.
+		_, rest, found := bytes.Cut(text, []byte(") "))
+		if err == nil && found && !bytes.ContainsAny(rest[:1], "TZX") {
+			return false
+		}
+	}
+	return true
+}
 
 // Resume wakes a paused process.
 func (p *Process) Resume() { p.Signal(syscall.SIGCONT) }
