Retry in the region of origin after shiftCapped, without the budget

Cause: in a planned stop under load a new home uses a third of its slots, its queue refuses, and the shift that follows sent requests to a region whose reported room was outdated. The home there refused them as shiftCapped, and the retries used up the budget of 10%. Change: after shiftCapped the request stays in its region of origin, and the retry takes nothing from the budget, since the refusal reached no queue.

--- a/internal/program/instance/attempt.go
+++ b/internal/program/instance/attempt.go
@@ -71,6 +71,9 @@
 		if outcome.Reason == tamarackrun.HomeUnreachable {
 			in.dispatching.suspect(chosen.home, in.clock.Now()+suspicion)
 		}
+		if outcome.Reason == tamarackrun.ShiftCapped {
+			excludeOtherRegions(c, request, tried)
+		}
 		retriable := outcome.Kind == tamarackrun.NotRun || outcome.Kind == tamarackrun.Unknown && request.Idempotent
 		// Another home may not have learnt of the withdrawal yet.
 		retriable = retriable && outcome.Reason != tamarackrun.KeyWithdrawn && outcome.Reason != tamarackrun.RouteForbidden
@@ -95,7 +98,21 @@
 
 // reachedNoQueue has the refusals that cost no home and no backend server
 // anything, so that a retry does not add load and takes nothing from the budget.
-var reachedNoQueue = map[tamarackrun.Reason]bool{tamarackrun.HomeUnreachable: true, tamarackrun.NotHome: true}
+var reachedNoQueue = map[tamarackrun.Reason]bool{
+	tamarackrun.HomeUnreachable: true, tamarackrun.NotHome: true, tamarackrun.ShiftCapped: true,
+}
+
+// excludeOtherRegions keeps the retries of a request in its region of origin
+// after another region had no room. In a planned stop under load 254 of 34,622
+// requests were refused as shiftCapped while servers of their own region had
+// room in their queues.
+func excludeOtherRegions(c *configuration.Snapshot, request tamarackrun.Request, tried map[string]bool) {
+	for _, v := range c.ServersOf(request.Service) {
+		if c.RegionOf(v.Domain) != request.OriginRegion {
+			tried[v.Name] = true
+		}
+	}
+}
 
 // mayRetry takes a retry from the budget and records the reason.
 func (in *Instance) mayRetry(request tamarackrun.Request, outcome tamarackrun.Outcome, server string) bool {
