--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -171,25 +171,9 @@
 	return listings
 }
 
-const settingsFormat = `[instance]
-name = %s
-failureDomain = %s
-[caller]
-address = %s
-[peer]
-address = %s
-insecure = yes
-[control]
-address = %s
-[platform]
-url = http://%s
-[log]
-level = warn
-`
-
 func (d *Demo) startInstance(l tamarackrun.Listing) error {
 	file := filepath.Join(d.directory, l.Name+".ini")
-	text := fmt.Sprintf(settingsFormat, l.Name, l.FailureDomain, l.CallerAddress, l.PeerAddress, l.ControlAddress, address(platformPort))
+	text := fleet.Settings{Listing: l, Link: fleet.InsecureLink, Platform: address(platformPort), LogLevel: "warn"}.Text()
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -281,22 +281,6 @@
 	return nil
 }
 
-const settingsFormat = `[instance]
-name = %s
-failureDomain = %s
-[caller]
-address = %s
-%s[peer]
-address = %s
-%s
-[control]
-address = %s
-%s[platform]
-url = http://%s
-[log]
-level = %s
-`
-
 // StartInstance starts or restarts one instance without waiting for it.
 func (f *Fleet) StartInstance(i *Instance) error {
 	l := i.Listing
@@ -320,8 +304,7 @@
 		certificate, key := f.CallerAuthority.files(l.Name)
 		callers = "certificateFile = " + certificate + "\nkeyFile = " + key + "\n"
 	}
-	text := fmt.Sprintf(settingsFormat, l.Name, l.FailureDomain, l.CallerAddress, callers, l.PeerAddress, link, l.ControlAddress,
-		bootstrap, f.platformOf(i), level)
+	text := Settings{Listing: l, Callers: callers, Link: link, Control: bootstrap, Platform: f.platformOf(i), LogLevel: level}.Text()
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -334,7 +317,7 @@
 // certificate that a test has put in place is kept.
 func (f *Fleet) linkSettings(name string) (string, error) {
 	if f.Authority == nil {
-		return "insecure = yes", nil
+		return InsecureLink, nil
 	}
 	certificate, key := f.Authority.files(name)
 	if _, err := os.Stat(certificate); err != nil {
