--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -35,13 +35,16 @@
 )
 
 const (
-	// longWait is how long a watch without changes lasts. Each call has its
-	// price.
+	// longWait is how long a watch without changes lasts if no bound depends on
+	// it. Each call has its price.
 	longWait = 30 * time.Second
-	// serverPace is the least time between two calls for servers' records,
-	// which servers renew all the time. A leaving server must get nothing after
-	// 2.5 s.
-	serverPace = time.Second
+	// waitPart is the part of a bound after which a watch is renewed. A watch
+	// may miss changes without an error: when the store dropped its history,
+	// watches went on for 9 s without hearing of an evacuation.
+	waitPart = 0.5
+	// serverPace is the least time between two calls for servers' records, so
+	// that changes come in batches.
+	serverPace = 300 * time.Millisecond
 	// sweepInterval is that of the housekeeping.
 	sweepInterval = 250 * time.Millisecond
 	// announceInterval is the pause before the own record is written again
@@ -237,9 +240,11 @@
 
 // followers are those of the store's collections.
 func (f *Front) followers() []*follow.Follower {
+	t := f.terms.Load()
+	within := func(bound time.Duration) time.Duration { return time.Duration(float64(bound) * waitPart) }
 	list := []*follow.Follower{
-		{Collection: tamarackrun.Configurations, Wait: longWait, Apply: f.applyConfiguration},
-		{Collection: tamarackrun.Evacuations, Wait: longWait, Apply: func(page tamarackrun.Page, _ bool) {
+		{Collection: tamarackrun.Configurations, Wait: within(t.ApplyBound), Apply: f.applyConfiguration},
+		{Collection: tamarackrun.Evacuations, Wait: within(t.EvacuateBound), Apply: func(page tamarackrun.Page, _ bool) {
 			f.registry.ApplyEvacuations(time.Now(), page)
 		}},
 		{Collection: tamarackrun.Instances, Wait: longWait, Apply: func(page tamarackrun.Page, _ bool) {
@@ -247,7 +252,7 @@
 			f.instancesKnown.Store(true)
 			f.updateReady()
 		}},
-		{Collection: tamarackrun.Servers, Wait: longWait, Pace: serverPace, Apply: func(page tamarackrun.Page, regained bool) {
+		{Collection: tamarackrun.Servers, Wait: within(t.DrainBound), Pace: serverPace, Apply: func(page tamarackrun.Page, regained bool) {
 			f.registry.ApplyServers(time.Now(), page, regained)
 			f.serversKnown.Store(true)
 			f.updateReady()
--- a/internal/state/terms/terms.go
+++ b/internal/state/terms/terms.go
@@ -19,6 +19,8 @@
 	ContactBound time.Duration
 	// ApplyBound is how soon a configuration is in force.
 	ApplyBound time.Duration
+	// EvacuateBound is how soon an evacuated failure domain gets nothing more.
+	EvacuateBound time.Duration
 	// ServerHeartbeat is the interval at which servers renew their records.
 	ServerHeartbeat time.Duration
 	// RetryRatio is the part of the requests of the latest RetryWindow that
@@ -42,6 +44,7 @@
 	t.StopGrace = cmp.Or(t.StopGrace, 6*time.Second)
 	t.ContactBound = cmp.Or(t.ContactBound, 4*time.Second)
 	t.ApplyBound = cmp.Or(t.ApplyBound, 2500*time.Millisecond)
+	t.EvacuateBound = cmp.Or(t.EvacuateBound, 5*time.Second)
 	t.ServerHeartbeat = cmp.Or(t.ServerHeartbeat, 1500*time.Millisecond)
 	t.RetryWindow = cmp.Or(t.RetryWindow, 10*time.Second)
 	t.ColdOverage = cmp.Or(t.ColdOverage, 1)
