--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -13,11 +13,9 @@
 )
 
 const (
-	// minBackoff and maxBackoff bound the pause after a failed call. The store
-	// counts refused calls too. A store that returns is to be noticed within
-	// the second that the bounds on leaving servers leave.
+	// minBackoff bounds the pause after a failed call, which doubles up to
+	// MaxBackoff. The store counts refused calls too.
 	minBackoff = 200 * time.Millisecond
-	maxBackoff = time.Second
 )
 
 // Follower reads a collection once and then follows its changes.
@@ -31,6 +29,10 @@
 	Pace time.Duration
 	// Wait is how long a call without changes lasts.
 	Wait time.Duration
+	// MaxBackoff bounds the pause after failed calls. After contact returns,
+	// the pause and the hold on vanished records together must end within the
+	// time after which an instance counts as in contact.
+	MaxBackoff time.Duration
 	// Apply takes each page. Regained says that it is the first one after a
 	// failure, which includes the first one of all.
 	Apply func(page tamarackrun.Page, regained bool)
@@ -47,22 +49,25 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		began := time.Now()
-		page, err := f.call(ctx, at, known)
+		page, err := f.call(ctx, at, known, lost)
 		f.calls.Add(1)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, tamarackrun.ErrHistoryGone):
 			f.Recorder.Record(event.HistoryGone, "", "collection", f.Collection.String())
+			if !known {
+				// A read can't fail so; the pause keeps the loop from spinning.
+				pause(ctx, jitter(backoff))
+			}
 			known = false
-			pause(ctx, jitter(minBackoff))
 		case err != nil:
 			if !lost {
 				f.Recorder.Record(event.StoreUnreachable, "", "collection", f.Collection.String(), "error", err.Error())
 			}
 			lost = true
 			pause(ctx, jitter(backoff))
-			backoff = min(2*backoff, maxBackoff)
+			backoff = min(2*backoff, f.MaxBackoff)
 		default:
 			if lost {
 				f.Recorder.Record(event.StoreReachable, "", "collection", f.Collection.String())
@@ -74,9 +79,13 @@
 	}
 }
 
-func (f *Follower) call(ctx context.Context, at int64, known bool) (tamarackrun.Page, error) {
-	if !known {
+func (f *Follower) call(ctx context.Context, at int64, known, lost bool) (tamarackrun.Page, error) {
+	switch {
+	case !known:
 		return f.Feed.Read(ctx, f.Collection)
+	case lost:
+		// A watch that waits would tell only later that the store answers.
+		return f.Feed.Follow(ctx, f.Collection, at, 0)
 	}
 	return f.Feed.Follow(ctx, f.Collection, at, f.Wait)
 }
--- /dev/null
+++ b/internal/coordination/follow/follow_test.go
@@ -0,0 +1,106 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"tamarackrun"
+)
+
+// cutFeed has no answer until healed; each call fails after the time of a lost
+// dial. Then its history is gone once.
+type cutFeed struct {
+	healed time.Time
+	gone   bool
+}
+
+const dialTime = 500 * time.Millisecond
+
+func (f *cutFeed) Read(context.Context, tamarackrun.Collection) (tamarackrun.Page, error) {
+	if time.Now().Before(f.healed) {
+		time.Sleep(dialTime)
+		return tamarackrun.Page{}, errors.New("i/o timeout")
+	}
+	return tamarackrun.Page{Whole: true, At: 9}, nil
+}
+
+func (f *cutFeed) Follow(ctx context.Context, c tamarackrun.Collection, at int64, wait time.Duration) (tamarackrun.Page, error) {
+	if page, err := f.Read(ctx, c); err != nil {
+		return page, err
+	}
+	if !f.gone {
+		f.gone = true
+		return tamarackrun.Page{}, tamarackrun.ErrHistoryGone
+	}
+	time.Sleep(wait)
+	return tamarackrun.Page{At: at}, nil
+}
+
+func (f *cutFeed) Announce(context.Context, string, tamarackrun.InstanceRecord) error { return nil }
+
+type noRecorder struct{}
+
+func (noRecorder) Record(tamarackrun.EventID, string, ...string)     {}
+func (noRecorder) CountOutcome(stage string, _ tamarackrun.Outcome) {}
+
+// Guards against a return of contact that takes so long that a server that left
+// meanwhile still gets requests when the instance counts as in contact again,
+// 4 s later (DRAIN on scale-2, seeds 157148305659 and 314800258442).
+func TestContactReturnsSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		feed := &cutFeed{}
+		returned := make(chan time.Duration, 9)
+		f := &Follower{Feed: feed, Recorder: noRecorder{}, Wait: time.Second, MaxBackoff: 400 * time.Millisecond,
+			Apply: func(_ tamarackrun.Page, regained bool) {
+				if regained {
+					returned <- time.Since(feed.healed)
+				}
+			}}
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			f.Run(ctx)
+		}()
+		<-returned
+		feed.healed = time.Now().Add(12 * time.Second)
+		if took := <-returned; took > 1200*time.Millisecond {
+			t.Errorf("contact returned %s after the link", took)
+		}
+		cancel()
+		<-ended
+	})
+}
+
+// waitFeed notes how long its watches wait.
+type waitFeed struct {
+	cutFeed
+	waits []time.Duration
+}
+
+func (f *waitFeed) Follow(_ context.Context, _ tamarackrun.Collection, at int64, wait time.Duration) (tamarackrun.Page, error) {
+	f.waits = append(f.waits, wait)
+	time.Sleep(wait)
+	return tamarackrun.Page{At: at}, nil
+}
+
+// Guards against watches that wait longer than the bound on what they watch: a
+// watch may miss a change without an error.
+func TestWatchIsRenewed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+		defer cancel()
+		feed := &waitFeed{}
+		f := &Follower{Feed: feed, Recorder: noRecorder{}, Wait: time.Second, MaxBackoff: time.Second, Apply: func(tamarackrun.Page, bool) {}}
+		f.Run(ctx)
+		if diff := cmp.Diff([]time.Duration{time.Second, time.Second, time.Second, time.Second}, feed.waits); diff != "" {
+			t.Errorf("waits (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -45,8 +46,12 @@
 	// serverPace is the least time between two calls for servers' records, so
 	// that changes come in batches.
 	serverPace = 300 * time.Millisecond
+	// slowBackoff bounds the pause between failed calls, and serverBackoff that
+	// for servers' records, which are needed first.
+	slowBackoff   = time.Second
+	serverBackoff = 400 * time.Millisecond
 	// sweepInterval is that of the housekeeping.
-	sweepInterval = 250 * time.Millisecond
+	sweepInterval = 100 * time.Millisecond
 	// announceInterval is the pause before the own record is written again
 	// after a failure.
 	announceInterval = time.Second
@@ -252,7 +257,7 @@
 			f.instancesKnown.Store(true)
 			f.updateReady()
 		}},
-		{Collection: tamarackrun.Servers, Wait: within(t.DrainBound), Pace: serverPace, Apply: func(page tamarackrun.Page, regained bool) {
+		{Collection: tamarackrun.Servers, Wait: within(t.DrainBound), Pace: serverPace, MaxBackoff: serverBackoff, Apply: func(page tamarackrun.Page, regained bool) {
 			f.registry.ApplyServers(time.Now(), page, regained)
 			f.serversKnown.Store(true)
 			f.updateReady()
@@ -260,6 +265,7 @@
 	}
 	for _, follower := range list {
 		follower.Feed, follower.Recorder = f.Feed, f.history
+		follower.MaxBackoff = cmp.Or(follower.MaxBackoff, slowBackoff)
 	}
 	return list
 }
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -17,7 +17,7 @@
 	// lapsed may need to write it again, and returnMargin allows for the pace
 	// of reading. An entry that is missing after it is gone.
 	returnTime   = 2 * time.Second
-	returnMargin = 300 * time.Millisecond
+	returnMargin = 100 * time.Millisecond
 )
 
 // Server is one backend server as an instance knows it. It is immutable.
--- a/internal/transport/pipeline/connection.go
+++ b/internal/transport/pipeline/connection.go
@@ -47,6 +47,9 @@
 	// reading says that the first byte of a request has arrived and its end has
 	// not been read.
 	reading bool
+	// answeredLast says that an answer that closes the connection was written;
+	// only the writing goroutine changes it.
+	answeredLast bool
 	// drained is signalled when pending falls to 0.
 	drained *sync.Cond
 }
@@ -85,7 +88,7 @@
 	c.read()
 	close(c.slots)
 	<-written
-	if c.isClosing() && c.ctx.Err() == nil {
+	if c.answeredLast && c.ctx.Err() == nil {
 		c.linger()
 	}
 	c.cancel()
@@ -93,7 +96,9 @@
 }
 
 // linger reads what the caller sent behind the last answer. Closing with unread
-// bytes resets the connection, which may take the answer with it.
+// bytes resets the connection, which may take the answer with it. An idle
+// connection is closed without it: a request that crosses the close must stay
+// unread, so that the caller may send it again at once.
 func (c *connection) linger() {
 	half, ok := c.conn.(*net.TCPConn)
 	if !ok || half.CloseWrite() != nil {
@@ -242,9 +247,9 @@
 }
 
 func (c *connection) readBody(r *http.Request, limit int64, timeout time.Duration) (Call, tamarackrun.Reason, error) {
-	// Go resolves a request with a length and chunks in favour of the chunks;
-	// a server behind might not.
-	if r.Header.Get("Upgrade") != "" || len(r.TransferEncoding) > 0 && r.Header.Get("Content-Length") != "" {
+	// A request with a length and chunks is read by its chunks, and servers get
+	// bodies with a length only.
+	if r.Header.Get("Upgrade") != "" {
 		return Call{}, tamarackrun.Malformed, nil
 	}
 	if r.ContentLength > limit {
@@ -332,6 +337,7 @@
 	c.drained.Broadcast()
 	c.mu.Unlock()
 	if last {
+		c.answeredLast = true
 		c.endReading()
 	}
 }
@@ -351,13 +357,13 @@
 // closeIdle closes the connection if nothing is open on it.
 func (c *connection) closeIdle() {
 	c.mu.Lock()
-	idle := c.pending == 0 && !c.reading
+	idle := c.pending == 0 && !c.reading && !c.closing
 	if idle {
 		c.closing = true
 	}
 	c.mu.Unlock()
 	if idle {
-		c.endReading()
+		c.abort()
 	}
 }
 
