--- /dev/null
+++ b/internal/coordination/coldstart/coldstart_test.go
@@ -0,0 +1,46 @@
+package coldstart
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a rush of requests from all instances to a cold server.
+func TestFleetKeepsLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Float64Range(1, 40).Draw(t, "limit")
+		var names []string
+		for i := range rapid.IntRange(1, 40).Draw(t, "instances") {
+			names = append(names, fmt.Sprint("instance-", i))
+		}
+		var sent []time.Time
+		gates := make([]*Gate, len(names))
+		for i, name := range names {
+			gates[i] = &Gate{Name: name}
+		}
+		start := time.Unix(1000, 0)
+		for ms := 0; ms < 3000; ms += 20 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			for _, g := range gates {
+				if g.Admit(now, "server", limit, names) {
+					sent = append(sent, now)
+				}
+			}
+		}
+		from := 0
+		for to := range sent {
+			for sent[to].Sub(sent[from]) >= time.Second {
+				from++
+			}
+			if got := to - from + 1; float64(got) > limit {
+				t.Fatalf("%d requests in a second, limit %.1f", got, limit)
+			}
+		}
+		if len(sent) == 0 && limit*usedPart >= 1 {
+			t.Fatal("the server gets nothing")
+		}
+	})
+}
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -45,7 +45,7 @@
 
 type noRecorder struct{}
 
-func (noRecorder) Record(tamarackrun.EventID, string, ...string)     {}
+func (noRecorder) Record(tamarackrun.EventID, string, ...string)    {}
 func (noRecorder) CountOutcome(stage string, _ tamarackrun.Outcome) {}
 
 // Guards against a return of contact that takes so long that a server that left
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -40,6 +40,7 @@
 // Limiter holds the parts of all organisations. It is safe for concurrent use.
 type Limiter struct {
 	mu      sync.Mutex
+	started time.Time
 	buckets map[string]*bucket
 	members int
 	divided bool
@@ -47,7 +48,9 @@
 }
 
 // New returns a limiter of an instance that is the only one it knows of.
-func New() *Limiter { return &Limiter{buckets: map[string]*bucket{}, members: 1} }
+func New(now time.Time) *Limiter {
+	return &Limiter{started: now, buckets: map[string]*bucket{}, members: 1}
+}
 
 // Admit counts a request and takes a token for it. If there is none, after is
 // when there will be one.
@@ -59,8 +62,9 @@
 	defer l.mu.Unlock()
 	b := l.buckets[organisation.Name]
 	if b == nil {
-		// A restarted process must not have the burst of the one before it.
-		b = &bucket{limit: organisation, last: now, tokens: minCapacity}
+		// A restarted process must not have the burst of the one before it, so
+		// that the bucket fills from the start of the process.
+		b = &bucket{limit: organisation, last: l.started}
 		b.part = l.part(organisation.Name, b)
 		l.buckets[organisation.Name] = b
 	}
--- /dev/null
+++ b/internal/coordination/quota/quota_test.go
@@ -0,0 +1,172 @@
+package quota
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tamarackrun/internal/state/configuration"
+)
+
+const (
+	// reportDelay is the age of reports when they are used: an interval and a
+	// delay between regions.
+	reportDelay = 300 * time.Millisecond
+	tick        = 20 * time.Millisecond
+	window      = 5 * time.Second
+	// overage and slack are the users' bounds on (rate x window + burst).
+	overage = 0.1
+	slack   = 20.0
+)
+
+// fleet is several limiters with reports that arrive late.
+type fleet struct {
+	limiters []*Limiter
+	cut      int
+	now      time.Time
+	reports  []map[string]float64
+	due      time.Time
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), cut: -1}
+	for range n {
+		f.limiters = append(f.limiters, New(f.now))
+	}
+	return f
+}
+
+// report divides by the demands of the report before, as messages take time.
+func (f *fleet) report() {
+	if f.now.Before(f.due) {
+		return
+	}
+	f.due = f.now.Add(reportDelay)
+	old := f.reports
+	f.reports = nil
+	for i, l := range f.limiters {
+		own := l.Demands(f.now)
+		f.reports = append(f.reports, own)
+		totals := map[string]float64{"o": own["o"]}
+		for j := range old {
+			if i != j && i != f.cut && j != f.cut {
+				totals["o"] += old[j]["o"]
+			}
+		}
+		l.Divide(f.now, len(f.limiters), i != f.cut, totals)
+	}
+}
+
+// Guards against an organisation that gets more than its rate and burst over all
+// instances, while its demand moves between them and one is cut off.
+func TestFleetKeepsLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "instances")
+		limit := configuration.Organisation{Name: "o", Rate: rapid.Float64Range(2, 200).Draw(t, "rate"), Burst: rapid.Float64Range(2, 200).Draw(t, "burst")}
+		f := newFleet(n)
+		if rapid.Bool().Draw(t, "cut") {
+			f.cut = rapid.IntRange(0, n-1).Draw(t, "instance cut off")
+		}
+		var admitted []time.Time
+		for range 8 {
+			rates := rapid.SliceOfN(rapid.Float64Range(0, 3*limit.Rate), n, n).Draw(t, "demand per instance")
+			for range int(1500 * time.Millisecond / tick) {
+				f.now = f.now.Add(tick)
+				f.report()
+				for i, l := range f.limiters {
+					for range whole(rates[i]*tick.Seconds(), f.now, i) {
+						if ok, _ := l.Admit(f.now, limit); ok {
+							admitted = append(admitted, f.now)
+						}
+					}
+				}
+			}
+		}
+		most := (limit.Rate*window.Seconds()+limit.Burst)*(1+overage) + slack
+		if got := busiest(admitted); float64(got) > most {
+			t.Fatalf("%d requests in %s, at most %.1f", got, window, most)
+		}
+	})
+}
+
+// whole spreads a fraction over ticks.
+func whole(x float64, now time.Time, i int) int {
+	phase := float64((now.UnixNano()/int64(tick)+int64(i*7))%50) / 50
+	return int(math.Floor(x + phase))
+}
+
+func busiest(times []time.Time) int {
+	most, from := 0, 0
+	for to := range times {
+		for times[to].Sub(times[from]) > window {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
+
+// Guards against refusals inside the limit when one instance has more than half
+// of the demand.
+func TestDemandMovesParts(t *testing.T) {
+	limit := configuration.Organisation{Name: "o", Rate: 160, Burst: 160}
+	f := newFleet(4)
+	rates := []float64{55, 15, 15, 15}
+	refused := 0
+	for step := range int(20 * time.Second / tick) {
+		f.now = f.now.Add(tick)
+		f.report()
+		for i, l := range f.limiters {
+			for range whole(rates[i]*tick.Seconds(), f.now, i) {
+				// The first seconds measure the demand.
+				if ok, _ := l.Admit(f.now, limit); !ok && step > int(5*time.Second/tick) {
+					refused++
+				}
+			}
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d requests refused inside the limit", refused)
+	}
+}
+
+// Guards against refusals of the first requests after a long start, and against
+// a restarted process that has the burst of the one before it.
+func TestBucketFillsFromTheStart(t *testing.T) {
+	limit := configuration.Organisation{Name: "o", Rate: 10, Burst: 20}
+	for _, test := range []struct {
+		up   time.Duration
+		want int
+	}{{0, 0}, {time.Second, 10}, {time.Minute, 20}} {
+		start := time.Unix(1000, 0)
+		l, admitted := New(start), 0
+		l.Divide(start, 1, true, nil)
+		for range 100 {
+			if ok, _ := l.Admit(start.Add(test.up), limit); ok {
+				admitted++
+			}
+		}
+		if admitted != test.want {
+			t.Errorf("%d requests admitted %s after the start, want %d", admitted, test.up, test.want)
+		}
+	}
+}
+
+func TestRefusalSaysWhenToReturn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := New(now.Add(-time.Second))
+	limit := configuration.Organisation{Name: "o", Rate: 2, Burst: 1}
+	l.Divide(now, 1, true, nil)
+	if ok, _ := l.Admit(now, limit); !ok {
+		t.Fatal("the first request is refused")
+	}
+	ok, after := l.Admit(now, limit)
+	if ok || after <= 0 || after > time.Second {
+		t.Fatalf("admitted %v, return after %s", ok, after)
+	}
+	if ok, _ := l.Admit(now.Add(after+time.Millisecond), limit); !ok {
+		t.Error("the request is refused when it comes back")
+	}
+}
--- /dev/null
+++ b/internal/coordination/steer/steer_test.go
@@ -0,0 +1,114 @@
+package steer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"tamarackrun"
+	"tamarackrun/internal/coordination/health"
+	"tamarackrun/internal/state/registry"
+)
+
+func newSteering() *Steering {
+	s := New()
+	s.Admit = func(time.Time, *registry.Server) bool { return false }
+	return s
+}
+
+func servers(n int) []*registry.Server {
+	var list []*registry.Server
+	for i := range n {
+		list = append(list, &registry.Server{Name: fmt.Sprint("server-", i), Region: []string{"a", "b"}[i%2],
+			ServerRecord: tamarackrun.ServerRecord{Slots: 3}})
+	}
+	return list
+}
+
+// Guards against instances that rank differently, which makes servers handle
+// objects that they do not know.
+func TestInstancesAgreeOnRank(t *testing.T) {
+	now, list := time.Now(), servers(12)
+	reversed := make([]*registry.Server, len(list))
+	for i, v := range list {
+		reversed[len(list)-1-i] = v
+	}
+	for i := range 50 {
+		q := Query{Object: fmt.Sprint("object-", i), Region: "a"}
+		one, _ := newSteering().Choose(now, list, q)
+		two, _ := newSteering().Choose(now, reversed, q)
+		if one.Server != two.Server {
+			t.Fatalf("object %d: %s and %s", i, one.Server.Name, two.Server.Name)
+		}
+	}
+}
+
+func TestRegionsBind(t *testing.T) {
+	s := newSteering()
+	for i := range 20 {
+		c, _ := s.Choose(time.Now(), servers(12), Query{Object: fmt.Sprint(i), Region: "a", Allowed: [][]string{{"b"}, nil}})
+		if c.Server.Region != "b" {
+			t.Fatalf("object %d runs in region %s", i, c.Server.Region)
+		}
+	}
+	// Route and organisation both bind.
+	_, reason := s.Choose(time.Now(), servers(12), Query{Region: "a", Allowed: [][]string{{"b"}, {"a"}}})
+	if diff := cmp.Diff(tamarackrun.NoHealthyServer, reason); diff != "" {
+		t.Errorf("reason (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against one server that gets all requests for an object however busy
+// it is.
+func TestFullServersPassOn(t *testing.T) {
+	s, list := newSteering(), servers(2)
+	counts := map[string]int{}
+	refused := 0
+	for range 2*maxOutstanding + 1 {
+		c, reason := s.Choose(time.Now(), list, Query{Object: "x", Region: "a"})
+		if reason != "" {
+			refused++
+			continue
+		}
+		counts[c.Server.Name]++
+	}
+	if diff := cmp.Diff(map[string]int{"server-0": maxOutstanding, "server-1": maxOutstanding}, counts); diff != "" || refused != 1 {
+		t.Errorf("counts (-want +got):\n%s refused %d", diff, refused)
+	}
+}
+
+// Guards against requests that go on to a server whose connections fail, and
+// against a suspicion that stays when another process takes its place.
+func TestFailedConnectionsPassOn(t *testing.T) {
+	s, list, now := newSteering(), servers(2), time.Now()
+	q := Query{Object: "x", Region: "a"}
+	first, _ := s.Choose(now, list, q)
+	s.Done(now, first, health.Failure, true, 2)
+	second, _ := s.Choose(now, list, q)
+	s.Done(now, second, health.Success, false, 2)
+	if first.Server == second.Server {
+		t.Error("the next request goes to the server whose connection failed")
+	}
+	reborn := *first.Server
+	reborn.Born++
+	list = []*registry.Server{&reborn, second.Server}
+	third, _ := s.Choose(now, list, q)
+	if third.Server.Name != first.Server.Name {
+		t.Error("a new process behind the name is still suspected")
+	}
+}
+
+// Guards against requests to cold servers beyond their limit.
+func TestColdServersAreAsked(t *testing.T) {
+	s, now := newSteering(), time.Now()
+	list := servers(1)
+	list[0].ColdUntil = now.Add(time.Second)
+	if _, reason := s.Choose(now, list, Query{Region: "a"}); reason != tamarackrun.QueueFull {
+		t.Errorf("reason %q", reason)
+	}
+	if _, reason := s.Choose(now.Add(time.Second), list, Query{Region: "a"}); reason != "" {
+		t.Errorf("reason %q when the server is warm", reason)
+	}
+}
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -106,7 +106,7 @@
 
 // New returns an instance with the terms in force.
 func New(t terms.Terms) *Front {
-	f := &Front{started: time.Now(), registry: registry.New(), limiter: quota.New(), steering: steer.New(), cold: &coldstart.Gate{}}
+	f := &Front{started: time.Now(), registry: registry.New(), limiter: quota.New(time.Now()), steering: steer.New(), cold: &coldstart.Gate{}}
 	f.terms.Store(&t)
 	return f
 }
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -11,7 +11,7 @@
 
 type noRecorder struct{}
 
-func (noRecorder) Record(tamarackrun.EventID, string, ...string)     {}
+func (noRecorder) Record(tamarackrun.EventID, string, ...string)    {}
 func (noRecorder) CountOutcome(stage string, _ tamarackrun.Outcome) {}
 
 func newTestRegistry() *Registry {
