--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -50,11 +50,12 @@
 
 // Part is the instance's part of the limits of the fleet.
 type Part struct {
-	// Members is the number of instances between which limits are divided.
-	Members int
-	// Divided says that the instance is in contact with most others, so that
-	// it may use a part by demand.
-	Divided bool
+	// Members is the number of instances between which limits are divided, and
+	// Silent the number of those from which nothing is heard.
+	Members, Silent int
+	// CutOff says that the instance is not in contact with most others, so
+	// that they may count it as silent.
+	CutOff bool
 }
 
 type peer struct {
@@ -220,7 +221,7 @@
 
 // divide returns the instance's part and the demands of all instances together.
 func (m *Membership) divide(now time.Duration, own map[string]float64) (Part, map[string]float64) {
-	members, mutual := 1, 1
+	members, silent, mutual := 1, 0, 1
 	totals := make(map[string]float64, len(own))
 	for organisation, rate := range own {
 		totals[organisation] = rate
@@ -233,13 +234,16 @@
 			mutual++
 		}
 		if now-p.last >= takeOver {
+			if now-max(p.last, p.known) < forgetAfter {
+				silent++
+			}
 			continue
 		}
 		for organisation, rate := range p.demands {
 			totals[organisation] += rate
 		}
 	}
-	return Part{Members: members, Divided: 2*mutual > members}, totals
+	return Part{Members: members, Silent: silent, CutOff: 2*mutual <= members}, totals
 }
 
 // list publishes the members and logs those that were lost or came back.
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -1,7 +1,7 @@
 // Package quota limits the requests of organisations over the whole fleet.
-// Each instance has an equal part of half of each limit, and a part by its
-// reported demand of the other half. The equal part keeps an instance serving
-// that is cut off from the others.
+// Instances report their demand to each other, and each takes the part of the
+// limit that its demand needs. An instance that is cut off from the others has a
+// fixed part, which the others leave to it.
 package quota
 
 import (
@@ -12,10 +12,16 @@
 )
 
 const (
-	// equalPart is the part of a limit that is divided equally. With a limit of
-	// 1.6 times the demand, 0.5 serves 80% of an even demand at an instance
-	// that is cut off, and an instance with up to 57% of all demand in full.
-	equalPart = 0.5
+	// cutOffPart is the part of an equal share that an instance has while it is
+	// cut off. With a limit of 1.6 times the demand, 0.5 serves 80% of an even
+	// demand.
+	cutOffPart = 0.5
+	// floorPart is divided equally in any case, so that an instance admits the
+	// first requests of an organisation that is over its limit elsewhere.
+	floorPart = 0.1
+	// headroom is how much more than its measured demand an instance needs for
+	// requests that come unevenly.
+	headroom = 1.15
 	// demandTime is the time constant of the measured demand.
 	demandTime = 2 * time.Second
 	// minCapacity is the least burst of an instance's part in requests, as
@@ -39,17 +45,27 @@
 
 // Limiter holds the parts of all organisations. It is safe for concurrent use.
 type Limiter struct {
-	mu      sync.Mutex
-	started time.Time
-	buckets map[string]*bucket
-	members int
-	divided bool
-	totals  map[string]float64
+	mu       sync.Mutex
+	started  time.Time
+	buckets  map[string]*bucket
+	division Division
 }
 
-// New returns a limiter of an instance that is the only one it knows of.
+// Division says how the limits are divided at present.
+type Division struct {
+	// Members is the number of instances, and Silent the number of those that
+	// may be cut off and use their fixed parts.
+	Members, Silent int
+	// CutOff says that the instance has lost most of the others.
+	CutOff bool
+	// Totals are the demands of all instances by organisation, in requests per
+	// second.
+	Totals map[string]float64
+}
+
+// New returns a limiter of an instance that has not heard of any other.
 func New(now time.Time) *Limiter {
-	return &Limiter{started: now, buckets: map[string]*bucket{}, members: 1}
+	return &Limiter{started: now, buckets: map[string]*bucket{}, division: Division{Members: 1, CutOff: true}}
 }
 
 // Admit counts a request and takes a token for it. If there is none, after is
@@ -91,6 +107,16 @@
 	b.demand -= b.demand * min(1, passed.Seconds()/demandTime.Seconds())
 }
 
+// Part returns the instance's part of an organisation's limit, from 0 to 1.
+func (l *Limiter) Part(organisation string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b := l.buckets[organisation]; b != nil {
+		return b.part
+	}
+	return 0
+}
+
 // Demands returns the demand of each organisation in requests per second.
 func (l *Limiter) Demands(now time.Time) map[string]float64 {
 	l.mu.Lock()
@@ -105,12 +131,11 @@
 	return demands
 }
 
-// Divide takes the number of instances and the reported demand of all of them.
-// Without divided, the instance has its equal part only.
-func (l *Limiter) Divide(now time.Time, members int, divided bool, totals map[string]float64) {
+// Divide puts a new division in force.
+func (l *Limiter) Divide(now time.Time, d Division) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.members, l.divided, l.totals = members, divided, totals
+	l.division = d
 	for name, b := range l.buckets {
 		b.advance(now)
 		b.part = l.part(name, b)
@@ -118,14 +143,19 @@
 	}
 }
 
+// part is what the instance's demand needs and an equal part of what nobody
+// needs, or a part in proportion to its demand if the limit is too low.
 func (l *Limiter) part(organisation string, b *bucket) float64 {
-	equal := equalPart / float64(l.members)
-	total := l.totals[organisation]
-	if !l.divided {
-		return equal
+	d := l.division
+	equal := 1 / float64(d.Members)
+	if d.CutOff {
+		return cutOffPart * equal
 	}
-	if total <= 0 {
-		return 1 / float64(l.members)
+	free := 1 - floorPart - cutOffPart*equal*float64(d.Silent)
+	need := headroom * b.demand / b.limit.Rate
+	needed := max(need, headroom*d.Totals[organisation]/b.limit.Rate)
+	if needed >= free {
+		return floorPart*equal + free*need/needed
 	}
-	return equal + (1-equalPart)*min(1, b.demand/total)
+	return floorPart*equal + need + (free-needed)*equal
 }
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -55,7 +55,11 @@
 				totals["o"] += old[j]["o"]
 			}
 		}
-		l.Divide(f.now, len(f.limiters), i != f.cut, totals)
+		silent := 0
+		if f.cut >= 0 {
+			silent = 1
+		}
+		l.Divide(f.now, Division{Members: len(f.limiters), Silent: silent, CutOff: i == f.cut, Totals: totals})
 	}
 }
 
@@ -91,10 +95,11 @@
 	})
 }
 
-// whole spreads a fraction over ticks.
+// whole spreads a fraction evenly over ticks, at another phase for each instance.
 func whole(x float64, now time.Time, i int) int {
-	phase := float64((now.UnixNano()/int64(tick)+int64(i*7))%50) / 50
-	return int(math.Floor(x + phase))
+	k := float64(now.UnixNano()/int64(tick) % 1_000_000)
+	phase := float64(i*7%10) / 10
+	return int(math.Floor((k+1)*x+phase) - math.Floor(k*x+phase))
 }
 
 func busiest(times []time.Time) int {
@@ -142,7 +147,7 @@
 	}{{0, 0}, {time.Second, 10}, {time.Minute, 20}} {
 		start := time.Unix(1000, 0)
 		l, admitted := New(start), 0
-		l.Divide(start, 1, true, nil)
+		l.Divide(start, Division{Members: 1})
 		for range 100 {
 			if ok, _ := l.Admit(start.Add(test.up), limit); ok {
 				admitted++
@@ -154,11 +159,35 @@
 	}
 }
 
+// Guards against a limit that is not used up by an organisation that is over it,
+// because instances without demand keep parts.
+func TestLimitIsUsedUp(t *testing.T) {
+	limit := configuration.Organisation{Name: "o", Rate: 20, Burst: 20}
+	f := newFleet(7)
+	rates := []float64{0, 15, 10, 10, 5, 5, 2}
+	admitted := 0
+	const from, to = 5 * time.Second, 25 * time.Second
+	for step := range int(to / tick) {
+		f.now = f.now.Add(tick)
+		f.report()
+		for i, l := range f.limiters {
+			for range whole(rates[i]*tick.Seconds(), f.now, i) {
+				if ok, _ := l.Admit(f.now, limit); ok && time.Duration(step)*tick > from {
+					admitted++
+				}
+			}
+		}
+	}
+	if want := limit.Rate * (to - from).Seconds(); float64(admitted) < 0.95*want {
+		t.Errorf("%d requests admitted, the limit allows %.0f", admitted, want)
+	}
+}
+
 func TestRefusalSaysWhenToReturn(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := New(now.Add(-time.Second))
 	limit := configuration.Organisation{Name: "o", Rate: 2, Burst: 1}
-	l.Divide(now, 1, true, nil)
+	l.Divide(now, Division{Members: 1})
 	if ok, _ := l.Admit(now, limit); !ok {
 		t.Fatal("the first request is refused")
 	}
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -197,10 +197,11 @@
 	var latest membership.Part
 	f.members.Divide = func(part membership.Part, totals map[string]float64) {
 		if part != latest {
-			f.history.Record(event.PartChanged, "", "members", strconv.Itoa(part.Members), "divided", strconv.FormatBool(part.Divided))
+			f.history.Record(event.PartChanged, "", "members", strconv.Itoa(part.Members),
+				"silent", strconv.Itoa(part.Silent), "cutOff", strconv.FormatBool(part.CutOff))
 			latest = part
 		}
-		f.limiter.Divide(time.Now(), part.Members, part.Divided, totals)
+		f.limiter.Divide(time.Now(), quota.Division{Members: part.Members, Silent: part.Silent, CutOff: part.CutOff, Totals: totals})
 		f.retries.divide(part.Members)
 	}
 	socket.Receive = f.members.Receive
--- a/internal/program/front/serve.go
+++ b/internal/program/front/serve.go
@@ -67,7 +67,7 @@
 
 // Refuse answers a request that could not be read.
 func (f *Front) Refuse(reason tamarackrun.Reason) pipeline.Answer {
-	return f.finish("", tamarackrun.Refused(reason), 0)
+	return f.finish(&order{}, tamarackrun.Refused(reason), 0)
 }
 
 // order is one request on its way.
@@ -85,7 +85,7 @@
 func (f *Front) Serve(ctx context.Context, call pipeline.Call) pipeline.Answer {
 	o := &order{call: call, fields: f.Dialect.ReadCaller(call.Request.Header), configuration: f.snapshot.Load()}
 	if reason, after := f.admit(o); reason != "" {
-		return f.finish(o.fields.ID, tamarackrun.Refused(reason), after)
+		return f.finish(o, tamarackrun.Refused(reason), after)
 	}
 	o.service = pickPart(o.route)
 	patience := o.route.Timeout
@@ -196,7 +196,7 @@
 	if failed != nil {
 		return f.pass(o, *failed)
 	}
-	return f.finish(o.fields.ID, outcome, f.returnTime(o))
+	return f.finish(o, outcome, f.returnTime(o))
 }
 
 func (f *Front) choose(o *order, tried []string) (steer.Choice, tamarackrun.Reason) {
@@ -262,18 +262,33 @@
 }
 
 // finish answers a request that has no answer of a server.
-func (f *Front) finish(id string, outcome tamarackrun.Outcome, after time.Duration) pipeline.Answer {
+func (f *Front) finish(o *order, outcome tamarackrun.Outcome, after time.Duration) pipeline.Answer {
 	number := event.RequestRefused
 	if outcome.Kind == tamarackrun.Unknown {
 		number = event.RequestUncertain
 	}
 	status, header := f.Dialect.Refusal(outcome, after)
-	f.history.Record(number, id, "outcome", outcome.String(), "status", strconv.Itoa(status), "returnAfter", after.String(),
-		"configuration", strconv.FormatInt(f.version(), 10))
+	fields := []string{"outcome", outcome.String(), "status", strconv.Itoa(status), "returnAfter", after.String(),
+		"route", o.route.Name, "service", o.service, "organisation", o.organisation.Name,
+		"configuration", strconv.FormatInt(f.version(), 10), "configurationAge", f.configurationAge().String()}
+	if outcome.Reason == tamarackrun.RateExceeded {
+		fields = append(fields, "limit", formatRate(o.organisation.Rate), "part", formatRate(f.limiter.Part(o.organisation.Name)))
+	}
+	f.history.Record(number, o.fields.ID, fields...)
 	f.history.CountOutcome("request", outcome)
 	return pipeline.Answer{Status: status, Header: header}
 }
 
+func formatRate(x float64) string { return strconv.FormatFloat(x, 'g', 4, 64) }
+
+// configurationAge is how long the configuration has been in force here.
+func (f *Front) configurationAge() time.Duration {
+	if at := f.applied.Load(); at != 0 {
+		return time.Since(time.UnixMilli(at)).Round(time.Millisecond)
+	}
+	return 0
+}
+
 // returnTime is when a refused caller may find room: after about half of the
 // time that a request of the route takes.
 func (f *Front) returnTime(o *order) time.Duration {
