Keep room for instances that do not know that a server is cold

Two ways were found by reading: cut off instances don't count against the limit of a cold server, and a server that restarts under its old record is cold before its record says so. The limit now leaves 40% for such instances, and a server whose port refused connections is taken as cold when it returns.

--- a/internal/coordination/coldstart/coldstart.go
+++ b/internal/coordination/coldstart/coldstart.go
@@ -11,9 +11,15 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// usedPart is the part of the limit that is used, as requests that were sent in
-// different seconds may arrive in the same one.
-const usedPart = 0.8
+const (
+	// usedPart is the part of the limit that is used. The rest is for instances
+	// that have not learnt that a server is cold, as they are cut off from the
+	// store.
+	usedPart = 0.6
+	// span is the time over which requests count. It is a little more than the
+	// second of the limit, as requests take unequal time to arrive.
+	span = 1100 * time.Millisecond
+)
 
 // Gate counts the requests to cold servers. It is safe for concurrent use.
 type Gate struct {
@@ -21,7 +27,7 @@
 	Name string
 
 	mu sync.Mutex
-	// sent has the times of the requests of the latest second, by server.
+	// sent has the times of the requests of the latest span, by server.
 	sent map[string][]time.Time
 }
 
@@ -40,7 +46,7 @@
 		g.sent = map[string][]time.Time{}
 	}
 	recent := g.sent[server]
-	for len(recent) > 0 && now.Sub(recent[0]) >= time.Second {
+	for len(recent) > 0 && now.Sub(recent[0]) >= span {
 		recent = recent[1:]
 	}
 	if len(recent) >= allowed {
@@ -70,12 +76,12 @@
 
 func score(server, instance string) uint64 { return xxhash.Sum64String(server + "\x00" + instance) }
 
-// Forget drops the counts of servers that have got nothing for a second.
+// Forget drops the counts of servers that have got nothing lately.
 func (g *Gate) Forget(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for server, recent := range g.sent {
-		if len(recent) == 0 || now.Sub(recent[len(recent)-1]) >= time.Second {
+		if len(recent) == 0 || now.Sub(recent[len(recent)-1]) >= span {
 			delete(g.sent, server)
 		}
 	}
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -97,7 +97,7 @@
 
 // whole spreads a fraction evenly over ticks, at another phase for each instance.
 func whole(x float64, now time.Time, i int) int {
-	k := float64(now.UnixNano()/int64(tick) % 1_000_000)
+	k := float64(now.UnixNano() / int64(tick) % 1_000_000)
 	phase := float64(i*7%10) / 10
 	return int(math.Floor((k+1)*x+phase) - math.Floor(k*x+phase))
 }
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -60,7 +60,10 @@
 	// suspectUntil and suspicion follow failed connections.
 	suspectUntil time.Time
 	suspicion    time.Duration
-	born         int64
+	// coldUntil is how long the server is taken as cold after its port refused
+	// connections, as its process may have started again.
+	coldUntil time.Time
+	born      int64
 }
 
 // Steering chooses servers and learns from outcomes. It is safe for concurrent
@@ -69,6 +72,9 @@
 	// Admit says whether a cold server may get a request now; set before the
 	// first Choose.
 	Admit func(now time.Time, server *registry.Server) bool
+	// ColdTime is how long servers of a service are cold after their start; set
+	// before the first Choose.
+	ColdTime func(service string) time.Duration
 
 	mu      sync.Mutex
 	servers map[string]*state
@@ -107,7 +113,7 @@
 		if !admitted && ejected < len(list) {
 			continue
 		}
-		if c.server.Cold(now) && !s.Admit(now, c.server) {
+		if (c.server.Cold(now) || now.Before(st.coldUntil)) && !s.Admit(now, c.server) {
 			if probe {
 				st.health.Probed(now.Sub(s.started), health.Nothing)
 			}
@@ -194,6 +200,7 @@
 	if connectFailed {
 		st.suspicion = min(maxSuspicion, max(firstSuspicion, 2*st.suspicion))
 		st.suspectUntil = now.Add(st.suspicion)
+		st.coldUntil = st.suspectUntil.Add(s.ColdTime(c.Server.Service))
 	} else if result == health.Success {
 		st.suspicion = 0
 	}
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -15,6 +15,7 @@
 func newSteering() *Steering {
 	s := New()
 	s.Admit = func(time.Time, *registry.Server) bool { return false }
+	s.ColdTime = func(string) time.Duration { return 3 * time.Second }
 	return s
 }
 
@@ -112,3 +113,18 @@
 		t.Errorf("reason %q when the server is warm", reason)
 	}
 }
+
+// Guards against a rush to a server that started again under its old record: an
+// instance that is cut off from the store does not learn that it is cold.
+func TestRefusedServerReturnsCold(t *testing.T) {
+	s, now := newSteering(), time.Now()
+	list, q := servers(1), Query{Region: "a"}
+	c, _ := s.Choose(now, list, q)
+	s.Done(now, c, health.Failure, true, 1)
+	if _, reason := s.Choose(now.Add(firstSuspicion+time.Second), list, q); reason != tamarackrun.QueueFull {
+		t.Errorf("reason %q while the server may be cold", reason)
+	}
+	if _, reason := s.Choose(now.Add(firstSuspicion+4*time.Second), list, q); reason != "" {
+		t.Errorf("reason %q later", reason)
+	}
+}
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -163,7 +163,7 @@
 	f.servers = client
 	f.registry.Recorder, f.registry.Regions, f.registry.ColdTime = f.history, f.Identity.Regions, f.coldTime
 	f.cold.Name = f.Identity.Name
-	f.steering.Admit = f.admitCold
+	f.steering.Admit, f.steering.ColdTime = f.admitCold, f.coldTime
 	socket, closeSocket, err := datagram.New(f.Identity.ReportAddress)
 	if err != nil {
 		return cleanup, err
