Take turns to verify the store instead of renewing watches

Cause of the largest price on the grown sites: each instance renewed its watches within half of their bounds. Now one instance reads the store about once a second, compares its revision with those known, and reports carry the revisions, so that the others read a collection only if their watch missed a change. A reader that the store turns away is passed over.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -37,7 +37,22 @@
 	// failure, which includes the first one of all.
 	Apply func(page tamarackrun.Page, regained bool)
 
-	calls atomic.Int64
+	calls  atomic.Int64
+	away   atomic.Bool
+	kicked atomic.Bool
+	// end ends the call that is waiting.
+	end atomic.Pointer[context.CancelFunc]
+}
+
+// Away says that the latest call failed.
+func (f *Follower) Away() bool { return f.away.Load() }
+
+// Kick reads the collection again instead of waiting for changes.
+func (f *Follower) Kick() {
+	f.kicked.Store(true)
+	if end := f.end.Load(); end != nil {
+		(*end)()
+	}
 }
 
 // Calls returns the number of calls that were made.
@@ -51,6 +66,12 @@
 		began := time.Now()
 		page, err := f.call(ctx, at, known, lost)
 		f.calls.Add(1)
+		if f.kicked.Swap(false) {
+			known = false
+			if err != nil && !lost {
+				continue
+			}
+		}
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -66,6 +87,7 @@
 				f.Recorder.Record(event.StoreUnreachable, "", "collection", f.Collection.String(), "error", err.Error())
 			}
 			lost = true
+			f.away.Store(true)
 			pause(ctx, jitter(backoff))
 			backoff = min(2*backoff, f.MaxBackoff)
 		default:
@@ -73,13 +95,17 @@
 				f.Recorder.Record(event.StoreReachable, "", "collection", f.Collection.String())
 			}
 			f.Apply(page, lost)
-			at, known, lost, backoff = page.At, true, false, minBackoff
+			f.away.Store(false)
+			at, known, lost, backoff = page.At, known || page.Whole, false, minBackoff
 			pause(ctx, f.Pace-time.Since(began))
 		}
 	}
 }
 
 func (f *Follower) call(ctx context.Context, at int64, known, lost bool) (tamarackrun.Page, error) {
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	f.end.Store(&end)
 	switch {
 	case !known:
 		return f.Feed.Read(ctx, f.Collection)
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/verify"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/wire"
 )
@@ -46,6 +47,8 @@
 	Ready, Leaving bool
 	// Alive says that a report arrived recently.
 	Alive bool
+	// StoreAway says that the store does not answer the instance.
+	StoreAway bool
 }
 
 // Part is the instance's part of the limits of the fleet.
@@ -65,6 +68,8 @@
 	incarnation    int64
 	sequence       uint64
 	ready, leaving bool
+	// storeAway says that the store does not answer the instance.
+	storeAway bool
 	// last is when the latest report arrived, and mutual when the latest one
 	// arrived that says that own reports are heard.
 	last, mutual time.Duration
@@ -85,6 +90,8 @@
 	Demands  func() map[string]float64
 	Version  func() int64
 	Send     func(message []byte, addresses []netip.AddrPort) int
+	// Verifier takes and gives the revisions in reports.
+	Verifier *verify.Verifier
 	// Divide is called after each report with the demand of all instances.
 	Divide func(part Part, totals map[string]float64)
 
@@ -118,6 +125,21 @@
 // is shared and must not be changed.
 func (m *Membership) Members() []Member { return *m.members.Load() }
 
+// Rank is the position of the instance among those that are alive and that the
+// store answers.
+func (m *Membership) Rank() int {
+	rank := 0
+	for _, v := range m.Members() {
+		if v.Name == m.Name {
+			return rank
+		}
+		if v.Alive && !v.StoreAway {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Apply takes records of instances.
 func (m *Membership) Apply(page tamarackrun.Page) {
 	m.mu.Lock()
@@ -158,11 +180,14 @@
 	}
 	now := m.Clock.Now()
 	p.incarnation, p.sequence, p.last = report.Incarnation, report.Sequence, now
-	p.ready, p.leaving = report.Ready, report.Leaving
+	p.ready, p.leaving, p.storeAway = report.Ready, report.Leaving, report.StoreAway
 	own := xxhash.Sum64String(m.Name)
 	if slices.Contains(report.Heard, own) {
 		p.mutual = now
 	}
+	var theirs verify.Revisions
+	copy(theirs[:], report.Revisions)
+	m.Verifier.Learn(time.Now(), theirs, time.Duration(report.VerifiedAge)*time.Millisecond)
 	p.demands = make(map[string]float64, len(report.Demands))
 	for _, d := range report.Demands {
 		p.demands[d.Organisation] = float64(d.Rate)
@@ -200,6 +225,9 @@
 	for organisation, rate := range own {
 		message.Demands = append(message.Demands, &wire.OrganisationDemand{Organisation: organisation, Rate: float32(rate)})
 	}
+	revisions, age := m.Verifier.Report(time.Now())
+	message.StoreAway = m.Verifier.Away()
+	message.Revisions, message.VerifiedAge = revisions[:], uint32(age.Milliseconds())
 	var addresses []netip.AddrPort
 	for name, p := range m.peers {
 		addresses = append(addresses, p.address)
@@ -259,7 +287,7 @@
 			}
 			m.Recorder.Record(id, "", "peer", name, "silentFor", (now - p.last).String())
 		}
-		list = append(list, Member{Name: name, InstanceRecord: p.record, Ready: p.ready, Leaving: p.leaving, Alive: alive})
+		list = append(list, Member{Name: name, InstanceRecord: p.record, Ready: p.ready, Leaving: p.leaving, Alive: alive, StoreAway: p.storeAway})
 	}
 	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	m.members.Store(&list)
--- /dev/null
+++ b/internal/coordination/verify/verify.go
@@ -0,0 +1,206 @@
+// Package verify finds changes of the platform's records that waiting watches
+// did not deliver. The instances take turns: one reads the store, and all learn
+// from its reports which revisions they must have.
+package verify
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"tamarackrun"
+)
+
+const (
+	// interval is the time between two reads of the fleet. A change that no
+	// watch delivers must be in force after 2.5 s: it is found within interval,
+	// reported, and read by the others after grace.
+	interval = 800 * time.Millisecond
+	// turn is how much later than the instance before it the next one reads.
+	// Reports of the read arrive within 0.4 s.
+	turn = 500 * time.Millisecond
+	// step is how often the instance looks whether it is its turn.
+	step = 100 * time.Millisecond
+	// grace is how long the own watch may need to deliver a change that another
+	// instance has reported.
+	grace = 300 * time.Millisecond
+	// awayAfter is the age of the latest read of any instance from which on the
+	// store is taken as away, and returnTime how long after its return records
+	// that lapsed meanwhile may come back.
+	awayAfter  = 2 * interval
+	returnTime = 2100 * time.Millisecond
+	// unknownAge stands for no read at all.
+	unknownAge = time.Minute
+	// retry is the pause after a failed read.
+	retry = time.Second
+)
+
+// Revisions are the highest revisions that are known of each collection.
+type Revisions [4]int64
+
+// max returns the highest revision.
+func (r Revisions) max() int64 {
+	highest := int64(0)
+	for _, v := range r {
+		highest = max(highest, v)
+	}
+	return highest
+}
+
+// Verifier is the part of one instance. It is safe for concurrent use.
+type Verifier struct {
+	// These fields are set before Run. Rank is the instance's place in the
+	// order of turns, from 0; Away says that the store does not answer this
+	// instance; Kick reads a collection again; Apply takes evacuations.
+	Feed  tamarackrun.Feed
+	Rank  func() int
+	Away  func() bool
+	Kick  func(collection tamarackrun.Collection)
+	Apply func(page tamarackrun.Page)
+
+	mu sync.Mutex
+	// known are the revisions of the latest changes of each collection, and
+	// complete those up to which the collections were read as a whole.
+	known, complete Revisions
+	// returned is when a read succeeded after the store was away.
+	returned time.Time
+	// verified is when the latest read of any instance began.
+	verified time.Time
+	// audited is the store's revision of the latest read that led to kicks.
+	audited int64
+	// reported are the highest revisions that others have reported, and due is
+	// when a collection is read again unless its watch delivers the reported
+	// change before; zero if nothing is missing.
+	reported Revisions
+	due      [4]time.Time
+}
+
+// Applied notes the revisions of a page that was put in force.
+func (v *Verifier) Applied(collection tamarackrun.Collection, page tamarackrun.Page) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, r := range page.Records {
+		v.known[collection] = max(v.known[collection], r.Revision)
+	}
+	if page.Whole {
+		// A list shows no removals.
+		v.complete[collection] = max(v.complete[collection], page.At)
+	}
+}
+
+// Steady says that the store has answered some instance lately, and that records
+// that lapsed while it was away have had the time to come back.
+func (v *Verifier) Steady(now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return now.Sub(v.verified) < awayAfter && now.Sub(v.returned) >= returnTime
+}
+
+// verify notes a successful read that began at the time.
+func (v *Verifier) verify(now, at time.Time) {
+	if !at.After(v.verified) {
+		return
+	}
+	if at.Sub(v.verified) >= awayAfter {
+		v.returned = now
+	}
+	v.verified = at
+}
+
+// Report returns what the own report says: the known revisions and the age of
+// the latest read.
+func (v *Verifier) Report(now time.Time) (Revisions, time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.known, min(now.Sub(v.verified), unknownAge)
+}
+
+// Learn takes the report of another instance.
+func (v *Verifier) Learn(now time.Time, theirs Revisions, age time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.verify(now, now.Add(-age))
+	for c, revision := range theirs {
+		v.reported[c] = max(v.reported[c], revision)
+		switch {
+		case v.reported[c] <= max(v.known[c], v.complete[c]):
+			v.due[c] = time.Time{}
+		case v.due[c].IsZero():
+			v.due[c] = now.Add(grace)
+		}
+	}
+}
+
+// Run verifies until the context ends.
+func (v *Verifier) Run(ctx context.Context) {
+	ticker := time.NewTicker(step)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, c := range v.missing(time.Now()) {
+			v.Kick(c)
+		}
+		if v.turn(time.Now()) && !v.Away() && !v.read(ctx) {
+			// The followers find out when the store answers again.
+			timer := time.NewTimer(retry)
+			select {
+			case <-ctx.Done():
+				timer.Stop()
+				return
+			case <-timer.C:
+			}
+		}
+	}
+}
+
+// missing returns the collections of which a change is overdue.
+func (v *Verifier) missing(now time.Time) []tamarackrun.Collection {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var list []tamarackrun.Collection
+	for c, due := range v.due {
+		if !due.IsZero() && !now.Before(due) {
+			// The next report asks again if the read fails.
+			v.due[c] = time.Time{}
+			list = append(list, tamarackrun.Collection(c))
+		}
+	}
+	return list
+}
+
+// turn says whether the instance is to read now.
+func (v *Verifier) turn(now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return now.Sub(v.verified) >= interval+turn*time.Duration(v.Rank())
+}
+
+// read reads the collection that is empty most of the time. The answer tells the
+// store's revision: if it is above all known ones, some watch has missed a
+// change. It returns whether the store answered.
+func (v *Verifier) read(ctx context.Context) bool {
+	began := time.Now()
+	page, err := v.Feed.Read(ctx, tamarackrun.Evacuations)
+	if err != nil {
+		return false
+	}
+	v.Apply(page)
+	v.mu.Lock()
+	v.verify(time.Now(), began)
+	behind := page.At > max(v.known.max(), v.complete.max(), v.audited)
+	if behind {
+		v.audited = page.At
+	}
+	v.mu.Unlock()
+	v.Applied(tamarackrun.Evacuations, page)
+	if behind {
+		for _, c := range []tamarackrun.Collection{tamarackrun.Configurations, tamarackrun.Servers, tamarackrun.Instances} {
+			v.Kick(c)
+		}
+	}
+	return true
+}
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -23,6 +23,7 @@
 	"tamarackrun/internal/coordination/membership"
 	"tamarackrun/internal/coordination/quota"
 	"tamarackrun/internal/coordination/steer"
+	"tamarackrun/internal/coordination/verify"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/state/boottime"
 	"tamarackrun/internal/state/configuration"
@@ -36,13 +37,11 @@
 )
 
 const (
-	// longWait is how long a watch without changes lasts if no bound depends on
-	// it. Each call has its price.
+	// longWait is how long a watch without changes lasts. Each call has its
+	// price. A watch may miss changes without an error: when the store dropped
+	// its history, watches went on for 9 s without hearing of an evacuation.
+	// The verifier finds such changes.
 	longWait = 30 * time.Second
-	// waitPart is the part of a bound after which a watch is renewed. A watch
-	// may miss changes without an error: when the store dropped its history,
-	// watches went on for 9 s without hearing of an evacuation.
-	waitPart = 0.5
 	// serverPace is the least time between two calls for servers' records, so
 	// that changes come in batches.
 	serverPace = 300 * time.Millisecond
@@ -93,6 +92,9 @@
 	limiter  *quota.Limiter
 	steering *steer.Steering
 	cold     *coldstart.Gate
+	verifier *verify.Verifier
+	// follower has the follower of each collection.
+	follower map[tamarackrun.Collection]*follow.Follower
 	retries  retries
 
 	// snapshot is nil until the first configuration is known; its version only
@@ -131,12 +133,13 @@
 	defer stop()
 	var group sync.WaitGroup
 	start := func(task func(context.Context)) { group.Go(func() { task(background) }) }
-	for _, follower := range f.followers() {
+	for _, follower := range f.follower {
 		start(follower.Run)
 	}
 	start(func(ctx context.Context) { f.FollowSettings(ctx, f.reload, f.reject) })
 	start(f.announce)
 	start(f.members.Run)
+	start(f.verifier.Run)
 	start(f.sweep)
 	f.history.Record(event.Started, "", "failureDomain", f.Identity.FailureDomain, "region", f.Identity.Region)
 	<-ctx.Done()
@@ -169,6 +172,7 @@
 		return cleanup, err
 	}
 	cleanups = append(cleanups, closeSocket)
+	f.openFollowers()
 	f.openMembership(socket)
 	callers, closeCallers, err := pipeline.New(f.Identity.CallerAddress)
 	if err != nil {
@@ -192,6 +196,7 @@
 
 func (f *Front) openMembership(socket *datagram.Socket) {
 	f.members = membership.New(f.Identity.Name, f.record(), boottime.Clock{})
+	f.members.Verifier = f.verifier
 	f.members.Recorder, f.members.Send, f.members.Version = f.history, socket.Send, f.version
 	f.members.Demands = func() map[string]float64 { return f.limiter.Demands(time.Now()) }
 	var latest membership.Part
@@ -244,31 +249,43 @@
 	return 0
 }
 
-// followers are those of the store's collections.
-func (f *Front) followers() []*follow.Follower {
-	t := f.terms.Load()
-	within := func(bound time.Duration) time.Duration { return time.Duration(float64(bound) * waitPart) }
-	list := []*follow.Follower{
-		{Collection: tamarackrun.Configurations, Wait: within(t.ApplyBound), Apply: f.applyConfiguration},
-		{Collection: tamarackrun.Evacuations, Wait: within(t.EvacuateBound), Apply: func(page tamarackrun.Page, _ bool) {
-			f.registry.ApplyEvacuations(time.Now(), page)
-		}},
-		{Collection: tamarackrun.Instances, Wait: longWait, Apply: func(page tamarackrun.Page, _ bool) {
-			f.members.Apply(page)
-			f.instancesKnown.Store(true)
-			f.updateReady()
-		}},
-		{Collection: tamarackrun.Servers, Wait: within(t.DrainBound), Pace: serverPace, MaxBackoff: serverBackoff, Apply: func(page tamarackrun.Page, regained bool) {
-			f.registry.ApplyServers(time.Now(), page, regained)
-			f.serversKnown.Store(true)
-			f.updateReady()
-		}},
+// openFollowers makes the followers of the store's collections.
+func (f *Front) openFollowers() {
+	f.verifier = &verify.Verifier{Feed: f.Feed, Rank: func() int { return f.members.Rank() }, Apply: f.applyEvacuations,
+		Away: func() bool { return f.follower[tamarackrun.Servers].Away() },
+		Kick: func(c tamarackrun.Collection) { f.follower[c].Kick() }}
+	f.registry.Steady = f.verifier.Steady
+	f.follower = map[tamarackrun.Collection]*follow.Follower{
+		tamarackrun.Configurations: {Apply: f.applyConfiguration},
+		tamarackrun.Evacuations:    {Apply: func(page tamarackrun.Page, _ bool) { f.applyEvacuations(page) }},
+		tamarackrun.Instances:      {Apply: f.applyInstances},
+		tamarackrun.Servers:        {Pace: serverPace, MaxBackoff: serverBackoff, Apply: f.applyServers},
 	}
-	for _, follower := range list {
-		follower.Feed, follower.Recorder = f.Feed, f.history
+	for collection, follower := range f.follower {
+		apply := follower.Apply
+		follower.Apply = func(page tamarackrun.Page, regained bool) {
+			apply(page, regained)
+			f.verifier.Applied(collection, page)
+		}
+		follower.Collection, follower.Feed, follower.Recorder, follower.Wait = collection, f.Feed, f.history, longWait
 		follower.MaxBackoff = cmp.Or(follower.MaxBackoff, slowBackoff)
 	}
-	return list
+}
+
+func (f *Front) applyEvacuations(page tamarackrun.Page) {
+	f.registry.ApplyEvacuations(time.Now(), page)
+}
+
+func (f *Front) applyInstances(page tamarackrun.Page, _ bool) {
+	f.members.Apply(page)
+	f.instancesKnown.Store(true)
+	f.updateReady()
+}
+
+func (f *Front) applyServers(page tamarackrun.Page, regained bool) {
+	f.registry.ApplyServers(time.Now(), page, regained)
+	f.serversKnown.Store(true)
+	f.updateReady()
 }
 
 // applyConfiguration puts a newer configuration in force and never an older one.
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -12,13 +12,9 @@
 	"tamarackrun/internal/protocol/event"
 )
 
-const (
-	// returnTime is how long after the store's return a server whose entry
-	// lapsed may need to write it again, and returnMargin allows for the pace
-	// of reading. An entry that is missing after it is gone.
-	returnTime   = 2 * time.Second
-	returnMargin = 100 * time.Millisecond
-)
+// holdTime is how long after contact with the store returned a record that
+// vanished is held: servers write again within 2 s of the store's return.
+const holdTime = 2100 * time.Millisecond
 
 // Server is one backend server as an instance knows it. It is immutable.
 type Server struct {
@@ -51,16 +47,19 @@
 	Recorder tamarackrun.Recorder
 	Regions  map[string]string
 	ColdTime func(service string) time.Duration
+	// Steady says that the store is not away and was not until lately, so that
+	// a record that vanishes is gone.
+	Steady func(now time.Time) bool
 
 	mu      sync.Mutex
 	servers map[string]*Server
-	// missing has the servers whose entries vanished, with the time at which
-	// they are taken as gone.
-	missing   map[string]time.Time
+	// missing has the servers whose records vanished while the store was not
+	// steady.
+	missing   map[string]bool
 	problems  map[string]string
 	evacuated map[string]bool
-	// trust is when an entry that vanishes is gone at once again, after the
-	// store was lost.
+	// trust is when a record that vanishes is gone at once again, after contact
+	// with the store was lost.
 	trust time.Time
 	// coldDomains are failure domains that were evacuated; their servers may
 	// be cold until the time.
@@ -70,7 +69,7 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	r := &Registry{servers: map[string]*Server{}, missing: map[string]time.Time{}, problems: map[string]string{},
+	r := &Registry{servers: map[string]*Server{}, missing: map[string]bool{}, problems: map[string]string{},
 		evacuated: map[string]bool{}, coldDomains: map[string]time.Time{}}
 	r.view.Store(&view{})
 	return r
@@ -88,7 +87,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if regained {
-		r.trust = now.Add(returnTime + returnMargin)
+		r.trust = now.Add(holdTime)
 	}
 	listed := map[string]bool{}
 	for _, record := range page.Records {
@@ -146,16 +145,19 @@
 	if r.servers[name] == nil {
 		return
 	}
-	if !now.Before(r.trust) {
+	if r.gone(now) {
 		r.drop(name, "record removed")
 		return
 	}
-	if _, ok := r.missing[name]; !ok {
-		r.missing[name] = r.trust
-		r.Recorder.Record(event.ServerMissing, "", "server", name, "for", r.trust.Sub(now).String())
+	if !r.missing[name] {
+		r.missing[name] = true
+		r.Recorder.Record(event.ServerMissing, "", "server", name)
 	}
 }
 
+// gone says whether a record that is missing now is gone for good.
+func (r *Registry) gone(now time.Time) bool { return !now.Before(r.trust) && r.Steady(now) }
+
 func (r *Registry) drop(name, reason string) {
 	delete(r.missing, name)
 	if r.servers[name] == nil {
@@ -220,16 +222,13 @@
 func (r *Registry) Sweep(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed := false
-	for name, until := range r.missing {
-		if !now.Before(until) {
-			r.drop(name, "record missing after the store's return")
-			changed = true
-		}
+	if len(r.missing) == 0 || !r.gone(now) {
+		return
 	}
-	if changed {
-		r.publish(now)
+	for name := range r.missing {
+		r.drop(name, "record missing after the store's return")
 	}
+	r.publish(now)
 }
 
 // publish replaces the view for requests.
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -18,6 +18,7 @@
 	r := New()
 	r.Recorder, r.Regions = noRecorder{}, map[string]string{"a1": "a", "b1": "b"}
 	r.ColdTime = func(string) time.Duration { return 3 * time.Second }
+	r.Steady = func(time.Time) bool { return true }
 	return r
 }
 
@@ -140,3 +141,21 @@
 		t.Errorf("cold after 0, 2.9 and 3.1 s (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against servers that are given up because their records lapsed while
+// the store was away, which other instances noticed.
+func TestRecordsAreHeldWhileTheStoreIsAway(t *testing.T) {
+	r, now, steady := newTestRegistry(), time.Now(), false
+	r.Steady = func(time.Time) bool { return steady }
+	r.ApplyServers(now, *whole(server("one", "a1", 1), server("two", "b1", 2)), false)
+	r.ApplyServers(now, *changes(tamarackrun.Record{Name: "two", Revision: 3, Removed: true}), false)
+	r.Sweep(now.Add(time.Minute))
+	if diff := cmp.Diff([]string{"one", "two"}, names(r)); diff != "" {
+		t.Errorf("while the store is away (-want +got):\n%s", diff)
+	}
+	steady = true
+	r.Sweep(now.Add(time.Minute))
+	if diff := cmp.Diff([]string{"one"}, names(r)); diff != "" {
+		t.Errorf("after its return (-want +got):\n%s", diff)
+	}
+}
