End only waiting watches when a collection is to be read again

Ruled out: a watch that misses the change, as the reports named the revision. Servers that no longer are at their address don't count as attempts.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -40,7 +40,8 @@
 	calls  atomic.Int64
 	away   atomic.Bool
 	kicked atomic.Bool
-	// end ends the call that is waiting.
+	// end ends the watch that is waiting; nil while no watch waits, because a
+	// read that is ended has to begin again.
 	end atomic.Pointer[context.CancelFunc]
 }
 
@@ -64,15 +65,15 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		began := time.Now()
-		page, err := f.call(ctx, at, known, lost)
-		f.calls.Add(1)
 		if f.kicked.Swap(false) {
 			known = false
-			if err != nil && !lost {
-				continue
-			}
 		}
+		page, err := f.call(ctx, at, known, lost)
+		f.calls.Add(1)
 		switch {
+		case f.kicked.Load() && known && !lost:
+			// The watch was ended; whatever it brought is read again.
+			continue
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, tamarackrun.ErrHistoryGone):
@@ -103,9 +104,6 @@
 }
 
 func (f *Follower) call(ctx context.Context, at int64, known, lost bool) (tamarackrun.Page, error) {
-	ctx, end := context.WithCancel(ctx)
-	defer end()
-	f.end.Store(&end)
 	switch {
 	case !known:
 		return f.Feed.Read(ctx, f.Collection)
@@ -113,6 +111,13 @@
 		// A watch that waits would tell only later that the store answers.
 		return f.Feed.Follow(ctx, f.Collection, at, 0)
 	}
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	f.end.Store(&end)
+	defer f.end.Store(nil)
+	if f.kicked.Load() {
+		end()
+	}
 	return f.Feed.Follow(ctx, f.Collection, at, f.Wait)
 }
 
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -104,3 +104,70 @@
 		}
 	})
 }
+
+// slowFeed needs a round trip for each call.
+type slowFeed struct {
+	tamarackrun.Feed
+	reads  int
+	failed error
+}
+
+const roundTrip = 250 * time.Millisecond
+
+func (f *slowFeed) Read(ctx context.Context, _ tamarackrun.Collection) (tamarackrun.Page, error) {
+	f.reads++
+	select {
+	case <-ctx.Done():
+		return tamarackrun.Page{}, ctx.Err()
+	case <-time.After(roundTrip):
+		return tamarackrun.Page{Whole: true, At: int64(f.reads)}, f.failed
+	}
+}
+
+func (f *slowFeed) Follow(ctx context.Context, c tamarackrun.Collection, at int64, wait time.Duration) (tamarackrun.Page, error) {
+	if wait == 0 {
+		return f.Read(ctx, c)
+	}
+	select {
+	case <-ctx.Done():
+		return tamarackrun.Page{}, ctx.Err()
+	case <-time.After(wait):
+		return tamarackrun.Page{At: at}, f.failed
+	}
+}
+
+// Guards against kicks that end a read that is under way, so that an instance
+// that was cut off never learns of a change (CONFIG on hunt-e63e-11), and against
+// kicks that are forgotten while no watch waits.
+func TestKicksEndOnlyWatches(t *testing.T) {
+	for name, lost := range map[string]bool{"in contact": false, "after lost contact": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				feed, pages := &slowFeed{}, 0
+				if lost {
+					feed.failed = errors.New("no contact")
+				}
+				f := &Follower{Feed: feed, Recorder: noRecorder{}, Wait: 30 * time.Second, MaxBackoff: 400 * time.Millisecond,
+					Apply: func(tamarackrun.Page, bool) { pages++ }}
+				ended := make(chan struct{})
+				go func() {
+					defer close(ended)
+					f.Run(ctx)
+				}()
+				time.Sleep(2 * time.Second)
+				feed.failed = nil
+				before := pages
+				for range 20 {
+					f.Kick()
+					time.Sleep(100 * time.Millisecond)
+				}
+				if pages-before < 4 {
+					t.Errorf("%d pages in 2 s of kicks", pages-before)
+				}
+				cancel()
+				<-ended
+			})
+		})
+	}
+}
--- a/internal/program/command/front.go
+++ b/internal/program/command/front.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -24,10 +26,13 @@
 	// logQueue bounds the log lines that wait to be written. Further ones are
 	// dropped, so that logging never delays a request.
 	logQueue = 4096
+	// defaultMetricsPort is the one that deploy/system.toml names.
+	defaultMetricsPort = 9464
 )
 
 func newFront() *cobra.Command {
-	return &cobra.Command{
+	var metricsPort uint16
+	c := &cobra.Command{
 		Use:   "front",
 		Short: "Run an entry instance on the users' platform",
 		Long:  "Run an entry instance on the users' platform. The variable " + platform.SettingsVariable + " holds the path of the settings file.",
@@ -38,12 +43,14 @@
 			if err != nil {
 				return &codedError{exitInvalid, err}
 			}
-			return runFront(path, s, c.OutOrStdout())
+			return runFront(path, s, metricsPort, c.OutOrStdout())
 		},
 	}
+	c.Flags().Uint16Var(&metricsPort, "metrics-port", defaultMetricsPort, "port of the metrics")
+	return c
 }
 
-func runFront(path string, s platform.Settings, out io.Writer) error {
+func runFront(path string, s platform.Settings, metricsPort uint16, out io.Writer) error {
 	writer := &log.AsyncWriter{Writer: log.IOWriter{Writer: out}, ChannelSize: logQueue, DiscardOnFull: true}
 	defer func() { _ = writer.Close() }()
 	logger := &log.Logger{Level: log.InfoLevel, Writer: writer}
@@ -52,7 +59,7 @@
 	f := front.New(s.Terms)
 	f.Identity = front.Identity{Name: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
 		CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, LookupAddress: s.LookupAddress,
-		ReportAddress: s.ReportAddress, MetricsAddress: s.MetricsAddress}
+		ReportAddress: s.ReportAddress, MetricsAddress: net.JoinHostPort(s.IP, strconv.Itoa(int(metricsPort)))}
 	f.Feed, f.Dialect, f.Logger = store, platform.Dialect{}, logger
 	f.LookupHandler, f.ReadyHandler = platform.NewLookupHandler, platform.NewReadyHandler
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/internal/program/front/serve.go
+++ b/internal/program/front/serve.go
@@ -156,6 +156,8 @@
 	var tried []string
 	var failed *exchange.Reply
 	outcome := tamarackrun.Refused(tamarackrun.NoHealthyServer)
+	// Arrivals count the servers of the service that got the request, and misses
+	// those that did not get it or no longer are at their address.
 	arrivals, misses := 0, 0
 	for arrivals < o.route.Attempts && misses < maxConnectFailures && time.Now().Before(o.deadline) && ctx.Err() == nil {
 		choice, reason := f.choose(o, tried)
@@ -172,7 +174,7 @@
 		}
 		reply := f.send(ctx, o, choice)
 		tried = append(tried, choice.Server.Name)
-		if reply.Sent {
+		if reply.Sent && !reply.Fields.Misdirected {
 			arrivals++
 		} else {
 			misses++
