Pass over readers of the store that are cut off

Ruled out: a late watch, as the removal was logged at once. A failed read now says so in the next report, an instance whose reports stop loses its turn within three intervals, turns go by hash, and the store counts as away after 2.8 s, which is below the 3 s after which records lapse at the earliest. A test shows it.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -31,6 +31,9 @@
 	// aliveFor as alive. aliveFor is below the users' bound on lost contact.
 	heardFor = 2 * time.Second
 	aliveFor = 3 * time.Second
+	// recentReports is the number of intervals without a report after which the
+	// sender's turn to read the store passes to the next one.
+	recentReports = 3
 	// takeOver is how long an instance must be silent before the others use
 	// its part of the limits. A cut-off instance stops using it after
 	// heardFor; the rest is margin for the age of reports.
@@ -47,6 +50,8 @@
 	Ready, Leaving bool
 	// Alive says that a report arrived recently.
 	Alive bool
+	// Recent says that a report arrived within the latest intervals.
+	Recent bool
 	// StoreAway says that the store does not answer the instance.
 	StoreAway bool
 }
@@ -125,15 +130,13 @@
 // is shared and must not be changed.
 func (m *Membership) Members() []Member { return *m.members.Load() }
 
-// Rank is the position of the instance among those that are alive and that the
-// store answers.
+// Rank is the position of the instance among those that report and that the
+// store answers. The order is by hash, so that instances that fail together are
+// not next to each other.
 func (m *Membership) Rank() int {
-	rank := 0
+	rank, own := 0, xxhash.Sum64String(m.Name)
 	for _, v := range m.Members() {
-		if v.Name == m.Name {
-			return rank
-		}
-		if v.Alive && !v.StoreAway {
+		if v.Name != m.Name && v.Recent && !v.StoreAway && xxhash.Sum64String(v.Name) < own {
 			rank++
 		}
 	}
@@ -197,7 +200,9 @@
 // Run sends reports until the context ends.
 func (m *Membership) Run(ctx context.Context) {
 	for {
+		m.mu.Lock()
 		timer := time.NewTimer(m.interval())
+		m.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -208,9 +213,8 @@
 	}
 }
 
+// interval is the time between two reports; m.mu is held.
 func (m *Membership) interval() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	return min(maxInterval, max(minInterval, time.Duration(len(m.peers))*perMember))
 }
 
@@ -226,7 +230,7 @@
 		message.Demands = append(message.Demands, &wire.OrganisationDemand{Organisation: organisation, Rate: float32(rate)})
 	}
 	revisions, age := m.Verifier.Report(time.Now())
-	message.StoreAway = m.Verifier.Away()
+	message.StoreAway = m.Verifier.Unreachable()
 	message.Revisions, message.VerifiedAge = revisions[:], uint32(age.Milliseconds())
 	var addresses []netip.AddrPort
 	for name, p := range m.peers {
@@ -276,6 +280,7 @@
 
 // list publishes the members and logs those that were lost or came back.
 func (m *Membership) list(now time.Duration) {
+	interval := m.interval()
 	list := []Member{{Name: m.Name, InstanceRecord: m.Own, Ready: m.ready.Load(), Leaving: m.leaving.Load(), Alive: true}}
 	for name, p := range m.peers {
 		alive := now-p.last < aliveFor
@@ -287,7 +292,8 @@
 			}
 			m.Recorder.Record(id, "", "peer", name, "silentFor", (now - p.last).String())
 		}
-		list = append(list, Member{Name: name, InstanceRecord: p.record, Ready: p.ready, Leaving: p.leaving, Alive: alive, StoreAway: p.storeAway})
+		list = append(list, Member{Name: name, InstanceRecord: p.record, Ready: p.ready, Leaving: p.leaving, Alive: alive,
+			Recent: now-p.last < recentReports*interval, StoreAway: p.storeAway})
 	}
 	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	m.members.Store(&list)
--- a/internal/coordination/verify/verify.go
+++ b/internal/coordination/verify/verify.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tamarackrun"
@@ -25,12 +26,17 @@
 	// instance has reported.
 	grace = 300 * time.Millisecond
 	// awayAfter is the age of the latest read of any instance from which on the
-	// store is taken as away, and returnTime how long after its return records
-	// that lapsed meanwhile may come back.
-	awayAfter  = 2 * interval
+	// store is taken as away. Records lapse at the earliest 3 s after the store
+	// went away, and the turns of instances that were cut off must pass within
+	// it. returnTime is how long after its return records that lapsed meanwhile
+	// may come back.
+	awayAfter  = 2800 * time.Millisecond
 	returnTime = 2100 * time.Millisecond
 	// unknownAge stands for no read at all.
 	unknownAge = time.Minute
+	// readTimeout bounds a read, which takes up to three round trips between
+	// regions.
+	readTimeout = 600 * time.Millisecond
 	// retry is the pause after a failed read.
 	retry = time.Second
 )
@@ -58,6 +64,9 @@
 	Kick  func(collection tamarackrun.Collection)
 	Apply func(page tamarackrun.Page)
 
+	// failed says that the latest own read failed.
+	failed atomic.Bool
+
 	mu sync.Mutex
 	// known are the revisions of the latest changes of each collection, and
 	// complete those up to which the collections were read as a whole.
@@ -107,6 +116,9 @@
 	v.verified = at
 }
 
+// Unreachable says that the store does not answer this instance.
+func (v *Verifier) Unreachable() bool { return v.failed.Load() || v.Away() }
+
 // Report returns what the own report says: the known revisions and the age of
 // the latest read.
 func (v *Verifier) Report(now time.Time) (Revisions, time.Duration) {
@@ -184,7 +196,10 @@
 // change. It returns whether the store answered.
 func (v *Verifier) read(ctx context.Context) bool {
 	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
 	page, err := v.Feed.Read(ctx, tamarackrun.Evacuations)
+	v.failed.Store(err != nil)
 	if err != nil {
 		return false
 	}
--- a/internal/coordination/verify/verify_test.go
+++ b/internal/coordination/verify/verify_test.go
@@ -171,3 +171,27 @@
 		}
 	})
 }
+
+// Guards against an outage that is suspected because the instances whose turn it
+// is are cut off, so that servers that left are held (DRAIN on scale-2, seed
+// 133531285401).
+func TestCutOffReadersArePassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(7)
+		f.run(t, 5*time.Second)
+		f.cut = []int{0, 1}
+		for _, i := range f.cut {
+			f.verifiers[i].Feed = &store{err: context.DeadlineExceeded}
+		}
+		// The others have not noticed yet.
+		for i := 2; i < 7; i++ {
+			f.verifiers[i].Rank = func() int { return i }
+		}
+		for range 50 {
+			f.run(t, 100*time.Millisecond)
+			if !f.verifiers[6].Steady(time.Now()) {
+				t.Fatal("the store is taken as away")
+			}
+		}
+	})
+}
