--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -284,13 +284,15 @@
 	list := []Member{{Name: m.Name, InstanceRecord: m.Own, Ready: m.ready.Load(), Leaving: m.leaving.Load(), Alive: true}}
 	for name, p := range m.peers {
 		alive := now-p.last < aliveFor
-		if alive == p.lost {
+		// An instance that was never heard is not lost yet.
+		isNew := p.incarnation == 0 && now-p.known < aliveFor
+		if alive == p.lost && !isNew {
 			p.lost = !alive
 			id := event.PeerReachable
 			if p.lost {
 				id = event.PeerUnreachable
 			}
-			m.Recorder.Record(id, "", "peer", name, "silentFor", (now - p.last).String())
+			m.Recorder.Record(id, "", "peer", name, "silentFor", (now - max(p.last, p.known)).String())
 		}
 		list = append(list, Member{Name: name, InstanceRecord: p.record, Ready: p.ready, Leaving: p.leaving, Alive: alive,
 			Recent: now-p.last < recentReports*interval, StoreAway: p.storeAway})
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -24,6 +24,11 @@
 	headroom = 1.15
 	// demandTime is the time constant of the measured demand.
 	demandTime = 2 * time.Second
+	// The users' bound over any span is (rate x span + burst) x (1 + overage) +
+	// slack. startPart of what it leaves above the limit is given
+	// to buckets of new processes: when all were killed at once, callers are
+	// back before buckets have filled.
+	startPart = 0.5
 	// minCapacity is the least burst of an instance's part in requests, as
 	// less than one request could never be admitted.
 	minCapacity = 1
@@ -45,6 +50,11 @@
 
 // Limiter holds the parts of all organisations. It is safe for concurrent use.
 type Limiter struct {
+	// Span, Overage and Slack are those of the users' bound; set before the
+	// first Admit.
+	Span           time.Duration
+	Overage, Slack float64
+
 	mu       sync.Mutex
 	started  time.Time
 	buckets  map[string]*bucket
@@ -82,6 +92,7 @@
 		// that the bucket fills from the start of the process.
 		b = &bucket{limit: organisation, last: l.started}
 		b.part = l.part(organisation.Name, b)
+		b.tokens = min(b.capacity(), l.startTokens(organisation))
 		l.buckets[organisation.Name] = b
 	}
 	b.advance(now)
@@ -95,6 +106,12 @@
 	return false, time.Duration((1 - b.tokens) / max(b.part*b.limit.Rate, 0.1) * float64(time.Second))
 }
 
+// startTokens are those of a new process.
+func (l *Limiter) startTokens(o configuration.Organisation) float64 {
+	above := (o.Rate*l.Span.Seconds()+o.Burst)*l.Overage + l.Slack
+	return startPart * above / float64(l.division.Members)
+}
+
 func (b *bucket) capacity() float64 { return max(minCapacity, b.part*b.limit.Burst) }
 
 func (b *bucket) advance(now time.Time) {
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -183,6 +183,68 @@
 	}
 }
 
+// Guards against refusals inside the limit after all processes were killed, seen
+// in both incidents, and against more than the bound when that happens twice.
+func TestKilledFleetStaysInBound(t *testing.T) {
+	limit := configuration.Organisation{Name: "o", Rate: 60, Burst: 60}
+	const n = 7
+	tests := map[string]struct {
+		// rate is the demand at each instance after the first kill.
+		rate float64
+		// refused is the most refusals in the 0.3 s after it.
+		refused int
+	}{
+		"demand below the limit": {6, 0},
+		"demand above the limit": {18, math.MaxInt},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(n)
+			var admitted []time.Time
+			refused := 0
+			for step := range int(14 * time.Second / tick) {
+				f.now = f.now.Add(tick)
+				at := time.Duration(step) * tick
+				if at == 8*time.Second || at == 11*time.Second {
+					f.kill()
+				}
+				f.report()
+				rate := 6.0
+				if at >= 8*time.Second {
+					rate = test.rate
+				}
+				for i, l := range f.limiters {
+					for range whole(rate*tick.Seconds(), f.now, i) {
+						if ok, _ := l.Admit(f.now, limit); ok {
+							admitted = append(admitted, f.now)
+						} else if at >= 8*time.Second && at < 8300*time.Millisecond {
+							refused++
+						}
+					}
+				}
+			}
+			most := (limit.Rate*window.Seconds()+limit.Burst)*(1+overage) + slack
+			if got := busiest(admitted); float64(got) > most {
+				t.Errorf("%d requests in %s, at most %.1f", got, window, most)
+			}
+			if refused > test.refused {
+				t.Errorf("%d requests refused just after the kill", refused)
+			}
+		})
+	}
+}
+
+// kill replaces all limiters by those of new processes, which have heard of the
+// others but not from them.
+func (f *fleet) kill() {
+	for i := range f.limiters {
+		f.limiters[i] = New(f.now)
+		f.limiters[i].Span, f.limiters[i].Overage, f.limiters[i].Slack = window, overage, slack
+		f.limiters[i].Divide(f.now, Division{Members: len(f.limiters), CutOff: true})
+	}
+	f.reports = nil
+}
+
 func TestRefusalSaysWhenToReturn(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := New(now.Add(-time.Second))
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -110,6 +110,7 @@
 func New(t terms.Terms) *Front {
 	f := &Front{started: time.Now(), registry: registry.New(), limiter: quota.New(time.Now()), steering: steer.New(), cold: &coldstart.Gate{}}
 	f.terms.Store(&t)
+	f.limiter.Span, f.limiter.Overage, f.limiter.Slack = t.RateSpan, t.RateOverage, t.RateSlack
 	return f
 }
 
--- a/internal/state/terms/terms.go
+++ b/internal/state/terms/terms.go
@@ -32,6 +32,10 @@
 	// A cold server gets at most its rate times ColdOverage plus ColdSlack in
 	// a second, summed over all instances.
 	ColdOverage, ColdSlack float64
+	// An organisation gets at most (rate x RateSpan + burst) x (1 + RateOverage) +
+	// RateSlack requests in any RateSpan, summed over all instances.
+	RateSpan               time.Duration
+	RateOverage, RateSlack float64
 	// LookupLifetime is the longest time for which callers keep an answer of
 	// the directory.
 	LookupLifetime time.Duration
@@ -47,6 +51,7 @@
 	t.EvacuateBound = cmp.Or(t.EvacuateBound, 5*time.Second)
 	t.ServerHeartbeat = cmp.Or(t.ServerHeartbeat, 1500*time.Millisecond)
 	t.RetryWindow = cmp.Or(t.RetryWindow, 10*time.Second)
+	t.RateSpan = cmp.Or(t.RateSpan, 5*time.Second)
 	t.ColdOverage = cmp.Or(t.ColdOverage, 1)
 	t.LookupLifetime = cmp.Or(t.LookupLifetime, 5*time.Second)
 	return t
