--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,14 +17,17 @@
 // cutFeed has no answer until healed; each call fails after the time of a lost
 // dial. Then its history is gone once.
 type cutFeed struct {
-	healed time.Time
+	// healed is in nanoseconds since 1970.
+	healed atomic.Int64
 	gone   bool
 }
 
+func (f *cutFeed) healedAt() time.Time { return time.Unix(0, f.healed.Load()) }
+
 const dialTime = 500 * time.Millisecond
 
 func (f *cutFeed) Read(context.Context, tamarackrun.Collection) (tamarackrun.Page, error) {
-	if time.Now().Before(f.healed) {
+	if time.Now().Before(f.healedAt()) {
 		time.Sleep(dialTime)
 		return tamarackrun.Page{}, errors.New("i/o timeout")
 	}
@@ -56,7 +60,7 @@
 		f := &Follower{Feed: feed, Recorder: recorder.Discard{}, Wait: time.Second, MaxBackoff: 400 * time.Millisecond,
 			Apply: func(_ tamarackrun.Page, regained bool) {
 				if regained {
-					returned <- time.Since(feed.healed)
+					returned <- time.Since(feed.healedAt())
 				}
 			}}
 		ended := make(chan struct{})
@@ -65,7 +69,7 @@
 			f.Run(ctx)
 		}()
 		<-returned
-		feed.healed = time.Now().Add(12 * time.Second)
+		feed.healed.Store(time.Now().Add(12 * time.Second).UnixNano())
 		if took := <-returned; took > 1200*time.Millisecond {
 			t.Errorf("contact returned %s after the link", took)
 		}
@@ -105,7 +109,14 @@
 type slowFeed struct {
 	tamarackrun.Feed
 	reads  int
-	failed error
+	failed atomic.Bool
+}
+
+func (f *slowFeed) err() error {
+	if f.failed.Load() {
+		return errors.New("no contact")
+	}
+	return nil
 }
 
 const roundTrip = 250 * time.Millisecond
@@ -116,7 +127,7 @@
 	case <-ctx.Done():
 		return tamarackrun.Page{}, ctx.Err()
 	case <-time.After(roundTrip):
-		return tamarackrun.Page{Whole: true, At: int64(f.reads)}, f.failed
+		return tamarackrun.Page{Whole: true, At: int64(f.reads)}, f.err()
 	}
 }
 
@@ -128,7 +139,7 @@
 	case <-ctx.Done():
 		return tamarackrun.Page{}, ctx.Err()
 	case <-time.After(wait):
-		return tamarackrun.Page{At: at}, f.failed
+		return tamarackrun.Page{At: at}, f.err()
 	}
 }
 
@@ -140,26 +151,24 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
-				feed, pages := &slowFeed{}, 0
-				if lost {
-					feed.failed = errors.New("no contact")
-				}
+				feed, pages := &slowFeed{}, atomic.Int64{}
+				feed.failed.Store(lost)
 				f := &Follower{Feed: feed, Recorder: recorder.Discard{}, Wait: 30 * time.Second, MaxBackoff: 400 * time.Millisecond,
-					Apply: func(tamarackrun.Page, bool) { pages++ }}
+					Apply: func(tamarackrun.Page, bool) { pages.Add(1) }}
 				ended := make(chan struct{})
 				go func() {
 					defer close(ended)
 					f.Run(ctx)
 				}()
 				time.Sleep(2 * time.Second)
-				feed.failed = nil
-				before := pages
+				feed.failed.Store(false)
+				before := pages.Load()
 				for range 20 {
 					f.Kick()
 					time.Sleep(100 * time.Millisecond)
 				}
-				if pages-before < 4 {
-					t.Errorf("%d pages in 2 s of kicks", pages-before)
+				if got := pages.Load() - before; got < 4 {
+					t.Errorf("%d pages in 2 s of kicks", got)
 				}
 				cancel()
 				<-ended
--- a/internal/coordination/verify/verify_test.go
+++ b/internal/coordination/verify/verify_test.go
@@ -16,12 +16,16 @@
 // store counts reads and has one revision.
 type store struct {
 	tamarackrun.Feed
+
+	mu       sync.Mutex
 	reads    int
 	revision int64
 	err      error
 }
 
 func (s *store) Read(context.Context, tamarackrun.Collection) (tamarackrun.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.reads++
 	return tamarackrun.Page{Whole: true, At: s.revision}, s.err
 }
@@ -30,7 +34,8 @@
 type fleet struct {
 	store     *store
 	verifiers []*Verifier
-	kicks     []map[tamarackrun.Collection]int
+	// kicks has the reads that each verifier asked for, in its own goroutine.
+	kicks []map[tamarackrun.Collection]int
 	// cut instances get and send no reports; away ones don't reach the store.
 	cut, away []int
 }
