Split the request path of front and forget servers that are gone

front.go and serve.go had grown; what the instance believes and how it dispatches have files of their own, and the rule for the outcome of several attempts is a type with a table test. Nothing called Steering.Forget, so that states of servers that were gone stayed in memory.

--- /dev/null
+++ b/internal/program/front/beliefs.go
@@ -0,0 +1,93 @@
+package front
+
+import (
+	"cmp"
+	"strconv"
+	"time"
+
+	"tamarackrun"
+	"tamarackrun/internal/coordination/follow"
+	"tamarackrun/internal/coordination/verify"
+	"tamarackrun/internal/protocol/event"
+)
+
+const (
+	// longWait is how long a watch without changes lasts. Each call has its
+	// price. A watch may miss changes without an error: when the store dropped
+	// its history, watches went on for 9 s without hearing of an evacuation.
+	// The verifier finds such changes.
+	longWait = 30 * time.Second
+	// serverPace is the least time between two calls for servers' records, so
+	// that changes come in batches.
+	serverPace = 300 * time.Millisecond
+	// slowBackoff bounds the pause between failed calls, and serverBackoff that
+	// for servers' records, which are needed first.
+	slowBackoff   = time.Second
+	serverBackoff = 400 * time.Millisecond
+)
+
+// openFollowers makes the followers of the store's collections.
+func (f *Front) openFollowers() {
+	f.verifier = &verify.Verifier{Feed: f.Feed, Rank: func() int { return f.members.Rank() }, Apply: f.applyEvacuations,
+		Away: func() bool { return f.follower[tamarackrun.Servers].Away() },
+		Kick: func(c tamarackrun.Collection) { f.follower[c].Kick() }}
+	f.registry.Steady = f.verifier.Steady
+	f.follower = map[tamarackrun.Collection]*follow.Follower{
+		tamarackrun.Configurations: {Apply: f.applyConfiguration},
+		tamarackrun.Evacuations:    {Apply: func(page tamarackrun.Page, _ bool) { f.applyEvacuations(page) }},
+		tamarackrun.Instances:      {Apply: f.applyInstances},
+		tamarackrun.Servers:        {Pace: serverPace, MaxBackoff: serverBackoff, Apply: f.applyServers},
+	}
+	for collection, follower := range f.follower {
+		apply := follower.Apply
+		follower.Apply = func(page tamarackrun.Page, regained bool) {
+			apply(page, regained)
+			f.verifier.Applied(collection, page)
+		}
+		follower.Collection, follower.Feed, follower.Recorder, follower.Wait = collection, f.Feed, f.history, longWait
+		follower.MaxBackoff = cmp.Or(follower.MaxBackoff, slowBackoff)
+	}
+}
+
+func (f *Front) applyEvacuations(page tamarackrun.Page) {
+	f.registry.ApplyEvacuations(time.Now(), page)
+}
+
+func (f *Front) applyInstances(page tamarackrun.Page, _ bool) {
+	f.members.Apply(page)
+	f.instancesKnown.Store(true)
+	f.updateReady()
+}
+
+func (f *Front) applyServers(page tamarackrun.Page, regained bool) {
+	f.registry.ApplyServers(time.Now(), page, regained)
+	f.serversKnown.Store(true)
+	f.updateReady()
+}
+
+// applyConfiguration puts a newer configuration in force and never an older one.
+func (f *Front) applyConfiguration(page tamarackrun.Page, _ bool) {
+	for _, r := range page.Records {
+		if r.Problem != "" {
+			f.history.Record(event.ConfigurationRejected, "", "record", r.Name, "problem", r.Problem)
+			continue
+		}
+		if r.Configuration == nil || r.Configuration.Version <= f.version() {
+			continue
+		}
+		f.snapshot.Store(r.Configuration)
+		f.applied.Store(time.Now().UnixMilli())
+		f.history.Record(event.ConfigurationAccepted, "", "version", strconv.FormatInt(r.Configuration.Version, 10),
+			"routes", strconv.Itoa(len(r.Configuration.Routes)), "organisations", strconv.Itoa(len(r.Configuration.Organisations)))
+	}
+	f.updateReady()
+}
+
+// updateReady notes whether the instance knows enough to serve.
+func (f *Front) updateReady() {
+	ready := f.snapshot.Load() != nil && f.serversKnown.Load() && f.instancesKnown.Load()
+	if ready && !f.members.IsReady() {
+		f.history.Record(event.Ready, "", "version", strconv.FormatInt(f.version(), 10))
+	}
+	f.members.SetReady(ready)
+}
--- a/internal/program/front/front_test.go
+++ b/internal/program/front/front_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"math"
+	"net/http"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"tamarackrun"
 	"tamarackrun/internal/state/configuration"
 	"tamarackrun/internal/state/terms"
+	"tamarackrun/internal/transport/exchange"
 )
 
 // Guards against more repeats than the users allow over all instances, which is
@@ -52,3 +57,48 @@
 		t.Errorf("a route without a split goes to %q", got)
 	}
 }
+
+// Guards against a refusal "not run" of a request that some server may have run,
+// and against repeats of requests that must not run twice.
+func TestAttempts(t *testing.T) {
+	shed := exchange.Reply{Outcome: tamarackrun.Refused(tamarackrun.ServerShed), Sent: true}
+	lost := exchange.Reply{Outcome: tamarackrun.Uncertain(tamarackrun.AnswerLost), Sent: true}
+	missed := exchange.Reply{Outcome: tamarackrun.Refused(tamarackrun.ConnectFailed)}
+	broken := exchange.Reply{Outcome: tamarackrun.Done, Status: http.StatusInternalServerError, Sent: true}
+	served := exchange.Reply{Outcome: tamarackrun.Done, Status: http.StatusOK, Sent: true}
+	tests := map[string]struct {
+		idempotent bool
+		replies    []exchange.Reply
+		decided    bool
+		left       bool
+		outcome    tamarackrun.Outcome
+		status     int
+	}{
+		"served":                               {false, []exchange.Reply{served}, true, true, tamarackrun.Outcome{}, 200},
+		"order that is lost":                   {false, []exchange.Reply{lost}, true, true, lost.Outcome, 0},
+		"order that is refused":                {false, []exchange.Reply{shed}, false, true, shed.Outcome, 0},
+		"order that its server failed":         {false, []exchange.Reply{broken}, true, true, tamarackrun.Outcome{}, 500},
+		"read that is lost and then refused":   {true, []exchange.Reply{lost, shed}, false, false, lost.Outcome, 0},
+		"read that is failed and then refused": {true, []exchange.Reply{broken, shed}, false, false, shed.Outcome, 500},
+		"read that is failed and then served":  {true, []exchange.Reply{broken, served}, true, false, tamarackrun.Outcome{}, 200},
+		"misses don't use up attempts":         {true, []exchange.Reply{missed, missed}, false, true, missed.Outcome, 0},
+		"too many misses":                      {true, []exchange.Reply{missed, missed, missed}, false, false, missed.Outcome, 0},
+	}
+	now := time.Now()
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := &attempts{order: &order{route: configuration.Route{Idempotent: test.idempotent, Attempts: 2}, deadline: now.Add(time.Second)}}
+			decided := false
+			for _, r := range test.replies {
+				decided = a.note("server", r)
+			}
+			status := 0
+			if a.answer != nil {
+				status = a.answer.Status
+			}
+			if diff := cmp.Diff([]any{test.decided, test.left, test.outcome, test.status}, []any{decided, a.left(now), a.outcome, status}); diff != "" {
+				t.Errorf("decided, left, outcome and status (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/program/front/serve.go
+++ b/internal/program/front/serve.go
@@ -11,8 +11,6 @@
 	"time"
 
 	"tamarackrun"
-	"tamarackrun/internal/coordination/health"
-	"tamarackrun/internal/coordination/steer"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/state/configuration"
 	"tamarackrun/internal/transport/exchange"
@@ -20,12 +18,6 @@
 )
 
 const (
-	// answerMargin is how long after a request's deadline a server's own answer
-	// is still waited for.
-	answerMargin = 150 * time.Millisecond
-	// maxConnectFailures bounds the servers that are tried without having got
-	// the request.
-	maxConnectFailures = 3
 	// Bounds of the time after which a refused caller may come back.
 	minReturn     = 50 * time.Millisecond
 	maxReturn     = time.Second
@@ -146,117 +138,6 @@
 	return route.Service
 }
 
-// dispatch sends the request to servers until one has answered it or no further
-// attempt is allowed.
-func (f *Front) dispatch(ctx context.Context, o *order) pipeline.Answer {
-	ctx, cancel := context.WithDeadlineCause(ctx, o.deadline.Add(answerMargin), context.DeadlineExceeded)
-	defer cancel()
-	budget := f.retries.of(o.service, f.terms.Load())
-	budget.Request(time.Since(f.started))
-	var tried []string
-	var failed *exchange.Reply
-	outcome := tamarackrun.Refused(tamarackrun.NoHealthyServer)
-	// Arrivals count the servers of the service that got the request, and misses
-	// those that did not get it or no longer are at their address.
-	arrivals, misses := 0, 0
-	for arrivals < o.route.Attempts && misses < maxConnectFailures && time.Now().Before(o.deadline) && ctx.Err() == nil {
-		choice, reason := f.choose(o, tried)
-		if reason != "" {
-			if len(tried) == 0 {
-				outcome = tamarackrun.Refused(reason)
-			}
-			break
-		}
-		if arrivals > 0 && !budget.Retry(time.Since(f.started)) {
-			f.steering.Done(time.Now(), choice, health.Nothing, false, 0)
-			f.history.Record(event.RetryDenied, o.fields.ID, "reason", string(outcome.Reason), "service", o.service)
-			break
-		}
-		reply := f.send(ctx, o, choice)
-		tried = append(tried, choice.Server.Name)
-		if reply.Sent && !reply.Fields.Misdirected {
-			arrivals++
-		} else {
-			misses++
-		}
-		if reply.Outcome == tamarackrun.Done {
-			if reply.Status < http.StatusInternalServerError || !o.route.Idempotent {
-				return f.pass(reply)
-			}
-			failed = &reply
-			continue
-		}
-		if outcome.Kind != tamarackrun.Unknown {
-			// Once a server may have run the request, a later refusal does not
-			// make it a request that did not run.
-			outcome = reply.Outcome
-		}
-		if reply.Outcome.Kind == tamarackrun.Unknown && !o.route.Idempotent {
-			break
-		}
-	}
-	if failed != nil {
-		return f.pass(*failed)
-	}
-	return f.finish(o, outcome, f.returnTime(o))
-}
-
-func (f *Front) choose(o *order, tried []string) (steer.Choice, tamarackrun.Reason) {
-	q := steer.Query{Region: f.Identity.Region, Allowed: [][]string{o.route.Regions, o.organisation.Regions}, Tried: tried}
-	if o.route.Sticky {
-		q.Object = o.fields.Object
-	}
-	return f.steering.Choose(time.Now(), f.registry.ServersOf(o.service), q)
-}
-
-// send sends the request to the chosen server and records what became of it.
-func (f *Front) send(ctx context.Context, o *order, choice steer.Choice) exchange.Reply {
-	r, now := o.call.Request, time.Now()
-	header := r.Header.Clone()
-	f.Dialect.MarkForward(header, tamarackrun.ForwardFields{Organisation: o.organisation.Name, Server: choice.Server.Name, Remaining: o.deadline.Sub(now)})
-	reply := f.servers.Do(ctx, choice.Server.Address, exchange.Request{ID: o.fields.ID, Method: r.Method, Target: r.RequestURI, Host: r.Host,
-		Header: header, Body: o.call.Body, Repeatable: o.route.Idempotent})
-	connectFailed := reply.Outcome.Reason == tamarackrun.ConnectFailed || reply.Fields.Misdirected
-	ejected, reinstated := f.steering.Done(time.Now(), choice, judge(reply), connectFailed, len(f.registry.ServersOf(o.service)))
-	if ejected {
-		f.history.Record(event.ServerEjected, o.fields.ID, "server", choice.Server.Name)
-	}
-	if reinstated {
-		f.history.Record(event.ServerReinstated, o.fields.ID, "server", choice.Server.Name)
-	}
-	f.logAttempt(o, choice, reply, now)
-	return reply
-}
-
-// judge says what a reply shows about its server.
-func judge(reply exchange.Reply) health.Result {
-	switch {
-	case reply.Outcome == tamarackrun.Done && reply.Status < http.StatusInternalServerError:
-		return health.Success
-	case reply.Outcome == tamarackrun.Done, reply.Outcome.Kind == tamarackrun.Unknown && reply.Outcome.Reason != tamarackrun.AnswerCancelled,
-		reply.Outcome.Reason == tamarackrun.ConnectFailed:
-		return health.Failure
-	}
-	return health.Nothing
-}
-
-func (f *Front) logAttempt(o *order, choice steer.Choice, reply exchange.Reply, sent time.Time) {
-	fields := []string{"route", o.route.Name, "service", o.service, "organisation", o.organisation.Name, "server", choice.Server.Name,
-		"rank", strconv.Itoa(choice.Rank), "outstanding", strconv.Itoa(choice.Outstanding),
-		"recordAge", time.Since(choice.Server.Seen).Round(time.Millisecond).String(),
-		"configuration", strconv.FormatInt(o.configuration.Version, 10),
-		"waited", sent.Sub(o.call.Arrived).Round(time.Millisecond).String(), "took", time.Since(sent).Round(time.Millisecond).String(),
-		"outcome", reply.Outcome.String(), "status", strconv.Itoa(reply.Status), "reused", strconv.FormatBool(reply.Reused)}
-	if reply.Err != nil {
-		fields = append(fields, "error", reply.Err.Error())
-	}
-	if l := reply.Fields.Load; l != nil {
-		fields = append(fields, "serverLoad", strconv.Itoa(l.Running)+","+strconv.Itoa(l.Waiting)+","+strconv.Itoa(l.Slots))
-	}
-	f.history.Record(event.AttemptEnded, o.fields.ID, fields...)
-	f.history.CountOutcome("attempt", reply.Outcome)
-}
-
 // pass hands the server's answer to the caller as it is.
 func (f *Front) pass(reply exchange.Reply) pipeline.Answer {
 	f.history.CountOutcome("request", tamarackrun.Done)
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -36,8 +36,8 @@
 type view struct {
 	// services has the usable servers of each service, sorted by name.
 	services map[string][]*Server
-	// addresses are those of all usable servers.
-	addresses map[string]bool
+	// names and addresses are those of all usable servers.
+	names, addresses map[string]bool
 }
 
 // Registry collects the records of servers and of evacuated failure domains.
@@ -79,6 +79,9 @@
 // is shared and must not be changed.
 func (r *Registry) ServersOf(service string) []*Server { return r.view.Load().services[service] }
 
+// Usable says whether the server may get requests.
+func (r *Registry) Usable(name string) bool { return r.view.Load().names[name] }
+
 // Addresses returns the addresses of all usable servers.
 func (r *Registry) Addresses() map[string]bool { return r.view.Load().addresses }
 
@@ -238,12 +241,13 @@
 			delete(r.coldDomains, domain)
 		}
 	}
-	v := &view{services: map[string][]*Server{}, addresses: map[string]bool{}}
+	v := &view{services: map[string][]*Server{}, names: map[string]bool{}, addresses: map[string]bool{}}
 	for _, s := range r.servers {
 		if s.Draining || r.evacuated[s.FailureDomain] {
 			continue
 		}
 		v.services[s.Service] = append(v.services[s.Service], s)
+		v.names[s.Name] = true
 		v.addresses[s.Address] = true
 	}
 	for _, list := range v.services {
