Share rendezvous scores, pauses and the seeds of property tests

Found in a read of the whole change: the hash of a key and a candidate stood in five packages (home, spread, share, coldstart, steer), the pause that ends with a context in three and inline in verify, and the same TestMain in four. rendezvous.Score, waiting.Pause and property.Main replace them. The pipeline had two flags that were always set together, Follower counted calls that nobody read, and steer spelt out cmp.Compare. Behaviour is unchanged: same hashes, same seeds, no assertion edited.

--- a/internal/coordination/coldstart/coldstart.go
+++ b/internal/coordination/coldstart/coldstart.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"tamarackrun/internal/coordination/rendezvous"
 )
 
 const (
@@ -67,15 +67,13 @@
 		return each
 	}
 	ranked := slices.Clone(instances)
-	slices.SortFunc(ranked, func(a, b string) int { return cmp.Compare(score(server, a), score(server, b)) })
+	slices.SortFunc(ranked, func(a, b string) int { return cmp.Compare(rendezvous.Score(server, a), rendezvous.Score(server, b)) })
 	if position := slices.Index(ranked, g.Name); position >= 0 && position < rest {
 		each++
 	}
 	return each
 }
 
-func score(server, instance string) uint64 { return xxhash.Sum64String(server + "\x00" + instance) }
-
 // Forget drops the counts of servers that have got nothing lately.
 func (g *Gate) Forget(now time.Time) {
 	g.mu.Lock()
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/event"
 )
 
@@ -37,7 +38,6 @@
 	// failure, which includes the first one of all.
 	Apply func(page tamarackrun.Page, regained bool)
 
-	calls  atomic.Int64
 	away   atomic.Bool
 	kicked atomic.Bool
 	// end ends the watch that is waiting; nil while no watch waits, because a
@@ -56,9 +56,6 @@
 	}
 }
 
-// Calls returns the number of calls that were made.
-func (f *Follower) Calls() int64 { return f.calls.Load() }
-
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	at, known, lost := int64(0), false, true
@@ -69,7 +66,6 @@
 			known = false
 		}
 		page, err := f.call(ctx, at, known, lost)
-		f.calls.Add(1)
 		switch {
 		case f.kicked.Load() && known && !lost:
 			// The watch was ended; whatever it brought is read again.
@@ -80,7 +76,7 @@
 			f.Recorder.Record(event.HistoryGone, "", "collection", f.Collection.String())
 			if !known {
 				// A read can't fail so; the pause keeps the loop from spinning.
-				pause(ctx, jitter(backoff))
+				waiting.Pause(ctx, jitter(backoff))
 			}
 			known = false
 		case err != nil:
@@ -89,7 +85,7 @@
 			}
 			lost = true
 			f.away.Store(true)
-			pause(ctx, jitter(backoff))
+			waiting.Pause(ctx, jitter(backoff))
 			backoff = min(2*backoff, f.MaxBackoff)
 		default:
 			if lost {
@@ -98,7 +94,7 @@
 			f.Apply(page, lost)
 			f.away.Store(false)
 			at, known, lost, backoff = page.At, known || page.Whole, false, minBackoff
-			pause(ctx, f.Pace-time.Since(began))
+			waiting.Pause(ctx, f.Pace-time.Since(began))
 		}
 	}
 }
@@ -122,15 +118,3 @@
 }
 
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/coordination/health/health_test.go
+++ b/internal/coordination/health/health_test.go
@@ -1,21 +1,16 @@
 package health
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"tamarackrun/internal/standin/property"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m) }
 
 // Guards against ejections by single failures, against a server that keeps
 // failing every second request, and against results without meaning.
--- a/internal/coordination/home/home.go
+++ b/internal/coordination/home/home.go
@@ -3,7 +3,7 @@
 package home
 
 import (
-	"github.com/cespare/xxhash/v2"
+	"tamarackrun/internal/coordination/rendezvous"
 
 	"tamarackrun/internal/state/configuration"
 	"tamarackrun/internal/state/roster"
@@ -29,10 +29,6 @@
 	}
 }
 
-func score(server, instance string) uint64 {
-	return xxhash.Sum64String(server + "\x00" + instance)
-}
-
 // Of returns the name of the home of a server among the serving members, or ""
 // if there is none.
 func Of(c *configuration.Snapshot, server configuration.Server, members []roster.Member) string {
@@ -41,7 +37,7 @@
 		if !m.Serving() {
 			continue
 		}
-		n, s := near(c, server.Domain, m.Listing.FailureDomain), score(server.Name, m.Listing.Name)
+		n, s := near(c, server.Domain, m.Listing.FailureDomain), rendezvous.Score(server.Name, m.Listing.Name)
 		if n < bestNear || n == bestNear && s > bestScore {
 			best, bestNear, bestScore = m.Listing.Name, n, s
 		}
--- a/internal/coordination/home/table.go
+++ b/internal/coordination/home/table.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"tamarackrun/internal/coordination/rendezvous"
 	"tamarackrun/internal/protocol/wire"
 	"tamarackrun/internal/state/configuration"
 	"tamarackrun/internal/state/roster"
@@ -96,7 +97,7 @@
 					continue
 				}
 			}
-			if s := score(v.Name, name); best == "" || s > bestScore {
+			if s := rendezvous.Score(v.Name, name); best == "" || s > bestScore {
 				best, bestScore = name, s
 			}
 		}
--- a/internal/coordination/retry/retry_test.go
+++ b/internal/coordination/retry/retry_test.go
@@ -1,20 +1,15 @@
 package retry
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"tamarackrun/internal/standin/property"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m) }
 
 // Guards against retries above 10% of the requests, at least 10, in any 10 s,
 // and against a budget that refuses although it has room.
--- a/internal/coordination/share/holders.go
+++ b/internal/coordination/share/holders.go
@@ -3,7 +3,7 @@
 import (
 	"sort"
 
-	"github.com/cespare/xxhash/v2"
+	"tamarackrun/internal/coordination/rendezvous"
 
 	"tamarackrun/internal/coordination/rate"
 )
@@ -44,7 +44,7 @@
 }
 
 func above(organisation string, a, b Candidate) bool {
-	x, y := xxhash.Sum64String(organisation+"\x00"+a.Name), xxhash.Sum64String(organisation+"\x00"+b.Name)
+	x, y := rendezvous.Score(organisation, a.Name), rendezvous.Score(organisation, b.Name)
 	return x > y || x == y && a.Name < b.Name
 }
 
--- a/internal/coordination/shift/shift_test.go
+++ b/internal/coordination/shift/shift_test.go
@@ -1,21 +1,16 @@
 package shift
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"tamarackrun/internal/standin/property"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m) }
 
 // Guards against parts that sum to more than the cap or leave some of it unused.
 func TestPartsSumToCap(t *testing.T) {
--- a/internal/coordination/slot/queue_test.go
+++ b/internal/coordination/slot/queue_test.go
@@ -1,15 +1,14 @@
 package slot
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"tamarackrun"
+	"tamarackrun/internal/standin/property"
 )
 
 // model drives a queue with random steps and checks it after each.
@@ -229,9 +228,4 @@
 	}
 }
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m) }
--- a/internal/coordination/spread/spread.go
+++ b/internal/coordination/spread/spread.go
@@ -5,7 +5,7 @@
 import (
 	"sort"
 
-	"github.com/cespare/xxhash/v2"
+	"tamarackrun/internal/coordination/rendezvous"
 
 	"tamarackrun/internal/state/roster"
 )
@@ -25,7 +25,7 @@
 	var all []ranked
 	for _, m := range members {
 		if m.Serving() && m.Listing.FailureDomain == domain {
-			all = append(all, ranked{m.Listing.Name, xxhash.Sum64String(domain + "\x00" + m.Listing.Name)})
+			all = append(all, ranked{m.Listing.Name, rendezvous.Score(domain, m.Listing.Name)})
 		}
 	}
 	sort.Slice(all, func(i, j int) bool {
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -2,16 +2,16 @@
 package steer
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"tamarackrun"
 	"tamarackrun/internal/coordination/health"
+	"tamarackrun/internal/coordination/rendezvous"
 	"tamarackrun/internal/state/registry"
 )
 
@@ -149,22 +149,14 @@
 		}
 		list = append(list, c)
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		switch {
-		case a.rank < b.rank:
-			return -1
-		case a.rank > b.rank:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
 	return list
 }
 
 // weightedRank is the rank in weighted rendezvous hashing: a server is first with
 // a probability in proportion to its weight, and lower is better.
 func weightedRank(object, server string, weight float64) float64 {
-	u := (float64(xxhash.Sum64String(object+"\x00"+server)) + 1) / (math.MaxUint64 + 1)
+	u := (float64(rendezvous.Score(object, server)) + 1) / (math.MaxUint64 + 1)
 	return -math.Log(u) / weight
 }
 
--- a/internal/coordination/verify/verify.go
+++ b/internal/coordination/verify/verify.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/waiting"
 )
 
 const (
@@ -158,13 +159,7 @@
 		}
 		if v.turn(time.Now()) && !v.Away() && !v.read(ctx) {
 			// The followers find out when the store answers again.
-			timer := time.NewTimer(retry)
-			select {
-			case <-ctx.Done():
-				timer.Stop()
-				return
-			case <-timer.C:
-			}
+			waiting.Pause(ctx, retry)
 		}
 	}
 }
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -23,6 +23,7 @@
 	"tamarackrun/internal/coordination/quota"
 	"tamarackrun/internal/coordination/steer"
 	"tamarackrun/internal/coordination/verify"
+	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/state/boottime"
 	"tamarackrun/internal/state/configuration"
@@ -245,14 +246,14 @@
 			return
 		}
 		f.history.Record(event.AnnounceFailed, "", "error", err.Error())
-		pause(ctx, announceInterval)
+		waiting.Pause(ctx, announceInterval)
 	}
 }
 
 // sweep does the housekeeping.
 func (f *Front) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, sweepInterval)
+		waiting.Pause(ctx, sweepInterval)
 		now := time.Now()
 		f.registry.Sweep(now)
 		f.cold.Forget(now)
@@ -289,12 +290,3 @@
 	}
 	return f.cold.Admit(now, server.Name, rate*t.ColdOverage+t.ColdSlack, instances)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/program/instance/configuration.go
+++ b/internal/program/instance/configuration.go
@@ -12,6 +12,7 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/freshness"
+	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/document"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/manifest"
@@ -26,13 +27,6 @@
 	readInterval = 2 * time.Second
 )
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // held is an accepted version in the form in which peers may ask for it.
 type held struct {
 	version  int64
@@ -129,7 +123,7 @@
 			err = f.accept(ctx, object.Version, object.Value, f.fromStore)
 		}
 		if err != nil && !errors.Is(err, tamarackrun.ErrUnchanged) {
-			pause(ctx, storeRetryDelay)
+			waiting.Pause(ctx, storeRetryDelay)
 		}
 	}
 }
@@ -149,7 +143,7 @@
 		if err == nil && f.in.version() == object.Version {
 			f.in.proofs.add(sent)
 		}
-		pause(ctx, readInterval-(f.in.clock.Now()-sent))
+		waiting.Pause(ctx, readInterval-(f.in.clock.Now()-sent))
 	}
 }
 
--- a/internal/program/instance/control.go
+++ b/internal/program/instance/control.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/document"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/manifest"
@@ -155,7 +156,7 @@
 		if ctx.Err() != nil {
 			return err
 		}
-		pause(ctx, storeRetryDelay)
+		waiting.Pause(ctx, storeRetryDelay)
 	}
 }
 
--- a/internal/program/instance/freshness.go
+++ b/internal/program/instance/freshness.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tamarackrun/internal/coordination/freshness"
+	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/wire"
 	"tamarackrun/internal/state/configuration"
@@ -174,7 +175,7 @@
 func (p *proofs) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		p.judge()
-		pause(ctx, judgeInterval)
+		waiting.Pause(ctx, judgeInterval)
 	}
 }
 
--- a/internal/program/instance/homes.go
+++ b/internal/program/instance/homes.go
@@ -12,6 +12,7 @@
 	"tamarackrun"
 	"tamarackrun/internal/coordination/health"
 	"tamarackrun/internal/coordination/home"
+	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/drain"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/wire"
@@ -74,7 +75,7 @@
 			h.place(c)
 			h.pollHealth(ctx)
 		}
-		pause(ctx, homeInterval)
+		waiting.Pause(ctx, homeInterval)
 	}
 }
 
@@ -213,6 +214,6 @@
 // drain waits until no exchange is in flight at this home.
 func (h *homes) drain(ctx context.Context) {
 	for ctx.Err() == nil && h.running.Load() > 0 {
-		pause(ctx, drainPollDelay)
+		waiting.Pause(ctx, drainPollDelay)
 	}
 }
--- a/internal/program/instance/homes_leaving.go
+++ b/internal/program/instance/homes_leaving.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/drain"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/transport/backend"
@@ -62,7 +63,7 @@
 				leave()
 			}
 		}
-		pause(ctx, orderInterval)
+		waiting.Pause(ctx, orderInterval)
 	}
 }
 
@@ -133,7 +134,7 @@
 func (h *homes) handOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, handOverLimit)
 	defer cancel()
-	for c := h.in.snapshot.Load(); c != nil && ctx.Err() == nil && h.othersServe(); pause(ctx, drainPollDelay) {
+	for c := h.in.snapshot.Load(); c != nil && ctx.Err() == nil && h.othersServe(); waiting.Pause(ctx, drainPollDelay) {
 		h.place(c)
 		if len(h.all()) == 0 {
 			return
--- a/internal/program/instance/instance.go
+++ b/internal/program/instance/instance.go
@@ -15,6 +15,7 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/home"
+	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/settings"
 	"tamarackrun/internal/protocol/wire"
@@ -242,7 +243,7 @@
 	ctx, cancel := context.WithTimeout(ctx, quietLimit)
 	defer cancel()
 	for ctx.Err() == nil && in.callers.Quiet() < quietTime {
-		pause(ctx, quietDelay)
+		waiting.Pause(ctx, quietDelay)
 	}
 }
 
--- a/internal/program/instance/keys.go
+++ b/internal/program/instance/keys.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/document"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/secret"
@@ -194,7 +195,7 @@
 // would become unknown.
 func (g *keyGuard) watch(hash [32]byte, organisation string) {
 	for {
-		pause(g.ctx, keyCheckInterval)
+		waiting.Pause(g.ctx, keyCheckInterval)
 		if g.ctx.Err() != nil {
 			return
 		}
--- a/internal/program/instance/orders.go
+++ b/internal/program/instance/orders.go
@@ -13,6 +13,7 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/ticket"
+	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/frame"
 	"tamarackrun/internal/protocol/wire"
@@ -376,7 +377,7 @@
 			}
 		}
 		o.mu.Unlock()
-		pause(ctx, sweepPause)
+		waiting.Pause(ctx, sweepPause)
 	}
 }
 
@@ -438,7 +439,7 @@
 		if outcome.Kind != tamarackrun.Unknown || asked || gone || o.in.clock.Now() >= limit {
 			return outcome, status
 		}
-		pause(ctx, resolvePause)
+		waiting.Pause(ctx, resolvePause)
 	}
 }
 
--- a/internal/program/instance/peers.go
+++ b/internal/program/instance/peers.go
@@ -6,6 +6,7 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/home"
+	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/wire"
 	"tamarackrun/internal/state/roster"
@@ -46,7 +47,7 @@
 			in.homes.listed(list)
 			in.homes.wake()
 		}
-		pause(ctx, rosterPollInterval)
+		waiting.Pause(ctx, rosterPollInterval)
 	}
 }
 
@@ -59,7 +60,7 @@
 				go in.heartbeat(ctx, m)
 			}
 		}
-		pause(ctx, heartbeatInterval)
+		waiting.Pause(ctx, heartbeatInterval)
 	}
 }
 
--- a/internal/program/instance/rates.go
+++ b/internal/program/instance/rates.go
@@ -10,6 +10,7 @@
 	"tamarackrun"
 	"tamarackrun/internal/coordination/rate"
 	"tamarackrun/internal/coordination/share"
+	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/state/configuration"
 	"tamarackrun/internal/state/roster"
@@ -72,7 +73,7 @@
 	for ctx.Err() == nil {
 		c := r.in.snapshot.Load()
 		if c == nil {
-			pause(ctx, shareRetry)
+			waiting.Pause(ctx, shareRetry)
 			continue
 		}
 		targets := r.targets(c)
@@ -84,7 +85,7 @@
 		}
 		// The random part keeps instances that met in a conflict from meeting
 		// again.
-		pause(ctx, delay/2+rand.N(delay/2))
+		waiting.Pause(ctx, delay/2+rand.N(delay/2))
 		delay = min(2*delay, shareInterval)
 	}
 }
@@ -141,7 +142,7 @@
 			r.in.history.Record(event.ShareNotReturned, "", "incarnation", r.in.incarnation)
 			return
 		}
-		pause(ctx, shareRetry)
+		waiting.Pause(ctx, shareRetry)
 	}
 }
 
--- a/internal/program/instance/rates_borrow.go
+++ b/internal/program/instance/rates_borrow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tamarackrun/internal/coordination/rate"
+	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/wire"
 	"tamarackrun/internal/state/roster"
 )
@@ -44,7 +45,7 @@
 			r.extend(organisation, b)
 			r.borrow(organisation, r.queue(organisation), b, int(r.queue(organisation).length.Load()))
 		}
-		pause(ctx, borrowInterval)
+		waiting.Pause(ctx, borrowInterval)
 	}
 }
 
--- a/internal/program/instance/sealed.go
+++ b/internal/program/instance/sealed.go
@@ -14,6 +14,7 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/ticket"
+	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/frame"
 	"tamarackrun/internal/protocol/wire"
@@ -228,7 +229,7 @@
 func (o *orders) seal(ctx context.Context) {
 	o.ledger.Close()
 	for ctx.Err() == nil && o.ledger.Running() > 0 {
-		pause(ctx, drainPollDelay)
+		waiting.Pause(ctx, drainPollDelay)
 	}
 	lines, floor := o.ledger.Seal()
 	parts := sealParts(o.in.incarnation, o.issuer.Key(), lines, floor, o.issuer.Next())
@@ -252,7 +253,7 @@
 			if err == nil && reply.GetAck() != nil {
 				break
 			}
-			pause(context.Background(), resolvePause)
+			waiting.Pause(context.Background(), resolvePause)
 		}
 	}
 }
@@ -286,7 +287,7 @@
 			}
 			return errSealedDiffers
 		}
-		pause(context.Background(), resolvePause)
+		waiting.Pause(context.Background(), resolvePause)
 	}
 	return err
 }
--- a/internal/transport/pipeline/connection.go
+++ b/internal/transport/pipeline/connection.go
@@ -340,7 +340,7 @@
 func (c *connection) finish(last bool) {
 	c.mu.Lock()
 	c.pending--
-	if c.server.closingIdle.Load() && c.pending == 0 && !c.reading {
+	if c.server.leaving.Load() && c.pending == 0 && !c.reading {
 		c.closing, last = true, true
 	}
 	c.drained.Broadcast()
--- a/internal/transport/pipeline/pipeline.go
+++ b/internal/transport/pipeline/pipeline.go
@@ -69,9 +69,9 @@
 	Handler Handler
 
 	listener net.Listener
-	leaving  atomic.Bool
-	// closingIdle says that connections end as soon as they are idle.
-	closingIdle atomic.Bool
+	// leaving says that answers close their connections, and that connections
+	// end as soon as they are idle.
+	leaving atomic.Bool
 	// work ends when running requests are to be broken off.
 	work    context.Context
 	endWork context.CancelFunc
@@ -124,7 +124,6 @@
 // as soon as they have none. Requests that cross the close were not dispatched.
 func (s *Server) CloseIdle() {
 	s.leaving.Store(true)
-	s.closingIdle.Store(true)
 	for _, c := range s.connections() {
 		c.closeIdle()
 	}
