Count ejected servers against the limit of their own service only

Cause: mayEject counted the ejected servers of all services and compared the sum with the limit of one service, so that a failing server kept its requests while servers of other services were ejected. Found in a re-read, not in a run. The new test fails before. Ruled out: a change of the limit itself; it stays a part of the service's servers.

--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -67,7 +67,9 @@
 	// coldUntil is how long the server is taken as cold after its port refused
 	// connections, as its process may have started again.
 	coldUntil time.Time
-	born      int64
+	// service is that of the server's latest record.
+	service string
+	born    int64
 }
 
 // Steering chooses servers and learns from outcomes. It is safe for concurrent
@@ -188,6 +190,7 @@
 		// A new process behind the same name has none of the old one's faults.
 		*st = state{born: v.Born, outstanding: st.outstanding}
 	}
+	st.service = v.Service
 	return st
 }
 
@@ -212,14 +215,15 @@
 	if c.Probe {
 		return false, st.health.Probed(at, result)
 	}
-	return st.health.Observe(at, result, s.mayEject(servers)), false
+	return st.health.Observe(at, result, s.mayEject(c.Server.Service, servers)), false
 }
 
-// mayEject keeps enough servers of a service, of which there are n.
-func (s *Steering) mayEject(n int) bool {
+// mayEject keeps enough servers of a service, of which there are n. Ejected
+// servers of other services do not count.
+func (s *Steering) mayEject(service string, n int) bool {
 	ejected := 0
 	for _, st := range s.servers {
-		if st.health.Ejected() {
+		if st.service == service && st.health.Ejected() {
 			ejected++
 		}
 	}
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -128,3 +128,31 @@
 		t.Errorf("reason %q later", reason)
 	}
 }
+
+// Guards against a failing server that keeps its requests because servers of
+// other services are ejected: the limit is one service's own.
+func TestEjectionsOfOtherServicesDoNotCount(t *testing.T) {
+	s, now := newSteering(), time.Now()
+	failUntilEjected := func(service string) bool {
+		list := servers(4)
+		for _, v := range list {
+			v.Name, v.Service = service+"-"+v.Name, service
+		}
+		for range 200 {
+			now = now.Add(10 * time.Millisecond)
+			c, reason := s.Choose(now, list, Query{Object: "x", Region: "a"})
+			if reason != "" {
+				t.Fatalf("reason %q", reason)
+			}
+			if ejected, _ := s.Done(now, c, health.Failure, false, len(list)); ejected {
+				return true
+			}
+		}
+		return false
+	}
+	for _, service := range []string{"one", "two", "three"} {
+		if !failUntilEjected(service) {
+			t.Errorf("no server of service %s is ejected", service)
+		}
+	}
+}
