Bound the part of a small region's requests that stay there

The weight of other regions now follows from the number of servers, and is at least 0.2. Ruled out earlier: spill within the region of the first server, weights of 0.25 and 0.35.

--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -16,10 +16,14 @@
 )
 
 const (
-	// farWeight is the weight of servers in other regions for an object, relative
-	// to those in the own one. The part of the requests that stays depends on
-	// the number of servers there, so that a small region is not overloaded.
+	// farWeight is the least weight of servers in other regions for an object,
+	// relative to those in the own one. The part of the requests that stays depends
+	// on the number of servers there, so that a small region is not overloaded.
 	farWeight = 0.2
+	// stayPart bounds the part of a region's requests that its own servers get, if
+	// all regions ask for the same: this part of what the region can run. The rest
+	// is for requests of other regions.
+	stayPart = 0.75
 	// farPenalty is how much busier an own server may be than one in another
 	// region, as a part of its slots, for requests without an object.
 	farPenalty = 0.25
@@ -134,6 +138,7 @@
 // rank orders the allowed servers, the best first.
 func (s *Steering) rank(servers []*registry.Server, q Query) []candidate {
 	list := make([]candidate, 0, len(servers))
+	far := weightOfFar(servers, q)
 	for _, v := range servers {
 		if !allows(q.Allowed, v.Region) || slices.Contains(q.Tried, v.Name) {
 			continue
@@ -141,7 +146,7 @@
 		c := candidate{server: v}
 		weight, penalty := 1.0, 0.0
 		if v.Region != q.Region {
-			weight, penalty = farWeight, farPenalty
+			weight, penalty = far, farPenalty
 		}
 		if q.Object != "" {
 			c.rank = weightedRank(q.Object, v.Name, weight)
@@ -155,6 +160,29 @@
 	return list
 }
 
+// weightOfFar returns the weight of servers in other regions. It is above farWeight
+// if the own region has so few servers that they would get more than their part.
+// It depends on neither load nor earlier attempts, so that ranks stay the same.
+func weightOfFar(servers []*registry.Server, q Query) float64 {
+	regions := map[string]bool{}
+	own, all := 0.0, 0.0
+	for _, v := range servers {
+		if allows(q.Allowed, v.Region) {
+			regions[v.Region] = true
+			all++
+			if v.Region == q.Region {
+				own++
+			}
+		}
+	}
+	if own == 0 || own == all {
+		return farWeight
+	}
+	// With the weight w, a part own / (own + w (all - own)) of the requests stays.
+	even := (all/(stayPart*float64(len(regions))) - own) / (all - own)
+	return min(1, max(farWeight, even))
+}
+
 // weightedRank is the rank in weighted rendezvous hashing: a server is first with
 // a probability in proportion to its weight, and lower is better.
 func weightedRank(object, server string, weight float64) float64 {
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -156,3 +156,30 @@
 		}
 	}
 }
+
+// Guards against a region with few servers that get more than their part when
+// all regions ask for the same: their queues outlast the others, and the requests
+// of the region change where they run. The users' bound on such changes is 15 in
+// 100.
+func TestSmallRegionsAreNotOverloaded(t *testing.T) {
+	var list []*registry.Server
+	for region, n := range map[string]int{"a": 2, "b": 6, "c": 6} {
+		for i := range n {
+			list = append(list, &registry.Server{Name: fmt.Sprint(region, i), Region: region, ServerRecord: tamarackrun.ServerRecord{Slots: 9}})
+		}
+	}
+	const objects = 20_000
+	counts := map[string]float64{}
+	for _, region := range []string{"a", "b", "c"} {
+		for i := range objects {
+			s := newSteering()
+			c, _ := s.Choose(time.Time{}, list, Query{Object: fmt.Sprint(i), Region: region})
+			counts[c.Server.Region]++
+		}
+	}
+	part := counts["a"] / (3 * objects)
+	if want := 2.0 / 14; part > 1.15*want {
+		t.Errorf("the region with 2 of 14 servers gets a part of %.3f of the requests, %.3f is its own", part, want)
+	}
+	t.Logf("parts: %v", counts)
+}
--- /dev/null
+++ b/internal/standin/soak/command.go
@@ -0,0 +1,165 @@
+// Package soak plays randomized troubles against processes of the product and
+// checks the users' rules from what callers and backend servers see.
+package soak
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// options are those of the command.
+type options struct {
+	seeds, jobs  int
+	first        uint64
+	file         string
+	binary, logs string
+	length       time.Duration
+}
+
+// NewCommand returns the sub-command soak.
+func NewCommand() *cobra.Command {
+	var o options
+	c := &cobra.Command{
+		Use:   "soak",
+		Short: "Play randomized troubles against real processes and check the rules",
+		Args:  cobra.NoArgs,
+		RunE:  func(c *cobra.Command, _ []string) error { return o.run(c.OutOrStdout()) },
+	}
+	f := c.Flags()
+	f.IntVar(&o.seeds, "seeds", 5, "number of seeds")
+	f.Uint64Var(&o.first, "first", 0, "first seed; 0 chooses one by the time")
+	f.StringVar(&o.file, "file", "", "play the seeds of this file instead: one in each line, then its cause")
+	f.IntVar(&o.jobs, "jobs", 4, "seeds that run at a time, each with 3 processes")
+	f.StringVar(&o.binary, "binary", "bin/tamarackrun", "the built program")
+	f.StringVar(&o.logs, "logs", "", "directory for the logs of seeds that fail; empty keeps none")
+	f.DurationVar(&o.length, "length", 24*time.Second, "time of one seed")
+	return c
+}
+
+func (o *options) run(out io.Writer) error {
+	if shortest := 2 * (calmEnd + bounds.Contact); o.length < shortest || o.jobs < 1 || o.jobs > 32 {
+		return fmt.Errorf("a seed takes at least %v, and 1 to 32 run at a time", shortest)
+	}
+	list, err := o.list()
+	if err != nil {
+		return err
+	}
+	if o.binary, err = filepath.Abs(o.binary); err != nil {
+		return err
+	}
+	queue := make(chan uint64)
+	go func() {
+		defer close(queue)
+		for _, seed := range list {
+			queue <- seed
+		}
+	}()
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	failed := 0
+	for i := range min(o.jobs, len(list)) {
+		group.Go(func() {
+			for seed := range queue {
+				r, err := o.play(i, seed)
+				mu.Lock()
+				if err != nil {
+					_, _ = fmt.Fprintf(out, "seed %d: not played: %v\n", seed, err)
+				} else {
+					r.write(out)
+				}
+				if err != nil || len(r.violations) > 0 {
+					failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	_, _ = fmt.Fprintf(out, "%d seeds, %d failed\n", len(list), failed)
+	if failed > 0 {
+		return errors.New("the soak found a broken rule")
+	}
+	return nil
+}
+
+func (o *options) list() ([]uint64, error) {
+	var list []uint64
+	if o.file == "" {
+		first := o.first
+		if first == 0 {
+			first = uint64(time.Now().Unix())
+		}
+		for i := range o.seeds {
+			list = append(list, first+uint64(i))
+		}
+		return list, nil
+	}
+	f, err := os.Open(o.file)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	for s := bufio.NewScanner(f); s.Scan(); {
+		field, _, _ := strings.Cut(strings.TrimSpace(s.Text()), " ")
+		if field == "" || field[0] == '#' {
+			continue
+		}
+		seed, err := strconv.ParseUint(field, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("file %s: %q is no seed", o.file, field)
+		}
+		list = append(list, seed)
+	}
+	return list, nil
+}
+
+// play plays one seed in a directory of its own.
+func (o *options) play(slot int, seed uint64) (report, error) {
+	directory, err := os.MkdirTemp("", "tamarackrun-soak-")
+	if err != nil {
+		return report{}, err
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	// Soaks that run side by side use other addresses.
+	w, cleanup, err := newWorld(os.Getpid()%100*32+slot, o.binary, directory)
+	if err != nil {
+		return report{}, err
+	}
+	r := w.play(seed, o.length)
+	cleanup()
+	if len(r.violations) > 0 && o.logs != "" {
+		if err := os.CopyFS(filepath.Join(o.logs, fmt.Sprint("seed-", seed)), os.DirFS(directory)); err != nil {
+			return r, err
+		}
+	}
+	return r, nil
+}
+
+// mostShown bounds the lines of one seed.
+const mostShown = 12
+
+func (r *report) write(out io.Writer) {
+	verdict := "kept"
+	if len(r.violations) > 0 {
+		verdict = fmt.Sprint(len(r.violations), " broken")
+	}
+	_, _ = fmt.Fprintf(out, "seed %d: %d requests, %.1f%% served, %.1f%% at the end, %d troubles, %s\n",
+		r.seed, r.calls, 100*r.served, 100*r.calm, len(r.troubles), verdict)
+	for i, v := range r.violations {
+		if i == mostShown {
+			_, _ = fmt.Fprintln(out, "\tand more")
+			break
+		}
+		_, _ = fmt.Fprintf(out, "\t%s: %s\n", v.rule, v.text)
+	}
+}
