Hear instances again whose machine lost its power

Ruled out: the division by demand and the buckets of new processes (the logs show the parts). Incarnations are random now; TestRestartedMachineIsHeard fails before.

Fewer calls to the store: at least 0.5 s between two calls for servers and 1 s for instances.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -5,6 +5,8 @@
 import (
 	"cmp"
 	"context"
+	"math"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -69,9 +71,10 @@
 type peer struct {
 	record  tamarackrun.InstanceRecord
 	address netip.AddrPort
-	// incarnation and sequence are those of the latest report.
-	incarnation    int64
-	sequence       uint64
+	// incarnation and sequence are those of the latest report, and before is the
+	// incarnation of the process before, whose reports may still arrive.
+	incarnation, before int64
+	sequence            uint64
 	ready, leaving bool
 	// storeAway says that the store does not answer the instance.
 	storeAway bool
@@ -102,9 +105,13 @@
 
 	ready, leaving atomic.Bool
 
+	// incarnation is random and not 0. No clock can order the processes of an
+	// instance: a machine that lost its power counts from its start, and its time
+	// of day may jump.
+	incarnation int64
+
 	mu       sync.Mutex
 	peers    map[string]*peer
-	started  time.Duration
 	sequence uint64
 	// members is the latest list, with this instance.
 	members atomic.Pointer[[]Member]
@@ -112,7 +119,7 @@
 
 // New returns a membership without other instances.
 func New(name string, own tamarackrun.InstanceRecord, clock tamarackrun.Clock) *Membership {
-	m := &Membership{Name: name, Own: own, Clock: clock, peers: map[string]*peer{}, started: clock.Now()}
+	m := &Membership{Name: name, Own: own, Clock: clock, peers: map[string]*peer{}, incarnation: 1 + rand.Int64N(math.MaxInt64-1)}
 	m.members.Store(&[]Member{})
 	return m
 }
@@ -178,9 +185,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peers[report.Name]
-	if p == nil || report.Incarnation < p.incarnation || report.Incarnation == p.incarnation && report.Sequence <= p.sequence {
+	if p == nil || report.Incarnation == p.before || report.Incarnation == p.incarnation && report.Sequence <= p.sequence {
 		return
 	}
+	if report.Incarnation != p.incarnation {
+		p.before = p.incarnation
+	}
 	now := m.Clock.Now()
 	p.incarnation, p.sequence, p.last = report.Incarnation, report.Sequence, now
 	p.ready, p.leaving, p.storeAway = report.Ready, report.Leaving, report.StoreAway
@@ -224,7 +234,7 @@
 	m.mu.Lock()
 	now := m.Clock.Now()
 	m.sequence++
-	message := &wire.InstanceReport{Name: m.Name, Incarnation: int64(m.started), Sequence: m.sequence, Ready: m.ready.Load(),
+	message := &wire.InstanceReport{Name: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Ready: m.ready.Load(),
 		Leaving: m.leaving.Load(), ConfigurationVersion: m.Version()}
 	for organisation, rate := range own {
 		message.Demands = append(message.Demands, &wire.OrganisationDemand{Organisation: organisation, Rate: float32(rate)})
--- a/internal/program/front/beliefs.go
+++ b/internal/program/front/beliefs.go
@@ -17,9 +17,11 @@
 	// its history, watches went on for 9 s without hearing of an evacuation.
 	// The verifier finds such changes.
 	longWait = 30 * time.Second
-	// serverPace is the least time between two calls for servers' records, so
-	// that changes come in batches.
-	serverPace = 300 * time.Millisecond
+	// serverPace and instancePace are the least times between two calls for the
+	// records of servers and of instances, so that changes come in batches. A
+	// leaving server must get nothing after 2.5 s; reports tell of instances.
+	serverPace   = 500 * time.Millisecond
+	instancePace = time.Second
 	// slowBackoff bounds the pause between failed calls, and serverBackoff that
 	// for servers' records, which are needed first.
 	slowBackoff   = time.Second
@@ -35,7 +37,7 @@
 	f.follower = map[tamarackrun.Collection]*follow.Follower{
 		tamarackrun.Configurations: {Apply: f.applyConfiguration},
 		tamarackrun.Evacuations:    {Apply: func(page tamarackrun.Page, _ bool) { f.applyEvacuations(page) }},
-		tamarackrun.Instances:      {Apply: f.applyInstances},
+		tamarackrun.Instances:      {Pace: instancePace, Apply: f.applyInstances},
 		tamarackrun.Servers:        {Pace: serverPace, MaxBackoff: serverBackoff, Apply: f.applyServers},
 	}
 	for collection, follower := range f.follower {
--- a/internal/standin/soak/world.go
+++ b/internal/standin/soak/world.go
@@ -70,7 +70,8 @@
 	desired standin.Desired
 	moves   []move
 	keys    int
-	// revocations are by key, left and coldFrom by server.
+	// additions and revocations are by key, left and coldFrom by server.
+	additions      map[string]time.Time
 	revocations    map[string]time.Time
 	left, coldFrom map[string]time.Time
 	zoneOf         map[string]string
@@ -83,7 +84,7 @@
 // newWorld starts everything but the callers. The number tells worlds apart that
 // run at the same time.
 func newWorld(number int, binary, directory string) (*world, func(), error) {
-	w := &world{began: time.Now(), store: standin.NewStore(), revocations: map[string]time.Time{}, left: map[string]time.Time{},
+	w := &world{began: time.Now(), store: standin.NewStore(), additions: map[string]time.Time{}, revocations: map[string]time.Time{}, left: map[string]time.Time{},
 		coldFrom: map[string]time.Time{}, zoneOf: map[string]string{}, burst: 1, ledger: ledger{calls: map[string]*call{}}}
 	err := w.start(number, binary, directory)
 	if err != nil {
@@ -187,7 +188,12 @@
 func (w *world) addKey() {
 	w.keys++
 	o := &w.desired.Organisations[0]
-	o.Keys = append(slices.Clone(o.Keys), fmt.Sprint("key-", w.keys))
+	key := fmt.Sprint("key-", w.keys)
+	o.Keys = append(slices.Clone(o.Keys), key)
+	if len(w.moves) > 0 {
+		// The first desired state has no time.
+		w.additions[key] = time.Now()
+	}
 }
 
 // configure changes the desired state and has the store accept it.
@@ -249,6 +255,16 @@
 
 func (w *world) revoked(key string) bool { _, ok := w.revocations[key]; return ok }
 
+// known says that all desired states that may be in force at an instance in touch
+// hold the key, and always that all of the day do.
+func (w *world) known(key string, sent time.Time) (known, always bool) {
+	if w.revoked(key) {
+		return false, false
+	}
+	at, added := w.additions[key]
+	return !added || sent.After(at.Add(bounds.Apply)), !added
+}
+
 // anyKey returns a key of an organisation; some callers keep a revoked one.
 func (w *world) anyKey(r *rand.Rand, organisation string) string {
 	if organisation == limited {
