Leave a cut-off instance its part of the limits however long it is cut off

Cause: an instance that was silent for 20 s no longer counted as a member. Two regions that are apart for longer would both have used the whole of each limit, and the smaller side would not even have known that it is cut off. TestLongCutKeepsParts fails before. The rule was there for instances that are gone for good. Ruled out: a shorter time, as the users' regions are apart for an hour at times.

--- a/fleet.go
+++ b/fleet.go
@@ -90,6 +90,9 @@
 	Follow(ctx context.Context, collection Collection, after int64, wait time.Duration) (Page, error)
 	// Announce writes the record of an instance.
 	Announce(ctx context.Context, name string, instance InstanceRecord) error
+	// Withdraw removes the record of an instance. One that is missing is no
+	// error.
+	Withdraw(ctx context.Context, name string) error
 }
 
 // CallerFields are what a request's header says to the system.
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -47,6 +47,7 @@
 }
 
 func (f *cutFeed) Announce(context.Context, string, tamarackrun.InstanceRecord) error { return nil }
+func (f *cutFeed) Withdraw(context.Context, string) error                             { return nil }
 
 // Guards against a return of contact that takes so long that a server that left
 // meanwhile still gets requests when the instance counts as in contact again,
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -40,9 +41,10 @@
 	// its part of the limits. A cut-off instance stops using it after
 	// heardFor; the rest is margin for the age of reports.
 	takeOver = 4 * time.Second
-	// forgetAfter is how long an instance must be silent before it no longer
-	// counts as a member.
-	forgetAfter = 20 * time.Second
+	// goneAfter is how long an instance must be silent before its record may be
+	// removed. Until then it may be cut off and use its part of the limits; the
+	// users' regions are apart for an hour at times.
+	goneAfter = 24 * time.Hour
 )
 
 // Member is what is known of one instance.
@@ -75,7 +77,7 @@
 	// incarnation of the process before, whose reports may still arrive.
 	incarnation, before int64
 	sequence            uint64
-	ready, leaving bool
+	ready, leaving      bool
 	// storeAway says that the store does not answer the instance.
 	storeAway bool
 	// last is when the latest report arrived, and mutual when the latest one
@@ -102,6 +104,8 @@
 	Verifier *verify.Verifier
 	// Divide is called after each report with the demand of all instances.
 	Divide func(part Part, totals map[string]float64)
+	// Missing is called when the store turns out not to hold the own record.
+	Missing func()
 
 	ready, leaving atomic.Bool
 
@@ -155,8 +159,22 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.Clock.Now()
+	if page.Whole {
+		// Removals that no watch has delivered.
+		listed := map[string]bool{}
+		for _, r := range page.Records {
+			listed[r.Name] = true
+		}
+		maps.DeleteFunc(m.peers, func(name string, _ *peer) bool { return !listed[name] })
+		if !listed[m.Name] {
+			m.Missing()
+		}
+	}
 	for _, r := range page.Records {
-		if r.Name == m.Name || r.Problem != "" {
+		if r.Name == m.Name {
+			if r.Removed {
+				m.Missing()
+			}
 			continue
 		}
 		if r.Removed {
@@ -172,7 +190,7 @@
 		}
 		p := m.peers[r.Name]
 		if p == nil {
-			p = &peer{last: -forgetAfter, mutual: -forgetAfter, known: now}
+			p = &peer{last: now - goneAfter, mutual: now - goneAfter, known: now}
 			m.peers[r.Name] = p
 			m.Recorder.Record(event.InstanceKnown, "", "peer", r.Name, "address", r.Instance.ReportAddress)
 		}
@@ -263,22 +281,18 @@
 
 // divide returns the instance's part and the demands of all instances together.
 func (m *Membership) divide(now time.Duration, own map[string]float64) (Part, map[string]float64) {
-	members, silent, mutual := 1, 0, 1
+	// An instance that is silent for long may still serve behind a cut.
+	members, silent, mutual := 1+len(m.peers), 0, 1
 	totals := make(map[string]float64, len(own))
 	for organisation, rate := range own {
 		totals[organisation] = rate
 	}
 	for _, p := range m.peers {
-		if now-max(p.last, p.known) < forgetAfter {
-			members++
-		}
 		if now-p.mutual < heardFor {
 			mutual++
 		}
 		if now-p.last >= takeOver {
-			if now-max(p.last, p.known) < forgetAfter {
-				silent++
-			}
+			silent++
 			continue
 		}
 		for organisation, rate := range p.demands {
@@ -288,6 +302,25 @@
 	return Part{Members: members, Silent: silent, CutOff: 2*mutual <= members}, totals
 }
 
+// Gone returns the instances whose records this instance is to remove because
+// nothing was heard of them for long. Only one of the instances that hear each
+// other does it.
+func (m *Membership) Gone() []string {
+	if m.Rank() != 0 || m.Verifier.Unreachable() {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	var list []string
+	for name, p := range m.peers {
+		if now-max(p.last, p.known) >= goneAfter {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
 // list publishes the members and logs those that were lost or came back.
 func (m *Membership) list(now time.Duration) {
 	interval := m.interval()
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -76,6 +76,7 @@
 		}
 		return 0
 	}
+	m.Missing = func() {}
 	m.SetReady(true)
 	return m
 }
@@ -153,16 +154,64 @@
 	}
 }
 
-// Guards against instances that are gone for good and keep a part of each limit.
+// Guards against instances that are gone for good and keep a part of each limit:
+// one instance removes their records, and then nobody counts them.
 func TestInstanceGoneForGoodIsForgotten(t *testing.T) {
 	f := newFleet(3)
 	f.run(2 * time.Second)
-	f.run(forgetAfter+time.Second, 2)
+	f.clock.now += goneAfter / 2
+	f.run(report, 2)
+	for i := range 2 {
+		if diff := cmp.Diff([]string(nil), f.members[i].Gone()); diff != "" {
+			t.Errorf("gone too early (-want +got):\n%s", diff)
+		}
+	}
+	f.clock.now += goneAfter / 2
+	f.run(report, 2)
+	gone := append(f.members[0].Gone(), f.members[1].Gone()...)
+	if diff := cmp.Diff([]string{name(2)}, gone); diff != "" {
+		t.Errorf("gone (-want +got):\n%s", diff)
+	}
+	f.members[0].Apply(tamarackrun.Page{Records: []tamarackrun.Record{{Name: name(2), Removed: true}}})
+	f.run(report, 2)
 	if diff := cmp.Diff(Part{Members: 2}, f.parts[0]); diff != "" {
 		t.Errorf("part (-want +got):\n%s", diff)
 	}
 }
 
+// Guards against removals that no watch has delivered, also of the own record.
+func TestWholePageRemoves(t *testing.T) {
+	f := newFleet(3)
+	f.run(time.Second)
+	missing := 0
+	f.members[0].Missing = func() { missing++ }
+	f.members[0].Apply(tamarackrun.Page{Whole: true, Records: []tamarackrun.Record{
+		{Name: name(0), Instance: &tamarackrun.InstanceRecord{ReportAddress: address(0)}},
+		{Name: name(1), Instance: &tamarackrun.InstanceRecord{ReportAddress: address(1)}}}})
+	f.run(report)
+	if diff := cmp.Diff([]any{Part{Members: 2}, 0}, []any{f.parts[0], missing}); diff != "" {
+		t.Errorf("part, missing (-want +got):\n%s", diff)
+	}
+	f.members[0].Apply(tamarackrun.Page{Whole: true})
+	f.members[0].Apply(tamarackrun.Page{Records: []tamarackrun.Record{{Name: name(0), Removed: true}}})
+	if missing != 2 {
+		t.Errorf("the own record is found missing %d times, want 2", missing)
+	}
+}
+
+// Guards against regions that are apart for an hour and use the same part of a
+// limit on both sides.
+func TestLongCutKeepsParts(t *testing.T) {
+	f := newFleet(7)
+	f.run(2 * time.Second)
+	f.loses = func(from, to int) bool { return (from < 3) != (to < 3) }
+	f.run(time.Hour)
+	want := []Part{{Members: 7, Silent: 4, CutOff: true}, {Members: 7, Silent: 3}}
+	if diff := cmp.Diff(want, []Part{f.parts[0], f.parts[6]}); diff != "" {
+		t.Errorf("parts (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against reports of an earlier process that arrive late.
 func TestOldReportsChangeNothing(t *testing.T) {
 	f := newFleet(2)
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -42,6 +42,8 @@
 	// announceInterval is the pause before the own record is written again
 	// after a failure.
 	announceInterval = time.Second
+	// withdrawInterval is that of the search for instances that are gone for good.
+	withdrawInterval = time.Minute
 )
 
 // Identity is who an instance is and where it listens.
@@ -92,11 +94,16 @@
 	// serversKnown and instancesKnown say that the collections were read.
 	serversKnown, instancesKnown atomic.Bool
 	leaving, refusing            atomic.Bool
+	// announced says that the own record was written, and missing asks for it
+	// again.
+	announced atomic.Bool
+	missing   chan struct{}
 }
 
 // New returns an instance with the terms in force.
 func New(t terms.Terms) *Front {
-	f := &Front{started: time.Now(), registry: registry.New(), limiter: quota.New(time.Now()), steering: steer.New(), cold: &coldstart.Gate{}}
+	f := &Front{started: time.Now(), registry: registry.New(), limiter: quota.New(time.Now()), steering: steer.New(), cold: &coldstart.Gate{},
+		missing: make(chan struct{}, 1)}
 	f.terms.Store(&t)
 	f.limiter.Span, f.limiter.Overage, f.limiter.Slack = t.RateSpan, t.RateOverage, t.RateSlack
 	return f
@@ -127,6 +134,7 @@
 	}
 	start(func(ctx context.Context) { f.FollowSettings(ctx, f.reload, f.reject) })
 	start(f.announce)
+	start(f.withdraw)
 	start(f.members.Run)
 	start(f.verifier.Run)
 	start(f.sweep)
@@ -188,6 +196,7 @@
 	f.members.Verifier = f.verifier
 	f.members.Recorder, f.members.Send, f.members.Version = f.history, socket.Send, f.version
 	f.members.Demands = func() map[string]float64 { return f.limiter.Demands(time.Now()) }
+	f.members.Missing = f.recordMissing
 	var latest membership.Part
 	f.members.Divide = func(part membership.Part, totals map[string]float64) {
 		if part != latest {
@@ -238,15 +247,49 @@
 	return 0
 }
 
-// announce writes the own record until the store has taken it.
+// announce writes the own record until the store has taken it, and again when it
+// is missing.
 func (f *Front) announce(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := f.Feed.Announce(ctx, f.Identity.Name, f.record())
-		if err == nil {
-			return
+		if err != nil {
+			f.history.Record(event.AnnounceFailed, "", "error", err.Error())
+			waiting.Pause(ctx, announceInterval)
+			continue
+		}
+		f.announced.Store(true)
+		select {
+		case <-ctx.Done():
+		case <-f.missing:
+		}
+	}
+}
+
+// recordMissing has the own record written again. Before the first write it is
+// missing as a matter of course.
+func (f *Front) recordMissing() {
+	if !f.announced.Load() {
+		return
+	}
+	select {
+	case f.missing <- struct{}{}:
+	default:
+		// It is about to be written.
+	}
+}
+
+// withdraw removes the records of instances that are gone for good.
+func (f *Front) withdraw(ctx context.Context) {
+	for ctx.Err() == nil {
+		waiting.Pause(ctx, withdrawInterval)
+		for _, name := range f.members.Gone() {
+			err := f.Feed.Withdraw(ctx, name)
+			outcome := "removed"
+			if err != nil {
+				outcome = err.Error()
+			}
+			f.history.Record(event.InstanceWithdrawn, "", "peer", name, "outcome", outcome)
 		}
-		f.history.Record(event.AnnounceFailed, "", "error", err.Error())
-		waiting.Pause(ctx, announceInterval)
 	}
 }
 
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -31,6 +31,7 @@
 	DomainReturned        tamarackrun.EventID = 1116
 	InstanceKnown         tamarackrun.EventID = 1117
 	AnnounceFailed        tamarackrun.EventID = 1118
+	InstanceWithdrawn     tamarackrun.EventID = 1119
 	PeerReachable         tamarackrun.EventID = 1201
 	PeerUnreachable       tamarackrun.EventID = 1202
 	PeerRefused           tamarackrun.EventID = 1203
@@ -108,6 +109,7 @@
 	{DomainReturned, "domainReturned", "info", "the operator took back the evacuation of a failure domain"},
 	{InstanceKnown, "instanceKnown", "info", "another instance announced itself in the store"},
 	{AnnounceFailed, "announceFailed", "warn", "the instance's own record could not be written to the store"},
+	{InstanceWithdrawn, "instanceWithdrawn", "info", "the record of an instance from which nothing was heard for a day was to be removed from the store"},
 	{PeerReachable, "peerReachable", "info", "heartbeats with a peer succeed"},
 	{PeerUnreachable, "peerUnreachable", "warn", "a peer did not answer heartbeats"},
 	{PeerRefused, "peerRefused", "warn", "a link of another process was refused because it did not prove to be an instance of the fleet"},
