--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: help build test race lint format model fuzz generate events demo bench capacity latency clean
+.PHONY: help build test race lint format model fuzz generate events demo bench soak soakshort capacity latency clean
 
 help: ## List the tasks.
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -45,6 +45,13 @@
 demo: build ## Start a deployment, send load, kill and drain, print a table.
 	./$(BIN)/standin demo --deployment deployments/sundarban
 
+SEEDS ?= 50
+soak: build ## Play SEEDS random seeds of troubles against real processes.
+	./$(BIN)/measure soak --seeds $(SEEDS) --logs $(BIN)/soak
+
+soakshort: build ## Play the recorded seeds for 14 s each.
+	./$(BIN)/measure soak --file docs/soak-seeds.txt --length 14s --jobs 3
+
 capacity: build ## Measure and write docs/CAPACITY.md.
 	./$(BIN)/measure capacity --write docs/CAPACITY.md
 
--- a/internal/standin/soak/harm.go
+++ b/internal/standin/soak/harm.go
@@ -18,13 +18,20 @@
 	firstHarm = 2 * time.Second
 	// fewest and most troubles of a seed.
 	fewest, mostTroubles = 6, 24
-	shortest             = 300 * time.Millisecond
-	longest              = 4 * time.Second
+	// One seed in plannedPart has planned work only, as many rules bind more
+	// strictly then.
+	plannedPart = 3
+	shortest    = 300 * time.Millisecond
+	longest     = 4 * time.Second
 )
 
 // harm starts the troubles of a seed, which overlap.
 func (w *world) harm(ctx context.Context, r *rand.Rand, length time.Duration, group *sync.WaitGroup) {
 	last := length - calmEnd - bounds.Contact
+	kinds := kinds
+	if r.IntN(plannedPart) == 0 {
+		kinds = planned
+	}
 	for range fewest + r.IntN(mostTroubles-fewest) {
 		kind := kinds[r.IntN(len(kinds))]
 		at := firstHarm + time.Duration(r.Int64N(int64(last-firstHarm-shortest)))
@@ -102,6 +109,9 @@
 	drain, drain, reuse, evacuate, changes, changes, burst,
 }
 
+// planned are the kinds that operators do on purpose.
+var planned = []kind{roll, roll, hangup, drain, drain, evacuate, changes, burst}
+
 func memberKind(name string, f func(ctx context.Context, m *member, lasts time.Duration)) kind {
 	return func(ctx context.Context, w *world, r *rand.Rand, lasts time.Duration) {
 		i := r.IntN(len(w.members))
--- a/internal/standin/soak/world.go
+++ b/internal/standin/soak/world.go
@@ -33,6 +33,9 @@
 	// calmEnd is the time at the end in which requests must be served again. The
 	// last trouble ends bounds.Contact before.
 	calmEnd = 2 * time.Second
+	// One request in slowPart takes up to mostWork, so that some run at any moment.
+	slowPart = 15
+	mostWork = 800 * time.Millisecond
 	// startTime bounds the start of the fleet.
 	startTime = 10 * time.Second
 	// lapse is how long after a crash the platform removes a server's record.
@@ -158,8 +161,12 @@
 // run is called for each request that a server runs and takes its time.
 func (w *world) run(a standin.Arrival) {
 	w.ledger.ran(a)
+	took := time.Duration(5+rand.IntN(20)) * time.Millisecond
+	if rand.IntN(slowPart) == 0 {
+		took = time.Duration(rand.Int64N(int64(mostWork)))
+	}
 	select {
-	case <-time.After(time.Duration(5+rand.IntN(20)) * time.Millisecond):
+	case <-time.After(took):
 	case <-a.Done:
 	}
 }
