Derive the times of calls, reports and budgets from the users' bounds

Cause: the bounds drain-s, config-apply-s, evacuate-s, contact-s, heartbeat-s and budget-window-s were read and not used; the code had constants that fit the first sites. A site with a shorter bound would break its rules, one with a longer one pays for more calls. verify and membership now take parts of the bounds, with the same values for the first sites; the retry budget has the users' window. Retry budgets no longer begin anew when the number of instances changes, and changed settings reach the limiter and the budgets (new tests). The time for the return of lapsed records stands once, in terms.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -30,17 +30,13 @@
 	minInterval = 250 * time.Millisecond
 	maxInterval = time.Second
 	perMember   = 25 * time.Millisecond
-	// heardFor is how long after a report its sender counts as heard, and
-	// aliveFor as alive. aliveFor is below the users' bound on lost contact.
-	heardFor = 2 * time.Second
-	aliveFor = 3 * time.Second
+	// heardPart and alivePart are the parts of the users' bound on lost contact
+	// for which the sender of a report counts as heard and as alive.
+	heardPart = 0.5
+	alivePart = 0.75
 	// recentReports is the number of intervals without a report after which the
 	// sender's turn to read the store passes to the next one.
 	recentReports = 3
-	// takeOver is how long an instance must be silent before the others use
-	// its part of the limits. A cut-off instance stops using it after
-	// heardFor; the rest is margin for the age of reports.
-	takeOver = 4 * time.Second
 	// goneAfter is how long an instance must be silent before its record may be
 	// removed. Until then it may be cut off and use its part of the limits; the
 	// users' regions are apart for an hour at times.
@@ -93,9 +89,14 @@
 type Membership struct {
 	// These fields are set before Run. Demands returns the instance's own
 	// demand by organisation; Send sends a report.
-	Name     string
-	Own      tamarackrun.InstanceRecord
-	Clock    tamarackrun.Clock
+	Name  string
+	Own   tamarackrun.InstanceRecord
+	Clock tamarackrun.Clock
+	// Contact is the users' bound on noticing that contact is lost. The others
+	// use an instance's part of the limits when it is silent for so long. A
+	// cut-off instance stops using it after a half of that; the rest is margin
+	// for the age of reports.
+	Contact  time.Duration
 	Recorder tamarackrun.Recorder
 	Demands  func() map[string]float64
 	Version  func() int64
@@ -241,6 +242,11 @@
 	}
 }
 
+// part returns a part of the bound on lost contact.
+func (m *Membership) part(part float64) time.Duration {
+	return time.Duration(part * float64(m.Contact))
+}
+
 // interval is the time between two reports; m.mu is held.
 func (m *Membership) interval() time.Duration {
 	return min(maxInterval, max(minInterval, time.Duration(len(m.peers))*perMember))
@@ -263,7 +269,7 @@
 	var addresses []netip.AddrPort
 	for name, p := range m.peers {
 		addresses = append(addresses, p.address)
-		if now-p.last < heardFor {
+		if now-p.last < m.part(heardPart) {
 			message.Heard = append(message.Heard, xxhash.Sum64String(name))
 		}
 	}
@@ -288,10 +294,10 @@
 		totals[organisation] = rate
 	}
 	for _, p := range m.peers {
-		if now-p.mutual < heardFor {
+		if now-p.mutual < m.part(heardPart) {
 			mutual++
 		}
-		if now-p.last >= takeOver {
+		if now-p.last >= m.Contact {
 			silent++
 			continue
 		}
@@ -326,9 +332,9 @@
 	interval := m.interval()
 	list := []Member{{Name: m.Name, InstanceRecord: m.Own, Ready: m.ready.Load(), Leaving: m.leaving.Load(), Alive: true}}
 	for name, p := range m.peers {
-		alive := now-p.last < aliveFor
+		alive := now-p.last < m.part(alivePart)
 		// An instance that was never heard is not lost yet.
-		isNew := p.incarnation == 0 && now-p.known < aliveFor
+		isNew := p.incarnation == 0 && now-p.known < m.part(alivePart)
 		if alive == p.lost && !isNew {
 			p.lost = !alive
 			id := event.PeerReachable
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -59,6 +59,7 @@
 
 func (f *fleet) start(i int) *Membership {
 	m := New(name(i), tamarackrun.InstanceRecord{ReportAddress: address(i)}, f.clock)
+	m.Contact = 4 * time.Second
 	m.Recorder, m.Version = recorder.Discard{}, func() int64 { return 1 }
 	m.Verifier = &verify.Verifier{Away: func() bool { return false }}
 	m.Demands = func() map[string]float64 { return f.demands[i] }
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -55,12 +55,11 @@
 
 // Limiter holds the parts of all organisations. It is safe for concurrent use.
 type Limiter struct {
-	// Span, Overage and Slack are those of the users' bound; set before the
-	// first Admit.
-	Span           time.Duration
-	Overage, Slack float64
+	mu sync.Mutex
+	// span, overage and slack are those of the users' bound.
+	span           time.Duration
+	overage, slack float64
 
-	mu       sync.Mutex
 	started  time.Time
 	buckets  map[string]*bucket
 	division Division
@@ -83,6 +82,14 @@
 	return &Limiter{started: now, buckets: map[string]*bucket{}, division: Division{Members: 1, CutOff: true}}
 }
 
+// SetBound takes the users' bound on the requests of any span: what an
+// organisation's limit allows times (1 + overage), and slack, in requests.
+func (l *Limiter) SetBound(span time.Duration, overage, slack float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.span, l.overage, l.slack = span, overage, slack
+}
+
 // Admit counts a request and takes a token for it. If there is none, after is
 // when there will be one.
 func (l *Limiter) Admit(now time.Time, organisation configuration.Organisation) (admitted bool, after time.Duration) {
@@ -114,7 +121,7 @@
 // above is the instance's equal part of what the users' bound leaves above the
 // limit, in requests.
 func (l *Limiter) above(o configuration.Organisation) float64 {
-	return ((o.Rate*l.Span.Seconds()+o.Burst)*l.Overage + l.Slack) / float64(l.division.Members)
+	return ((o.Rate*l.span.Seconds()+o.Burst)*l.overage + l.slack) / float64(l.division.Members)
 }
 
 func (b *bucket) capacity() float64 { return max(minCapacity, b.part*b.limit.Burst+b.extra) }
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -42,7 +42,7 @@
 // newLimiter returns a limiter of a new process.
 func newLimiter(now time.Time) *Limiter {
 	l := New(now)
-	l.Span, l.Overage, l.Slack = window, overage, slack
+	l.SetBound(window, overage, slack)
 	return l
 }
 
--- a/internal/coordination/retry/retry_test.go
+++ b/internal/coordination/retry/retry_test.go
@@ -19,7 +19,7 @@
 		var requests, retries []time.Duration
 		within := func(times []time.Duration, now time.Duration) (n int) {
 			for _, at := range times {
-				if now/time.Second-at/time.Second < window {
+				if now/time.Second-at/time.Second < steps {
 					n++
 				}
 			}
@@ -44,3 +44,28 @@
 		}
 	})
 }
+
+// Guards against budgets that begin anew with each change of the fleet or of the
+// settings.
+func TestAdjustedBudgetRemembers(t *testing.T) {
+	b := Budget{Ratio: 0.1, Minimum: 10}
+	for range 8 {
+		b.Retry(0)
+	}
+	b.Adjust(0.1, 5)
+	if b.Retry(0) {
+		t.Error("a retry is allowed beyond a smaller minimum")
+	}
+	b.Adjust(0.1, 9)
+	if !b.Retry(0) || b.Retry(0) {
+		t.Error("the budget does not count the retries before the change")
+	}
+}
+
+// Guards against the users' window of another length.
+func TestWindow(t *testing.T) {
+	b := Budget{Ratio: 0.1, Minimum: 1, Window: 20 * time.Second}
+	if !b.Retry(0) || b.Retry(19*time.Second) || !b.Retry(20*time.Second) {
+		t.Error("the budget does not count over 20 s")
+	}
+}
--- a/internal/coordination/verify/verify.go
+++ b/internal/coordination/verify/verify.go
@@ -11,28 +11,29 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/waiting"
+	"tamarackrun/internal/state/terms"
+)
+
+// Parts of the users' bound on changes. A change that no watch delivers is found
+// within interval and step, reported, and read by the others after grace.
+const (
+	// intervalPart is that of the time between two reads of the fleet.
+	intervalPart = 0.32
+	// turnPart is how much later than the instance before it the next one reads.
+	// Reports of the read arrive within 0.4 s in a fleet of 7.
+	turnPart = 0.2
+	// gracePart is how long the own watch may need to deliver a change that
+	// another instance has reported.
+	gracePart = 0.16
 )
 
 const (
-	// interval is the time between two reads of the fleet. A change that no
-	// watch delivers must be in force after 2.5 s: it is found within interval,
-	// reported, and read by the others after grace.
-	interval = 800 * time.Millisecond
-	// turn is how much later than the instance before it the next one reads.
-	// Reports of the read arrive within 0.4 s.
-	turn = 500 * time.Millisecond
 	// step is how often the instance looks whether it is its turn.
 	step = 100 * time.Millisecond
-	// grace is how long the own watch may need to deliver a change that another
-	// instance has reported.
-	grace = 400 * time.Millisecond
-	// awayAfter is the age of the latest read of any instance from which on the
-	// store is taken as away. Records lapse at the earliest 3 s after the store
-	// went away, and the turns of instances that were cut off must pass within
-	// it. returnTime is how long after its return records that lapsed meanwhile
-	// may come back.
-	awayAfter  = 2800 * time.Millisecond
-	returnTime = 2100 * time.Millisecond
+	// Records lapse at the earliest two heartbeats after the store went away.
+	// The store is taken as away awayMargin before, and the turns of instances
+	// that were cut off must pass within that time.
+	awayMargin = 200 * time.Millisecond
 	// unknownAge stands for no read at all.
 	unknownAge = time.Minute
 	// readTimeout bounds a read, which takes up to three round trips between
@@ -64,6 +65,9 @@
 	Away  func() bool
 	Kick  func(collection tamarackrun.Collection)
 	Apply func(page tamarackrun.Page)
+	// Bound is how soon any change must be in force, and Heartbeat the interval
+	// at which servers renew their records.
+	Bound, Heartbeat time.Duration
 
 	// failed says that the latest own read failed.
 	failed atomic.Bool
@@ -98,12 +102,21 @@
 	}
 }
 
+// part returns a part of the bound.
+func (v *Verifier) part(part float64) time.Duration {
+	return time.Duration(part * float64(v.Bound))
+}
+
+// awayAfter is the age of the latest read of any instance from which on the
+// store is taken as away.
+func (v *Verifier) awayAfter() time.Duration { return 2*v.Heartbeat - awayMargin }
+
 // Steady says that the store has answered some instance lately, and that records
 // that lapsed while it was away have had the time to come back.
 func (v *Verifier) Steady(now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return now.Sub(v.verified) < awayAfter && now.Sub(v.returned) >= returnTime
+	return now.Sub(v.verified) < v.awayAfter() && now.Sub(v.returned) >= terms.ReturnTime
 }
 
 // verify notes a successful read that began at the time.
@@ -111,7 +124,7 @@
 	if !at.After(v.verified) {
 		return
 	}
-	if at.Sub(v.verified) >= awayAfter {
+	if at.Sub(v.verified) >= v.awayAfter() {
 		v.returned = now
 	}
 	v.verified = at
@@ -139,7 +152,7 @@
 		case v.reported[c] <= max(v.known[c], v.complete[c]):
 			v.due[c] = time.Time{}
 		case v.due[c].IsZero():
-			v.due[c] = now.Add(grace)
+			v.due[c] = now.Add(v.part(gracePart))
 		}
 	}
 }
@@ -183,7 +196,7 @@
 func (v *Verifier) turn(now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return now.Sub(v.verified) >= interval+turn*time.Duration(v.Rank())
+	return now.Sub(v.verified) >= v.part(intervalPart)+v.part(turnPart)*time.Duration(v.Rank())
 }
 
 // read reads the collection that is empty most of the time. The answer tells the
--- a/internal/coordination/verify/verify_test.go
+++ b/internal/coordination/verify/verify_test.go
@@ -13,6 +13,9 @@
 	"tamarackrun"
 )
 
+// bound is the users' for the first sites.
+const bound = 2500 * time.Millisecond
+
 // store counts reads and has one revision.
 type store struct {
 	tamarackrun.Feed
@@ -45,7 +48,7 @@
 	for i := range n {
 		kicks := map[tamarackrun.Collection]int{}
 		f.kicks = append(f.kicks, kicks)
-		f.verifiers = append(f.verifiers, &Verifier{Feed: f.store, Rank: func() int { return f.rank(i) },
+		f.verifiers = append(f.verifiers, &Verifier{Feed: f.store, Bound: bound, Heartbeat: 1500 * time.Millisecond, Rank: func() int { return f.rank(i) },
 			Away:  func() bool { return slices.Contains(f.away, i) },
 			Kick:  func(c tamarackrun.Collection) { kicks[c]++ },
 			Apply: func(tamarackrun.Page) {}})
@@ -98,7 +101,7 @@
 		f := newFleet(7)
 		f.run(t, 20*time.Second)
 		// The first turn may come before any report.
-		if most := int(20*time.Second/interval) + 7; f.store.reads > most {
+		if most := int(20*time.Second/f.verifiers[0].part(intervalPart)) + 7; f.store.reads > most {
 			t.Errorf("%d reads in 20 s, want at most %d", f.store.reads, most)
 		}
 	})
--- a/internal/program/front/beliefs.go
+++ b/internal/program/front/beliefs.go
@@ -17,10 +17,10 @@
 	// its history, watches went on for 9 s without hearing of an evacuation.
 	// The verifier finds such changes.
 	longWait = 30 * time.Second
-	// serverPace and instancePace are the least times between two calls for the
-	// records of servers and of instances, so that changes come in batches. A
-	// leaving server must get nothing after 2.5 s; reports tell of instances.
-	serverPace   = 500 * time.Millisecond
+	// serverPace is the least time between two calls for servers' records, as a
+	// part of the users' bound on changes, and instancePace that for records of
+	// instances, of which reports tell too. Changes come in batches then.
+	serverPace   = 0.2
 	instancePace = time.Second
 	// slowBackoff bounds the pause between failed calls, and serverBackoff that
 	// for servers' records, which are needed first.
@@ -30,7 +30,9 @@
 
 // openFollowers makes the followers of the store's collections.
 func (f *Front) openFollowers() {
-	f.verifier = &verify.Verifier{Feed: f.Feed, Rank: func() int { return f.members.Rank() }, Apply: f.applyEvacuations,
+	t := f.terms.Load()
+	bound := min(t.DrainBound, t.ApplyBound, t.EvacuateBound)
+	f.verifier = &verify.Verifier{Feed: f.Feed, Bound: bound, Heartbeat: t.ServerHeartbeat, Rank: func() int { return f.members.Rank() }, Apply: f.applyEvacuations,
 		Away: func() bool { return f.follower[tamarackrun.Servers].Away() },
 		Kick: func(c tamarackrun.Collection) { f.follower[c].Kick() }}
 	f.registry.Steady = f.verifier.Steady
@@ -38,7 +40,7 @@
 		tamarackrun.Configurations: {Apply: f.applyConfiguration},
 		tamarackrun.Evacuations:    {Apply: func(page tamarackrun.Page, _ bool) { f.applyEvacuations(page) }},
 		tamarackrun.Instances:      {Pace: instancePace, Apply: f.applyInstances},
-		tamarackrun.Servers:        {Pace: serverPace, MaxBackoff: serverBackoff, Apply: f.applyServers},
+		tamarackrun.Servers:        {Pace: time.Duration(serverPace * float64(bound)), MaxBackoff: serverBackoff, Apply: f.applyServers},
 	}
 	for collection, follower := range f.follower {
 		apply := follower.Apply
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -105,13 +105,15 @@
 	f := &Front{started: time.Now(), registry: registry.New(), limiter: quota.New(time.Now()), steering: steer.New(), cold: &coldstart.Gate{},
 		missing: make(chan struct{}, 1)}
 	f.terms.Store(&t)
-	f.limiter.Span, f.limiter.Overage, f.limiter.Slack = t.RateSpan, t.RateOverage, t.RateSlack
+	f.limiter.SetBound(t.RateSpan, t.RateOverage, t.RateSlack)
 	return f
 }
 
-// reload puts new terms in force.
+// reload puts new terms in force. The times of calls to the store and of reports
+// stay as they were at the start.
 func (f *Front) reload(t terms.Terms) {
 	f.terms.Store(&t)
+	f.limiter.SetBound(t.RateSpan, t.RateOverage, t.RateSlack)
 	f.history.Record(event.SettingsReloaded, "", "stopGrace", t.StopGrace.String())
 }
 
@@ -193,7 +195,7 @@
 
 func (f *Front) openMembership(socket *datagram.Socket) {
 	f.members = membership.New(f.Identity.Name, f.record(), boottime.Clock{})
-	f.members.Verifier = f.verifier
+	f.members.Verifier, f.members.Contact = f.verifier, f.terms.Load().ContactBound
 	f.members.Recorder, f.members.Send, f.members.Version = f.history, socket.Send, f.version
 	f.members.Demands = func() map[string]float64 { return f.limiter.Demands(time.Now()) }
 	f.members.Missing = f.recordMissing
@@ -205,7 +207,7 @@
 			latest = part
 		}
 		f.limiter.Divide(time.Now(), quota.Division{Members: part.Members, Silent: part.Silent, CutOff: part.CutOff, Totals: totals})
-		f.retries.divide(part.Members)
+		f.retries.divide(part.Members, f.terms.Load())
 	}
 	socket.Receive = f.members.Receive
 	go socket.Run()
--- a/internal/program/front/front_test.go
+++ b/internal/program/front/front_test.go
@@ -22,7 +22,7 @@
 		repeats := 0
 		for range test.members {
 			r := &retries{}
-			r.divide(test.members)
+			r.divide(test.members, &bounds)
 			budget := r.of("s", &bounds)
 			for range test.requests {
 				budget.Request(time.Minute)
--- a/internal/program/front/retries.go
+++ b/internal/program/front/retries.go
@@ -16,19 +16,29 @@
 	mu       sync.Mutex
 	services map[string]*retry.Budget
 	members  int
+	terms    *terms.Terms
 }
 
 // divide takes the number of instances that share the budgets.
-func (r *retries) divide(members int) {
+func (r *retries) divide(members int, t *terms.Terms) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if members != r.members {
-		// The minimum of each instance depends on the number.
-		r.members, r.services = members, nil
+	if members == r.members && t == r.terms {
+		return
 	}
+	r.members, r.terms = members, t
+	for _, b := range r.services {
+		b.Adjust(usedPart*t.RetryRatio, r.minimum(t))
+	}
+}
+
+// minimum is the instance's part of the slack.
+func (r *retries) minimum(t *terms.Terms) int {
+	return max(1, int(usedPart*t.RetrySlack/float64(max(1, r.members))))
 }
 
-// of returns the budget of a service.
+// of returns the budget of a service. Changed terms reach it with the next
+// division, except for the window.
 func (r *retries) of(service string, t *terms.Terms) *retry.Budget {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -37,8 +47,7 @@
 	}
 	b := r.services[service]
 	if b == nil {
-		least := usedPart * t.RetrySlack / float64(max(1, r.members))
-		b = &retry.Budget{Ratio: usedPart * t.RetryRatio, Minimum: max(1, int(least))}
+		b = &retry.Budget{Ratio: usedPart * t.RetryRatio, Minimum: r.minimum(t), Window: t.RetryWindow}
 		r.services[service] = b
 	}
 	return b
--- a/internal/standin/soak/harm.go
+++ b/internal/standin/soak/harm.go
@@ -268,16 +268,17 @@
 
 func evacuate(ctx context.Context, w *world, r *rand.Rand, lasts time.Duration) {
 	e := &evacuation{zone: []string{"a1", "a2"}[r.IntN(2)]}
+	if !w.begin(e) {
+		// Another one would take this one back too.
+		return
+	}
 	t := w.troubles.begin(trouble{kind: "evacuation", target: e.zone, scope: atServer, planned: true})
 	defer w.troubles.end(t)
-	w.store.Evacuate(e.zone)
-	e.from = time.Now()
 	sleep(ctx, lasts+bounds.Evacuate)
-	e.to = time.Now()
-	w.store.Return(e.zone)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.evacuations = append(w.evacuations, e)
+	e.to = time.Now()
+	w.store.Return(e.zone)
 }
 
 // changes are desired states in quick succession.
--- a/internal/standin/soak/world.go
+++ b/internal/standin/soak/world.go
@@ -192,6 +192,19 @@
 	}
 }
 
+// begin starts an evacuation unless one of the same failure domain goes on.
+func (w *world) begin(e *evacuation) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if slices.ContainsFunc(w.evacuations, func(v *evacuation) bool { return v.zone == e.zone && v.to.IsZero() }) {
+		return false
+	}
+	w.store.Evacuate(e.zone)
+	e.from = time.Now()
+	w.evacuations = append(w.evacuations, e)
+	return true
+}
+
 func (w *world) addKey() {
 	w.keys++
 	o := &w.desired.Organisations[0]
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -10,12 +10,9 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/protocol/event"
+	"tamarackrun/internal/state/terms"
 )
 
-// holdTime is how long after contact with the store returned a record that
-// vanished is held: servers write again within 2 s of the store's return.
-const holdTime = 2100 * time.Millisecond
-
 // Server is one backend server as an instance knows it. It is immutable.
 type Server struct {
 	Name string
@@ -90,7 +87,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if regained {
-		r.trust = now.Add(holdTime)
+		r.trust = now.Add(terms.ReturnTime)
 	}
 	listed := map[string]bool{}
 	for _, record := range page.Records {
--- a/internal/state/terms/terms.go
+++ b/internal/state/terms/terms.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// ReturnTime is how long after the store's return, or that of contact with it,
+// records that lapsed meanwhile may come back. The users say about two seconds.
+const ReturnTime = 2100 * time.Millisecond
+
 // Terms are bounds from the deployment's settings. A field without a value has
 // the default of WithDefaults.
 type Terms struct {
