Refuse what would wait behind a long queue

Cause: in an overload, requests wait in the queues of their servers until nearly all answers are later than the response-time goal, and many end at the deadline. A server that reports as many waiting requests as slots gets nothing more for 0.4 s, unless its answers take less than 0.4 of the goal. The second server gets the request if it reports no queue; else the request is refused at once with a time to come back.

--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -32,6 +32,13 @@
 	// maxOutstanding is the number of an instance's own requests at one server
 	// from which on the next rank is taken.
 	maxOutstanding = 9
+	// reportAge is how long a server's report of its load counts.
+	reportAge = 400 * time.Millisecond
+	// slowPart is the part of the response-time goal that the answers of a
+	// server with a long queue take at least, and tookWeight the weight of the
+	// latest answer in their average.
+	slowPart   = 0.4
+	tookWeight = 0.2
 	// firstSuspicion is how long a server gets nothing after a connection to
 	// it failed; it doubles up to maxSuspicion.
 	firstSuspicion = 500 * time.Millisecond
@@ -47,6 +54,8 @@
 	// Allowed are the lists of regions that all must hold the server's; an
 	// empty one allows all.
 	Allowed [][]string
+	// Goal is the response-time goal; 0 means none.
+	Goal time.Duration
 	// Tried are servers that had the request already.
 	Tried []string
 }
@@ -74,8 +83,24 @@
 	// service is that of the server's latest record.
 	service string
 	born    int64
+	// waiting and slots are what the server said last, at the time reported.
+	waiting, slots int
+	reported       time.Time
+	// took is the average time of the latest answers.
+	took time.Duration
 }
 
+// overloaded says that the server has reported a long queue lately. A server whose
+// answers come early is not believed.
+func (st *state) overloaded(now time.Time, goal time.Duration) bool {
+	return st.heard(now) && st.waiting >= st.slots && float64(st.took) >= slowPart*float64(goal)
+}
+
+// idle says that the server has reported no queue lately.
+func (st *state) idle(now time.Time) bool { return st.heard(now) && st.waiting == 0 }
+
+func (st *state) heard(now time.Time) bool { return st.slots > 0 && now.Sub(st.reported) < reportAge }
+
 // Steering chooses servers and learns from outcomes. It is safe for concurrent
 // use.
 type Steering struct {
@@ -119,6 +144,14 @@
 		if st.outstanding >= maxOutstanding || now.Before(st.suspectUntil) {
 			continue
 		}
+		if st.overloaded(now, q.Goal) {
+			// The next server may not know the object and then needs several
+			// times as long, so that it gets the request only if it has room.
+			if i == 0 && i+1 < len(list) && s.state(list[i+1].server).idle(now) {
+				continue
+			}
+			return Choice{}, tamarackrun.QueueFull
+		}
 		admitted, probe := st.health.Admit(now.Sub(s.started), true)
 		if !admitted && ejected < len(list) {
 			continue
@@ -246,6 +279,17 @@
 	return st.health.Observe(at, result, s.mayEject(c.Server.Service, servers)), false
 }
 
+// Report takes what a server says of its load in an answer, and how long the
+// answer took.
+func (s *Steering) Report(now time.Time, server string, waiting, slots int, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st := s.servers[server]; st != nil {
+		st.waiting, st.slots, st.reported = waiting, slots, now
+		st.took += time.Duration(tookWeight * float64(took-st.took))
+	}
+}
+
 // mayEject keeps enough servers of a service, of which there are n. Ejected
 // servers of other services do not count.
 func (s *Steering) mayEject(service string, n int) bool {
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -183,3 +183,47 @@
 	}
 	t.Logf("parts: %v", counts)
 }
+
+// Guards against requests that wait behind a long queue until their answers are
+// late, while a server without a queue could run them, and against reports that
+// count for ever.
+func TestLongQueues(t *testing.T) {
+	q := Query{Object: "x", Region: "a", Goal: time.Second}
+	tests := map[string]struct {
+		// The waiting requests that the first and the second server report; -1
+		// is no report. Each has 3 slots.
+		first, second int
+		took, later   time.Duration
+		// want is the rank of the chosen server, -1 if the request is refused.
+		want int
+	}{
+		"no report":                      {-1, -1, 5 * time.Second, 0, 0},
+		"short queue":                    {2, 0, 5 * time.Second, 0, 0},
+		"long queue":                     {3, -1, 5 * time.Second, 0, -1},
+		"long queue, second has room":    {3, 0, 5 * time.Second, 0, 1},
+		"long queue, second has a queue": {3, 1, 5 * time.Second, 0, -1},
+		"answers come early":             {3, 0, time.Second, 0, 0},
+		"old report":                     {3, 3, 5 * time.Second, reportAge, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, list, now := newSteering(), servers(6), time.Now()
+			one, _ := s.Choose(now, list, q)
+			two, _ := s.Choose(now, list, Query{Object: "x", Region: "a", Tried: []string{one.Server.Name}})
+			for server, waiting := range map[string]int{one.Server.Name: test.first, two.Server.Name: test.second} {
+				if waiting >= 0 {
+					s.Report(now, server, waiting, 3, test.took)
+				}
+			}
+			got := -1
+			if c, reason := s.Choose(now.Add(test.later), list, q); reason == "" {
+				got = c.Rank
+			} else if reason != tamarackrun.QueueFull {
+				t.Errorf("reason %q", reason)
+			}
+			if got != test.want {
+				t.Errorf("rank %d, want %d", got, test.want)
+			}
+		})
+	}
+}
