Give back the token of a request that did not run; say which server was busy

Cause: a request that was admitted and then refused, because servers were busy or turned it away, used up the rate of its organisation, which was refused (429) inside its rate later. The users' QUOTA counts requests that run. Refusals for a long queue have their own reason, serverBusy, with the server, what it reported and the age of the report. The instance's identity stands once, in the root package; reports no longer carry the configuration's version, which nobody read.

--- a/fleet.go
+++ b/fleet.go
@@ -81,6 +81,17 @@
 // so that the collection must be read again.
 var ErrHistoryGone = errors.New("the platform's history does not reach back to the revision")
 
+// Identity is who an instance is and where it listens.
+type Identity struct {
+	Name          string
+	FailureDomain string
+	Region        string
+	// Regions gives the region of each failure domain.
+	Regions map[string]string
+	// The addresses are IP:PORT.
+	CallerAddress, ReadyAddress, LookupAddress, ReportAddress, MetricsAddress string
+}
+
 // Feed is the platform's store of the fleet's records.
 type Feed interface {
 	// Read returns all records of a collection.
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -99,7 +99,6 @@
 	Contact  time.Duration
 	Recorder tamarackrun.Recorder
 	Demands  func() map[string]float64
-	Version  func() int64
 	Send     func(message []byte, addresses []netip.AddrPort) int
 	// Verifier takes and gives the revisions in reports.
 	Verifier *verify.Verifier
@@ -259,7 +258,7 @@
 	now := m.Clock.Now()
 	m.sequence++
 	message := &wire.InstanceReport{Name: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Ready: m.ready.Load(),
-		Leaving: m.leaving.Load(), ConfigurationVersion: m.Version()}
+		Leaving: m.leaving.Load()}
 	for organisation, rate := range own {
 		message.Demands = append(message.Demands, &wire.OrganisationDemand{Organisation: organisation, Rate: float32(rate)})
 	}
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -60,7 +60,7 @@
 func (f *fleet) start(i int) *Membership {
 	m := New(name(i), tamarackrun.InstanceRecord{ReportAddress: address(i)}, f.clock)
 	m.Contact = 4 * time.Second
-	m.Recorder, m.Version = recorder.Discard{}, func() int64 { return 1 }
+	m.Recorder = recorder.Discard{}
 	m.Verifier = &verify.Verifier{Away: func() bool { return false }}
 	m.Demands = func() map[string]float64 { return f.demands[i] }
 	m.Divide = func(part Part, totals map[string]float64) { f.parts[i], f.totals[i] = part, totals }
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -82,6 +82,16 @@
 	return &Limiter{started: now, buckets: map[string]*bucket{}, division: Division{Members: 1, CutOff: true}}
 }
 
+// Return gives back the token of a request that was admitted and did not run.
+func (l *Limiter) Return(now time.Time, organisation string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b := l.buckets[organisation]; b != nil {
+		b.advance(now)
+		b.tokens = min(b.capacity(), b.tokens+1)
+	}
+}
+
 // SetBound takes the users' bound on the requests of any span: what an
 // organisation's limit allows times (1 + overage), and slack, in requests.
 func (l *Limiter) SetBound(span time.Duration, overage, slack float64) {
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -69,6 +69,17 @@
 	Outstanding int
 	// Probe says that the server is ejected and the request tests it.
 	Probe bool
+	// Busy is why the server was not chosen; nil if it was.
+	Busy *Busy
+}
+
+// Busy is what makes a server too busy for a request.
+type Busy struct {
+	// Waiting and Slots are what the server reported, Age ago.
+	Waiting, Slots int
+	Age            time.Duration
+	// Took is the average time of its latest answers.
+	Took time.Duration
 }
 
 type state struct {
@@ -125,7 +136,7 @@
 }
 
 // Choose returns the best server and counts a request there. Done must be
-// called for it.
+// called for it, unless there is a reason why no server was chosen.
 func (s *Steering) Choose(now time.Time, servers []*registry.Server, q Query) (Choice, tamarackrun.Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -150,7 +161,7 @@
 			if i == 0 && i+1 < len(list) && s.state(list[i+1].server).idle(now) {
 				continue
 			}
-			return Choice{}, tamarackrun.QueueFull
+			return Choice{Server: c.server, Rank: i, Busy: &Busy{st.waiting, st.slots, now.Sub(st.reported), st.took}}, tamarackrun.ServerBusy
 		}
 		admitted, probe := st.health.Admit(now.Sub(s.started), true)
 		if !admitted && ejected < len(list) {
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -218,8 +218,8 @@
 			got := -1
 			if c, reason := s.Choose(now.Add(test.later), list, q); reason == "" {
 				got = c.Rank
-			} else if reason != tamarackrun.QueueFull {
-				t.Errorf("reason %q", reason)
+			} else if reason != tamarackrun.ServerBusy || c.Server != one.Server || c.Busy == nil || c.Busy.Waiting != test.first {
+				t.Errorf("reason %q, choice %v", reason, c)
 			}
 			if got != test.want {
 				t.Errorf("rank %d, want %d", got, test.want)
--- a/internal/program/command/front.go
+++ b/internal/program/command/front.go
@@ -57,9 +57,8 @@
 	store, cleanup := platform.NewStore(s.StoreAddress, s.Regions)
 	defer cleanup()
 	f := front.New(s.Terms)
-	f.Identity = front.Identity{Name: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions,
-		CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, LookupAddress: s.LookupAddress,
-		ReportAddress: s.ReportAddress, MetricsAddress: net.JoinHostPort(s.IP, strconv.Itoa(int(metricsPort)))}
+	f.Identity = s.Identity
+	f.Identity.MetricsAddress = net.JoinHostPort(s.IP, strconv.Itoa(int(metricsPort)))
 	f.Feed, f.Dialect, f.Logger = store, platform.Dialect{}, logger
 	f.LookupHandler, f.ReadyHandler = platform.NewLookupHandler, platform.NewReadyHandler
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -76,7 +76,7 @@
 		choice, reason := f.choose(o, a.tried)
 		if reason != "" {
 			if len(a.tried) == 0 {
-				a.outcome = tamarackrun.Refused(reason)
+				a.outcome, o.refusedBy = tamarackrun.Refused(reason), choice
 			}
 			break
 		}
@@ -92,6 +92,9 @@
 	if a.answer != nil {
 		return f.pass(*a.answer)
 	}
+	if a.outcome.Kind == tamarackrun.NotRun {
+		f.limiter.Return(time.Now(), o.organisation.Name)
+	}
 	return f.finish(o, a.outcome, f.returnTime(o))
 }
 
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -46,22 +46,11 @@
 	withdrawInterval = time.Minute
 )
 
-// Identity is who an instance is and where it listens.
-type Identity struct {
-	Name          string
-	FailureDomain string
-	Region        string
-	// Regions gives the region of each failure domain.
-	Regions map[string]string
-	// The addresses are IP:PORT.
-	CallerAddress, ReadyAddress, LookupAddress, ReportAddress, MetricsAddress string
-}
-
 // Front is one instance.
 type Front struct {
 	// These fields are set before Run. The handlers of look-ups and ready
 	// checks ask the instance.
-	Identity      Identity
+	Identity      tamarackrun.Identity
 	Feed          tamarackrun.Feed
 	Dialect       tamarackrun.Dialect
 	LookupHandler func(tamarackrun.Entrance) http.Handler
@@ -196,7 +185,7 @@
 func (f *Front) openMembership(socket *datagram.Socket) {
 	f.members = membership.New(f.Identity.Name, f.record(), boottime.Clock{})
 	f.members.Verifier, f.members.Contact = f.verifier, f.terms.Load().ContactBound
-	f.members.Recorder, f.members.Send, f.members.Version = f.history, socket.Send, f.version
+	f.members.Recorder, f.members.Send = f.history, socket.Send
 	f.members.Demands = func() map[string]float64 { return f.limiter.Demands(time.Now()) }
 	f.members.Missing = f.recordMissing
 	var latest membership.Part
--- a/internal/program/front/serve.go
+++ b/internal/program/front/serve.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/steer"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/state/configuration"
 	"tamarackrun/internal/transport/exchange"
@@ -71,6 +72,9 @@
 	organisation  configuration.Organisation
 	service       string
 	deadline      time.Time
+	// refusedBy has the server that was too busy, if that is why the request is
+	// refused.
+	refusedBy steer.Choice
 }
 
 // Serve answers a request.
@@ -157,6 +161,10 @@
 	if outcome.Reason == tamarackrun.RateExceeded {
 		fields = append(fields, "limit", formatRate(o.organisation.Rate), "part", formatRate(f.limiter.Part(o.organisation.Name)))
 	}
+	if b := o.refusedBy.Busy; b != nil {
+		fields = append(fields, "server", o.refusedBy.Server.Name, "serverWaiting", strconv.Itoa(b.Waiting), "serverSlots", strconv.Itoa(b.Slots),
+			"reportAge", b.Age.Round(time.Millisecond).String(), "serverTook", b.Took.Round(time.Millisecond).String())
+	}
 	f.history.Record(number, o.fields.ID, fields...)
 	f.history.CountOutcome("request", outcome)
 	return pipeline.Answer{Status: status, Header: header}
--- a/outcome.go
+++ b/outcome.go
@@ -45,6 +45,7 @@
 	QueueTimeout     Reason = "queueTimeout"
 	DeadlinePassed   Reason = "deadlinePassed"
 	NoHealthyServer  Reason = "noHealthyServer"
+	ServerBusy       Reason = "serverBusy"
 	ServerShed       Reason = "serverShed"
 	ServerDraining   Reason = "serverDraining"
 	ServerEjected    Reason = "serverEjected"
