Lend single tokens of limits between the instances of a region

An instance without a token asks one of its region that has reported a token to spare. The token leaves the lender's part, so that the sum over all instances stays the same. A token that is lost is not used, one that comes late is kept, one that comes twice counts once. TestFleetKeepsLimit borrows from all instances.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/verify"
@@ -83,6 +82,9 @@
 	known   time.Duration
 	lost    bool
 	demands map[string]float64
+	// spares are the tokens that it would lend, less those that were asked for
+	// since its report.
+	spares map[string]float64
 }
 
 // Membership is the view of one instance. It is safe for concurrent use.
@@ -99,7 +101,9 @@
 	Contact  time.Duration
 	Recorder tamarackrun.Recorder
 	Demands  func() map[string]float64
-	Send     func(message []byte, addresses []netip.AddrPort) int
+	// Spares returns the tokens that the instance would lend, by organisation.
+	Spares func() map[string]float64
+	Send   func(message *wire.InstanceMessage, addresses ...netip.AddrPort) int
 	// Verifier takes and gives the revisions in reports.
 	Verifier *verify.Verifier
 	// Divide is called after each report with the demand of all instances.
@@ -220,8 +224,12 @@
 	copy(theirs[:], report.Revisions)
 	m.Verifier.Learn(time.Now(), theirs, time.Duration(report.VerifiedAge)*time.Millisecond)
 	p.demands = make(map[string]float64, len(report.Demands))
+	p.spares = map[string]float64{}
 	for _, d := range report.Demands {
 		p.demands[d.Organisation] = float64(d.Rate)
+		if d.Spare >= 1 {
+			p.spares[d.Organisation] = float64(d.Spare)
+		}
 	}
 }
 
@@ -253,14 +261,20 @@
 
 // report sends one report and divides the limits anew.
 func (m *Membership) report() {
-	own := m.Demands()
+	own, spares := m.Demands(), m.Spares()
 	m.mu.Lock()
 	now := m.Clock.Now()
 	m.sequence++
 	message := &wire.InstanceReport{Name: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Ready: m.ready.Load(),
 		Leaving: m.leaving.Load()}
+	for organisation, spare := range spares {
+		if _, ok := own[organisation]; !ok {
+			message.Demands = append(message.Demands, &wire.OrganisationDemand{Organisation: organisation, Spare: float32(spare)})
+		}
+	}
 	for organisation, rate := range own {
-		message.Demands = append(message.Demands, &wire.OrganisationDemand{Organisation: organisation, Rate: float32(rate)})
+		message.Demands = append(message.Demands, &wire.OrganisationDemand{Organisation: organisation, Rate: float32(rate),
+			Spare: float32(spares[organisation])})
 	}
 	revisions, age := m.Verifier.Report(time.Now())
 	message.StoreAway = m.Verifier.Unreachable()
@@ -275,12 +289,8 @@
 	part, totals := m.divide(now, own)
 	m.list(now)
 	m.mu.Unlock()
-	encoded, err := proto.Marshal(message)
-	if err != nil {
-		panic(err) // All fields are set by this package, and names are valid UTF-8.
-	}
 	// A failed send shows as an instance that does not hear this one.
-	_ = m.Send(encoded, addresses)
+	_ = m.Send(&wire.InstanceMessage{Content: &wire.InstanceMessage_Report{Report: message}}, addresses...)
 	m.Divide(part, totals)
 }
 
@@ -307,6 +317,28 @@
 	return Part{Members: members, Silent: silent, CutOff: 2*mutual <= members}, totals
 }
 
+// Lender returns an instance that has reported a token of an organisation's limit
+// to spare, and counts the token as asked for. Instances of other regions are too
+// far for a request to wait for them. Only instances in contact lend.
+func (m *Membership) Lender(organisation string) (address netip.AddrPort, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	var lenders []*peer
+	for _, p := range m.peers {
+		if p.spares[organisation] >= 1 && p.record.Region == m.Own.Region && now-p.mutual < m.part(heardPart) && !p.leaving {
+			lenders = append(lenders, p)
+		}
+	}
+	if len(lenders) == 0 {
+		return netip.AddrPort{}, false
+	}
+	// All instances know the same reports, and would ask the same lender.
+	p := lenders[rand.IntN(len(lenders))]
+	p.spares[organisation]--
+	return p.address, true
+}
+
 // Gone returns the instances whose records this instance is to remove because
 // nothing was heard of them for long. Only one of the instances that hear each
 // other does it.
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -27,6 +27,7 @@
 	parts   []Part
 	totals  []map[string]float64
 	demands []map[string]float64
+	spares  []map[string]float64
 	// loses says whether a report from one to another instance is lost.
 	loses func(from, to int) bool
 }
@@ -39,7 +40,8 @@
 
 func newFleet(n int) *fleet {
 	f := &fleet{clock: &clock{now: time.Hour}, parts: make([]Part, n), totals: make([]map[string]float64, n), demands: make([]map[string]float64, n),
-		loses: func(int, int) bool { return false }}
+		spares: make([]map[string]float64, n),
+		loses:  func(int, int) bool { return false }}
 	f.members = make([]*Membership, n)
 	for i := range n {
 		f.restart(i)
@@ -64,15 +66,11 @@
 	m.Verifier = &verify.Verifier{Away: func() bool { return false }}
 	m.Demands = func() map[string]float64 { return f.demands[i] }
 	m.Divide = func(part Part, totals map[string]float64) { f.parts[i], f.totals[i] = part, totals }
-	m.Send = func(message []byte, addresses []netip.AddrPort) int {
+	m.Spares = func() map[string]float64 { return f.spares[i] }
+	m.Send = func(message *wire.InstanceMessage, addresses ...netip.AddrPort) int {
 		for _, a := range addresses {
-			to := int(a.Addr().As4()[3]) - 1
-			received := &wire.InstanceReport{}
-			if err := proto.Unmarshal(message, received); err != nil {
-				panic(err)
-			}
-			if to != i && !f.loses(i, to) {
-				f.members[to].Receive(received)
+			if to := int(a.Addr().As4()[3]) - 1; to != i && !f.loses(i, to) {
+				f.members[to].Receive(proto.CloneOf(message.GetReport()))
 			}
 		}
 		return 0
@@ -264,3 +262,30 @@
 		t.Errorf("ranks (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against requests to instances that have nothing to lend, are not in
+// contact, are far away, or were asked for all that they have.
+func TestLender(t *testing.T) {
+	f := newFleet(5)
+	for i, spare := range []float64{0, 2.5, 3, 0.5, 4} {
+		f.spares[i] = map[string]float64{"o": spare}
+	}
+	f.members[0].Apply(tamarackrun.Page{Records: []tamarackrun.Record{
+		{Name: name(4), Instance: &tamarackrun.InstanceRecord{Region: "far", ReportAddress: address(4)}}}})
+	f.run(time.Second)
+	var got []string
+	for range 6 {
+		if a, ok := f.members[0].Lender("o"); ok {
+			got = append(got, a.String())
+		}
+	}
+	slices.Sort(got)
+	want := []string{address(1), address(1), address(2), address(2), address(2)}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("lenders (-want +got):\n%s", diff)
+	}
+	f.run(3*time.Second, 1, 2)
+	if a, ok := f.members[0].Lender("o"); ok {
+		t.Errorf("%s is asked, which is silent", a)
+	}
+}
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -35,6 +35,9 @@
 	// minCapacity is the least burst of an instance's part in requests, as
 	// less than one request could never be admitted.
 	minCapacity = 1
+	// keptTokens are those that an instance keeps for its own next request when it
+	// lends others.
+	keptTokens = 0
 	// forgetDemand is the rate below which an organisation is not reported, in
 	// requests per second.
 	forgetDemand = 0.05
@@ -92,6 +95,36 @@
 	}
 }
 
+// Lend takes a token for another instance if there is one to spare.
+func (l *Limiter) Lend(now time.Time, organisation string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buckets[organisation]
+	if b == nil {
+		return false
+	}
+	b.advance(now)
+	if b.tokens < 1+keptTokens {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Spares returns how many tokens the instance would lend, by organisation.
+func (l *Limiter) Spares(now time.Time) map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	spares := map[string]float64{}
+	for name, b := range l.buckets {
+		b.advance(now)
+		if spare := b.tokens - keptTokens; spare >= 1 {
+			spares[name] = spare
+		}
+	}
+	return spares
+}
+
 // SetBound takes the users' bound on the requests of any span: what an
 // organisation's limit allows times (1 + overage), and slack, in requests.
 func (l *Limiter) SetBound(span time.Duration, overage, slack float64) {
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -25,14 +25,17 @@
 // fleet is several limiters with reports that arrive late.
 type fleet struct {
 	limiters []*Limiter
-	cut      int
-	now      time.Time
-	reports  []map[string]float64
-	due      time.Time
+	// regions is the number of regions; instances of the same one lend to each
+	// other.
+	regions int
+	cut     int
+	now     time.Time
+	reports []map[string]float64
+	due     time.Time
 }
 
 func newFleet(n int) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), cut: -1}
+	f := &fleet{now: time.Unix(1000, 0), cut: -1, regions: 1}
 	for range n {
 		f.limiters = append(f.limiters, newLimiter(f.now))
 	}
@@ -71,6 +74,21 @@
 	}
 }
 
+// admit admits a request at an instance, which borrows a token of another one of
+// its region if it has none.
+func (f *fleet) admit(i int, limit configuration.Organisation) bool {
+	if ok, _ := f.limiters[i].Admit(f.now, limit); ok {
+		return true
+	}
+	lender, most := -1, 0.0
+	for j, l := range f.limiters {
+		if spare := l.Spares(f.now)["o"]; j != i && j%f.regions == i%f.regions && i != f.cut && j != f.cut && spare > most {
+			lender, most = j, spare
+		}
+	}
+	return lender >= 0 && f.limiters[lender].Lend(f.now, "o")
+}
+
 // Guards against an organisation that gets more than its rate and burst over all
 // instances, while its demand moves between them and one is cut off.
 func TestFleetKeepsLimit(t *testing.T) {
@@ -87,9 +105,9 @@
 			for range int(1500 * time.Millisecond / tick) {
 				f.now = f.now.Add(tick)
 				f.report()
-				for i, l := range f.limiters {
+				for i := range f.limiters {
 					for range whole(rates[i]*tick.Seconds(), f.now, i) {
-						if ok, _ := l.Admit(f.now, limit); ok {
+						if f.admit(i, limit) {
 							admitted = append(admitted, f.now)
 						}
 					}
@@ -173,14 +191,15 @@
 	limit := configuration.Organisation{Name: "o", Rate: 45, Burst: 45}
 	const n, demand = 31, 17.0
 	f, random := newFleet(n), rand.New(rand.NewPCG(1, 2))
+	f.regions = 3
 	asked, refused := 0, 0
 	for range int(30 * time.Second / tick) {
 		f.now = f.now.Add(tick)
 		f.report()
-		for _, l := range f.limiters {
+		for i := range f.limiters {
 			if random.Float64() < demand/n*tick.Seconds() {
 				asked++
-				if ok, _ := l.Admit(f.now, limit); !ok {
+				if !f.admit(i, limit) {
 					refused++
 				}
 			}
@@ -245,9 +264,9 @@
 				if at >= 8*time.Second {
 					rate = test.rate
 				}
-				for i, l := range f.limiters {
+				for i := range f.limiters {
 					for range whole(rate*tick.Seconds(), f.now, i) {
-						if ok, _ := l.Admit(f.now, limit); ok {
+						if f.admit(i, limit) {
 							admitted = append(admitted, f.now)
 						} else if at >= 8*time.Second && at < 8300*time.Millisecond {
 							refused++
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -150,6 +150,9 @@
 	if reply.Err != nil {
 		fields = append(fields, "error", reply.Err.Error())
 	}
+	if o.loan != "" {
+		fields = append(fields, "loan", string(o.loan))
+	}
 	if l := reply.Fields.Load; l != nil {
 		fields = append(fields, "serverLoad", strconv.Itoa(l.Running)+","+strconv.Itoa(l.Waiting)+","+strconv.Itoa(l.Slots))
 	}
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strconv"
 	"sync"
@@ -19,12 +20,14 @@
 	"tamarackrun"
 	"tamarackrun/internal/coordination/coldstart"
 	"tamarackrun/internal/coordination/follow"
+	"tamarackrun/internal/coordination/loan"
 	"tamarackrun/internal/coordination/membership"
 	"tamarackrun/internal/coordination/quota"
 	"tamarackrun/internal/coordination/steer"
 	"tamarackrun/internal/coordination/verify"
 	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/event"
+	"tamarackrun/internal/protocol/wire"
 	"tamarackrun/internal/state/boottime"
 	"tamarackrun/internal/state/configuration"
 	"tamarackrun/internal/state/history"
@@ -69,6 +72,7 @@
 	registry *registry.Registry
 	members  *membership.Membership
 	limiter  *quota.Limiter
+	loans    *loan.Desk
 	steering *steer.Steering
 	cold     *coldstart.Gate
 	verifier *verify.Verifier
@@ -198,10 +202,27 @@
 		f.limiter.Divide(time.Now(), quota.Division{Members: part.Members, Silent: part.Silent, CutOff: part.CutOff, Totals: totals})
 		f.retries.divide(part.Members, f.terms.Load())
 	}
-	socket.Receive = f.members.Receive
+	f.members.Spares = func() map[string]float64 { return f.limiter.Spares(time.Now()) }
+	f.loans = loan.New()
+	f.loans.Lender, f.loans.Send = f.members.Lender, socket.Send
+	f.loans.Take = func(organisation string) bool { return f.limiter.Lend(time.Now(), organisation) }
+	f.loans.Keep = func(organisation string) { f.limiter.Return(time.Now(), organisation) }
+	socket.Receive = f.receive
 	go socket.Run()
 }
 
+// receive takes a message of another instance.
+func (f *Front) receive(message *wire.InstanceMessage, from netip.AddrPort) {
+	switch content := message.Content.(type) {
+	case *wire.InstanceMessage_Report:
+		f.members.Receive(content.Report)
+	case *wire.InstanceMessage_TokenRequest:
+		f.loans.Asked(content.TokenRequest, from)
+	case *wire.InstanceMessage_TokenGrant:
+		f.loans.Answered(content.TokenGrant)
+	}
+}
+
 // serveHTTP serves a port besides that of the callers.
 func (f *Front) serveHTTP(address string, handler http.Handler) (func(), error) {
 	const headerTimeout = 5 * time.Second
--- a/internal/program/front/serve.go
+++ b/internal/program/front/serve.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/loan"
 	"tamarackrun/internal/coordination/steer"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/state/configuration"
@@ -72,6 +73,8 @@
 	organisation  configuration.Organisation
 	service       string
 	deadline      time.Time
+	// loan is how a token was asked for; empty if the own part had one.
+	loan loan.Outcome
 	// refusedBy has the server that was too busy, if that is why the request is
 	// refused.
 	refusedBy steer.Choice
@@ -80,7 +83,7 @@
 // Serve answers a request.
 func (f *Front) Serve(ctx context.Context, call pipeline.Call) pipeline.Answer {
 	o := &order{call: call, fields: f.Dialect.ReadCaller(call.Request.Header), configuration: f.snapshot.Load()}
-	if reason, after := f.admit(o); reason != "" {
+	if reason, after := f.admit(ctx, o); reason != "" {
 		return f.finish(o, tamarackrun.Refused(reason), after)
 	}
 	o.service = pickPart(o.route)
@@ -95,7 +98,7 @@
 }
 
 // admit settles the route, the organisation and its limit.
-func (f *Front) admit(o *order) (tamarackrun.Reason, time.Duration) {
+func (f *Front) admit(ctx context.Context, o *order) (tamarackrun.Reason, time.Duration) {
 	c, r := o.configuration, o.call.Request
 	switch {
 	case f.refusing.Load():
@@ -120,7 +123,12 @@
 		return tamarackrun.KeyUnknown, 0
 	}
 	o.organisation = c.Organisations[key.Organisation]
-	if admitted, after := f.limiter.Admit(time.Now(), o.organisation); !admitted {
+	admitted, after := f.limiter.Admit(time.Now(), o.organisation)
+	if admitted {
+		return "", 0
+	}
+	o.loan = f.loans.Borrow(ctx, o.organisation.Name)
+	if o.loan != loan.Granted {
 		return tamarackrun.RateExceeded, min(maxReturn, max(minReturn, after))
 	}
 	return "", 0
@@ -159,7 +167,8 @@
 		"route", o.route.Name, "service", o.service, "organisation", o.organisation.Name,
 		"configuration", strconv.FormatInt(f.version(), 10), "configurationAge", f.configurationAge().String()}
 	if outcome.Reason == tamarackrun.RateExceeded {
-		fields = append(fields, "limit", formatRate(o.organisation.Rate), "part", formatRate(f.limiter.Part(o.organisation.Name)))
+		fields = append(fields, "limit", formatRate(o.organisation.Rate), "part", formatRate(f.limiter.Part(o.organisation.Name)),
+			"loan", string(o.loan))
 	}
 	if b := o.refusedBy.Busy; b != nil {
 		fields = append(fields, "server", o.refusedBy.Server.Name, "serverWaiting", strconv.Itoa(b.Waiting), "serverSlots", strconv.Itoa(b.Slots),
--- a/internal/transport/datagram/datagram.go
+++ b/internal/transport/datagram/datagram.go
@@ -1,6 +1,6 @@
-// Package datagram carries reports between instances. Each report replaces the
-// one before, so that a lost one needs no repetition, and no connection can go
-// silent.
+// Package datagram carries messages between instances. Each report replaces the
+// one before, and a lost loan is only a refusal, so that no message needs a
+// repetition, and no connection can go silent.
 package datagram
 
 import (
@@ -17,10 +17,10 @@
 // maxSize is the largest datagram over IPv4, in bytes.
 const maxSize = 65507
 
-// Socket sends and receives reports.
+// Socket sends and receives messages.
 type Socket struct {
-	// Receive is set before Run.
-	Receive func(report *wire.InstanceReport)
+	// Receive takes a message and its sender's address; set before Run.
+	Receive func(message *wire.InstanceMessage, from netip.AddrPort)
 
 	conn *net.UDPConn
 }
@@ -42,7 +42,7 @@
 func (s *Socket) Run() {
 	buffer := make([]byte, maxSize)
 	for {
-		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -50,20 +50,25 @@
 			// A peer without a listener leads to an error on the next read.
 			continue
 		}
-		report := &wire.InstanceReport{}
-		if proto.Unmarshal(buffer[:n], report) != nil || report.Name == "" {
+		message := &wire.InstanceMessage{}
+		if proto.Unmarshal(buffer[:n], message) != nil {
 			continue
 		}
-		s.Receive(report)
+		s.Receive(message, from)
 	}
 }
 
-// Send sends an encoded report to the addresses and returns the number of
+// Send sends a message to the addresses and returns the number of
 // addresses to which it could not be sent.
-func (s *Socket) Send(message []byte, addresses []netip.AddrPort) int {
+func (s *Socket) Send(message *wire.InstanceMessage, addresses ...netip.AddrPort) int {
+	encoded, err := proto.Marshal(message)
+	if err != nil {
+		// Names are valid UTF-8, as the platform's configuration is.
+		return len(addresses)
+	}
 	failed := 0
 	for _, a := range addresses {
-		if _, err := s.conn.WriteToUDPAddrPort(message, a); err != nil {
+		if _, err := s.conn.WriteToUDPAddrPort(encoded, a); err != nil {
 			failed++
 		}
 	}
