Skip ejected servers before their reports count; refuse without an object only if all are busy

Cause, found in a re-read: an ejected server that had reported a long queue refused its requests for 0.4 s instead of passing them on, and a request without an object was refused although another server had no long queue. TestLongQueuesOfSomeServers fails before. The stand-ins of the platform take the users' bounds as terms.Terms, instead of a copy.

--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -150,18 +150,21 @@
 			ejected++
 		}
 	}
+	refusal, reason := Choice{}, tamarackrun.QueueFull
 	for i, c := range list {
 		st := s.state(c.server)
 		if st.outstanding >= maxOutstanding || now.Before(st.suspectUntil) {
 			continue
 		}
-		if st.overloaded(now, q.Goal) {
+		if !st.health.Ejected() && st.overloaded(now, q.Goal) {
+			busy := Choice{Server: c.server, Rank: i, Busy: &Busy{st.waiting, st.slots, now.Sub(st.reported), st.took}}
 			// The next server may not know the object and then needs several
 			// times as long, so that it gets the request only if it has room.
-			if i == 0 && i+1 < len(list) && s.state(list[i+1].server).idle(now) {
-				continue
+			if q.Object != "" && (i > 0 || len(list) == 1 || !s.state(list[1].server).idle(now)) {
+				return busy, tamarackrun.ServerBusy
 			}
-			return Choice{Server: c.server, Rank: i, Busy: &Busy{st.waiting, st.slots, now.Sub(st.reported), st.took}}, tamarackrun.ServerBusy
+			refusal, reason = busy, tamarackrun.ServerBusy
+			continue
 		}
 		admitted, probe := st.health.Admit(now.Sub(s.started), true)
 		if !admitted && ejected < len(list) {
@@ -176,7 +179,7 @@
 		st.outstanding++
 		return Choice{Server: c.server, Rank: i, Outstanding: st.outstanding - 1, Probe: probe}, ""
 	}
-	return Choice{}, tamarackrun.QueueFull
+	return refusal, reason
 }
 
 // rank orders the allowed servers, the best first.
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -227,3 +227,34 @@
 		})
 	}
 }
+
+// Guards against requests without an object that are refused while some server has
+// no long queue, and against an ejected server whose last report refuses requests.
+func TestLongQueuesOfSomeServers(t *testing.T) {
+	s, list, now := newSteering(), servers(3), time.Now()
+	q := Query{Region: "a", Goal: time.Second}
+	for i := range list {
+		if c, reason := s.Choose(now, list, q); reason != "" {
+			t.Fatalf("reason %q with %d servers without a long queue", reason, len(list)-i)
+		} else {
+			s.Report(now, c.Server.Name, 3, 3, 5*time.Second)
+		}
+	}
+	if _, reason := s.Choose(now, list, q); reason != tamarackrun.ServerBusy {
+		t.Errorf("reason %q when all have long queues", reason)
+	}
+
+	s, q.Object = newSteering(), "x"
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		c, _ := s.Choose(now, list, q)
+		s.Report(now, c.Server.Name, 0, 3, 5*time.Second)
+		if ejected, _ := s.Done(now, c, health.Failure, false, 6); ejected {
+			s.Report(now, c.Server.Name, 3, 3, 5*time.Second)
+			break
+		}
+	}
+	if c, reason := s.Choose(now, list, q); reason != "" || c.Rank == 0 {
+		t.Errorf("reason %q, rank %d while the best server is ejected", reason, c.Rank)
+	}
+}
--- a/internal/standin/soak/checks.go
+++ b/internal/standin/soak/checks.go
@@ -102,7 +102,7 @@
 		if c.closed && !c.unread && w.troubles.calm(c.sent, c.ended) && (len(c.runs) > 0 || c.ended.Sub(c.sent) > lostSlack) {
 			lost++
 			example = w.describe(c)
-			if w.troubles.planned(c.sent.Add(-bounds.Grace-time.Second), c.ended) {
+			if w.troubles.planned(c.sent.Add(-bounds.StopGrace-time.Second), c.ended) {
 				w.ledger.failLocked("LOST", "%s has no answer during planned work, %s", c.ID, w.describe(c))
 			}
 		}
@@ -140,11 +140,11 @@
 func (w *world) checkLeaving(calls []*call) {
 	for _, c := range calls {
 		for _, v := range c.runs {
-			if at, ok := w.left[v.server]; ok && v.at.After(at.Add(bounds.Drain)) && w.reached(c, v) {
+			if at, ok := w.left[v.server]; ok && v.at.After(at.Add(bounds.DrainBound)) && w.reached(c, v) {
 				w.ledger.failLocked("DRAIN", "%s ran at %s %v after its leaving, %s", c.ID, v.server, v.at.Sub(at).Round(time.Millisecond), w.describe(c))
 			}
 			for _, e := range w.evacuations {
-				if w.zoneOf[v.server] == e.zone && v.at.After(e.from.Add(bounds.Evacuate)) && v.at.Before(e.to) && w.reached(c, v) {
+				if w.zoneOf[v.server] == e.zone && v.at.After(e.from.Add(bounds.EvacuateBound)) && v.at.Before(e.to) && w.reached(c, v) {
 					w.ledger.failLocked("EVAC", "%s ran at %s in evacuated %s, %s", c.ID, v.server, e.zone, w.describe(c))
 				}
 			}
@@ -156,7 +156,7 @@
 // ran; a harmed link may have held it up.
 func (w *world) reached(c *call, v run) bool {
 	return w.troubles.inTouch(c.member, v.at, v.at) &&
-		!w.troubles.any(v.at.Add(-bounds.Contact), v.at, func(t *trouble) bool { return t.scope == atServer && !t.planned })
+		!w.troubles.any(v.at.Add(-bounds.ContactBound), v.at, func(t *trouble) bool { return t.scope == atServer && !t.planned })
 }
 
 // checkDesired covers services and keys that newer desired states took away.
@@ -167,11 +167,11 @@
 			if !slices.Contains(w.allowed(c.route, time.Time{}, v.at), v.service) {
 				w.ledger.failLocked("ROUTE", "%s of route %s ran at service %s", c.ID, c.route, v.service)
 			}
-			if inTouch && !slices.Contains(w.allowed(c.route, c.sent.Add(-bounds.Apply), v.at), v.service) {
+			if inTouch && !slices.Contains(w.allowed(c.route, c.sent.Add(-bounds.ApplyBound), v.at), v.service) {
 				w.ledger.failLocked("CONFIG", "%s ran at service %s, which route %s left, %s", c.ID, v.service, c.route, w.describe(c))
 			}
 		}
-		if at, ok := w.revocations[c.Key]; ok && len(c.runs) > 0 && c.sent.After(at.Add(bounds.Apply)) && inTouch {
+		if at, ok := w.revocations[c.Key]; ok && len(c.runs) > 0 && c.sent.After(at.Add(bounds.ApplyBound)) && inTouch {
 			w.ledger.failLocked("CONFIG", "%s ran %v after its key was revoked, %s", c.ID, c.sent.Sub(at).Round(time.Millisecond), w.describe(c))
 		}
 	}
@@ -273,7 +273,7 @@
 		end = c.sent.Add(routeTimeout)
 	}
 	for _, t := range w.troubles.list {
-		if t.overlaps(c.sent.Add(-bounds.Contact), end) {
+		if t.overlaps(c.sent.Add(-bounds.ContactBound), end) {
 			text += fmt.Sprintf("; %s %s from %.2f s", t.kind, t.target, t.from.Sub(w.began).Seconds())
 		}
 	}
--- a/internal/standin/soak/harm.go
+++ b/internal/standin/soak/harm.go
@@ -27,7 +27,7 @@
 
 // harm starts the troubles of a seed, which overlap.
 func (w *world) harm(ctx context.Context, r *rand.Rand, length time.Duration, group *sync.WaitGroup) {
-	last := length - calmEnd - bounds.Contact
+	last := length - calmEnd - bounds.ContactBound
 	kinds := kinds
 	if r.IntN(plannedPart) == 0 {
 		kinds = planned
@@ -239,7 +239,7 @@
 		w.store.Withdraw(id)
 	}
 	w.leave(id)
-	sleep(ctx, bounds.Drain+300*time.Millisecond)
+	sleep(ctx, bounds.DrainBound+300*time.Millisecond)
 	w.store.Withdraw(id)
 	b.crash()
 	sleep(ctx, lasts/4)
@@ -274,7 +274,7 @@
 	}
 	t := w.troubles.begin(trouble{kind: "evacuation", target: e.zone, scope: atServer, planned: true})
 	defer w.troubles.end(t)
-	sleep(ctx, lasts+bounds.Evacuate)
+	sleep(ctx, lasts+bounds.EvacuateBound)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	e.to = time.Now()
--- a/internal/standin/soak/member.go
+++ b/internal/standin/soak/member.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"tamarackrun/platform"
 	"tamarackrun/platform/standin"
 )
 
@@ -58,7 +59,7 @@
 		return err
 	}
 	c := exec.Command(m.binary, "front")
-	c.Env = append(os.Environ(), standin.SettingsVariable+"="+m.path())
+	c.Env = append(os.Environ(), platform.SettingsVariable+"="+m.path())
 	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
 		return err
@@ -124,7 +125,7 @@
 	}
 	select {
 	case <-p.ended:
-	case <-time.After(m.settings.Bounds.Grace):
+	case <-time.After(m.settings.Bounds.StopGrace):
 		if pauses, paused := m.pauseState(); pauses == pausesBefore && !paused && !pausedBefore {
 			m.failed("STOP", m.settings.Name+" runs on after its time to stop")
 		}
--- a/internal/standin/soak/world.go
+++ b/internal/standin/soak/world.go
@@ -10,13 +10,14 @@
 	"sync"
 	"time"
 
+	"tamarackrun/internal/state/terms"
 	"tamarackrun/platform/standin"
 )
 
 // bounds are those of the checks. They follow the users' first two sites, but
 // for a shorter time to stop.
-var bounds = standin.Bounds{Drain: 2500 * time.Millisecond, Grace: 4 * time.Second, Contact: 4 * time.Second, Apply: 2500 * time.Millisecond,
-	Evacuate: 5 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 64, ColdOverage: 1, ColdSlack: 5,
+var bounds = terms.Terms{DrainBound: 2500 * time.Millisecond, StopGrace: 4 * time.Second, ContactBound: 4 * time.Second, ApplyBound: 2500 * time.Millisecond,
+	EvacuateBound: 5 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 64, ColdOverage: 1, ColdSlack: 5,
 	RateSpan: 5 * time.Second, RateOverage: 0.1, RateSlack: 20}
 
 const (
@@ -31,7 +32,7 @@
 	freeRate                  = 10_000.0
 	limitedKey                = "key-limited"
 	// calmEnd is the time at the end in which requests must be served again. The
-	// last trouble ends bounds.Contact before.
+	// last trouble ends bounds.ContactBound before.
 	calmEnd = 2 * time.Second
 	// One request in slowPart takes up to mostWork, so that some run at any moment.
 	slowPart = 15
@@ -282,7 +283,7 @@
 		return false, false
 	}
 	at, added := w.additions[key]
-	return !added || sent.After(at.Add(bounds.Apply)), !added
+	return !added || sent.After(at.Add(bounds.ApplyBound)), !added
 }
 
 // anyKey returns a key of an organisation; some callers keep a revoked one.
