Let a larger part of a limit wait until the others have made room

Reports of 22 instances are 0.55 s apart. A larger demand now counts for the own part one report later; a smaller one counts at once.

--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -51,6 +51,9 @@
 	tokens float64
 	// demand is in requests per second, averaged at last.
 	demand float64
+	// reported is the demand of the latest report, and known the one that the
+	// others have had an interval of reports to make room for.
+	reported, known float64
 	last   time.Time
 	// extra is added to the capacity, in requests.
 	extra float64
@@ -189,13 +192,16 @@
 	return 0
 }
 
-// Demands returns the demand of each organisation in requests per second.
+// Demands returns the demand of each organisation in requests per second, for a
+// report. A larger demand counts for the own part from the next report on, when
+// the others have made their parts smaller; a smaller one counts at once.
 func (l *Limiter) Demands(now time.Time) map[string]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	demands := make(map[string]float64, len(l.buckets))
 	for name, b := range l.buckets {
 		b.advance(now)
+		b.known, b.reported = min(b.demand, b.reported), b.demand
 		if b.demand >= forgetDemand {
 			demands[name] = b.demand
 		}
@@ -224,7 +230,7 @@
 		return cutOffPart * equal
 	}
 	free := 1 - floorPart - cutOffPart*equal*float64(d.Silent)
-	need := headroom * b.demand / b.limit.Rate
+	need := headroom * b.known / b.limit.Rate
 	needed := max(need, headroom*d.Totals[organisation]/b.limit.Rate)
 	if needed >= free {
 		return floorPart*equal + free*need/needed
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -32,10 +32,12 @@
 	now     time.Time
 	reports []map[string]float64
 	due     time.Time
+	// delay is the time between two reports.
+	delay time.Duration
 }
 
 func newFleet(n int) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), cut: -1, regions: 1}
+	f := &fleet{now: time.Unix(1000, 0), cut: -1, regions: 1, delay: reportDelay}
 	for range n {
 		f.limiters = append(f.limiters, newLimiter(f.now))
 	}
@@ -54,7 +56,7 @@
 	if f.now.Before(f.due) {
 		return
 	}
-	f.due = f.now.Add(reportDelay)
+	f.due = f.now.Add(f.delay)
 	old := f.reports
 	f.reports = nil
 	for i, l := range f.limiters {
@@ -210,6 +212,36 @@
 	}
 }
 
+// Guards against instances of a large fleet that all take a larger part before they
+// know that the others do (QUOTA on hollowmere-run-grown, killed-fleet with seed
+// 762207644729: the demand grows to 7.5 times its usual at once).
+func TestLimitHoldsWhenDemandJumps(t *testing.T) {
+	limit := configuration.Organisation{Name: "o", Rate: 223, Burst: 223}
+	const n, usual = 22, 140.0
+	f := newFleet(n)
+	f.delay = 550 * time.Millisecond
+	var admitted []time.Time
+	for step := range int(16 * time.Second / tick) {
+		f.now = f.now.Add(tick)
+		f.report()
+		rate := usual / n
+		if step > int(8*time.Second/tick) {
+			rate *= 7.5
+		}
+		for i := range f.limiters {
+			for range whole(rate*tick.Seconds(), f.now, i) {
+				if f.admit(i, limit) {
+					admitted = append(admitted, f.now)
+				}
+			}
+		}
+	}
+	most := (limit.Rate*window.Seconds()+limit.Burst)*(1+overage) + slack
+	if got := busiest(admitted); float64(got) > most {
+		t.Errorf("%d requests in %s, at most %.1f", got, window, most)
+	}
+}
+
 // Guards against a limit that is not used up by an organisation that is over it,
 // because instances without demand keep parts.
 func TestLimitIsUsedUp(t *testing.T) {
