--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -54,7 +54,7 @@
 	// reported is the demand of the latest report, and known the one that the
 	// others have had an interval of reports to make room for.
 	reported, known float64
-	last   time.Time
+	last            time.Time
 	// extra is added to the capacity, in requests.
 	extra float64
 }
--- a/internal/standin/soak/command.go
+++ b/internal/standin/soak/command.go
@@ -1,4 +1,4 @@
-// Package soak plays randomized troubles against processes of the product and
+// Package soak plays randomised troubles against processes of the product and
 // checks the users' rules from what callers and backend servers see.
 package soak
 
@@ -31,7 +31,7 @@
 	var o options
 	c := &cobra.Command{
 		Use:   "soak",
-		Short: "Play randomized troubles against real processes and check the rules",
+		Short: "Play randomised troubles against real processes and check the rules",
 		Args:  cobra.NoArgs,
 		RunE:  func(c *cobra.Command, _ []string) error { return o.run(c.OutOrStdout()) },
 	}
--- a/internal/standin/soak/ledger.go
+++ b/internal/standin/soak/ledger.go
@@ -36,8 +36,6 @@
 	at              time.Time
 }
 
-func (c *call) replied() bool { return c.status != 0 }
-
 // violation is a broken rule.
 type violation struct{ rule, text string }
 
