Bound what peers may send and keep the process up after a panic

Cause: the client of backend servers read heads, interim answers and bodies up to 16 MB each without a bound for the process, so one endless head held gigabytes. A request whose bytes were read in the moment at which a graceful shutdown closed its idle connection was dropped without an answer. A panic in one request or datagram ended the process.

Change: heads are bounded in bytes and lines, interim answers in number, and bodies of requests and of answers share an eighth of the machine's memory each, counted while they are read. The outcome is answerTooLarge at once, the connection is closed and the error names the bound. Connections are closed by their reading goroutine, which answers what it has read. A connection on which a late copy of an answer arrived carries no further request. Requests, datagrams and background tasks recover from panics (event 1009).

Ruled out: net/http limits chunk headers and trailers itself; the tests show it. The shutdown test failed before the change with an unexpected EOF.

--- a/fleet.go
+++ b/fleet.go
@@ -96,6 +96,8 @@
 	// answers readiness checks and look-ups, receives the datagrams of other
 	// instances, and serves its metrics.
 	CallerAddress, ReadyAddress, LookupAddress, ReportAddress, MetricsAddress string
+	// MemoryBytes is the memory that the process may use; 0 if it is not known.
+	MemoryBytes int64
 }
 
 // RecordStore is the platform's store of configurations, backend servers,
--- a/internal/program/command/front.go
+++ b/internal/program/command/front.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -28,6 +29,9 @@
 	logQueueSize = 4096
 	// defaultMetricsPort is the metrics port in deploy/system.toml.
 	defaultMetricsPort = 9464
+	// collectFraction is the part of the machine's memory at which the garbage
+	// collector runs more often. The platform kills processes at the whole.
+	collectFraction = 0.7
 )
 
 func newFront() *cobra.Command {
@@ -57,6 +61,9 @@
 	logger := &log.Logger{Level: log.InfoLevel, Writer: writer}
 	store, cleanup := platform.NewStore(s.StoreAddress, s.Regions)
 	defer cleanup()
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(collectFraction * float64(s.MemoryBytes)))
+	}
 	f := front.New(s.Terms)
 	f.Identity = s.Identity
 	f.Identity.MetricsAddress = net.JoinHostPort(s.IP, strconv.Itoa(int(metricsPort)))
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -87,7 +87,15 @@
 			f.history.Record(event.RetryDenied, req.caller.ID, "reason", string(a.outcome.Reason), "service", req.service)
 			break
 		}
-		if a.add(choice.Server.Name, f.send(ctx, req, choice)) {
+		previous, result := a.answer, f.send(ctx, req, choice)
+		final := a.add(choice.Server.Name, result)
+		switch {
+		case result.Outcome != tamarackrun.Done:
+			f.backendClient.Release(result)
+		case previous != nil:
+			f.backendClient.Release(*previous)
+		}
+		if final {
 			break
 		}
 	}
@@ -147,7 +155,9 @@
 	switch {
 	case result.Outcome == tamarackrun.Done && result.Status < http.StatusInternalServerError:
 		return health.Success
-	case result.Outcome == tamarackrun.Done, result.Outcome.Kind == tamarackrun.Unknown && result.Outcome.Reason != tamarackrun.AnswerCancelled,
+	case result.Outcome.Reason == tamarackrun.AnswerCancelled, result.Outcome.Reason == tamarackrun.AnswersFull:
+		return health.Inconclusive
+	case result.Outcome == tamarackrun.Done, result.Outcome.Kind == tamarackrun.Unknown,
 		result.Outcome.Reason == tamarackrun.ConnectFailed:
 		return health.Failure
 	}
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -49,6 +49,9 @@
 	// withdrawInterval is the time between two searches for the records of
 	// instances that will not return.
 	withdrawInterval = time.Minute
+	// bodiesFraction is the part of the machine's memory for the bodies of requests,
+	// and the part for the bodies of answers.
+	bodiesFraction = 0.125
 )
 
 // Front is an entry instance that runs on the users' platform.
@@ -135,16 +138,18 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group sync.WaitGroup
-	start := func(task func(context.Context)) { group.Go(func() { task(background) }) }
-	for _, follower := range f.followers {
-		start(follower.Run)
+	start := func(name string, task func(context.Context)) {
+		group.Go(func() { f.keepRunning(background, name, task) })
 	}
-	start(func(ctx context.Context) { f.FollowSettings(ctx, f.reload, f.reject) })
-	start(f.announce)
-	start(f.withdrawGone)
-	start(f.members.Run)
-	start(f.verifier.Run)
-	start(f.sweep)
+	for collection, follower := range f.followers {
+		start("follow "+collection.String(), follower.Run)
+	}
+	start("settings", func(ctx context.Context) { f.FollowSettings(ctx, f.reload, f.reject) })
+	start("announce", f.announce)
+	start("withdraw", f.withdrawGone)
+	start("reports", f.members.Run)
+	start("verify", f.verifier.Run)
+	start("sweep", f.sweep)
 	f.history.Record(event.Started, "", "failureDomain", f.Identity.FailureDomain, "region", f.Identity.Region)
 	<-ctx.Done()
 	f.shutdown()
@@ -169,6 +174,9 @@
 	dials := meter.Scope.Counter("server_connections")
 	client.HeaderCodec, client.OnDial = f.HeaderCodec, func() { dials.Inc(1) }
 	f.backendClient = client
+	if f.Identity.MemoryBytes > 0 {
+		client.Bodies.Limit = int64(bodiesFraction * float64(f.Identity.MemoryBytes))
+	}
 	f.registry.Recorder, f.registry.Regions, f.registry.ColdTime = f.history, f.Identity.Regions, f.coldTime
 	f.coldLimiter.Name = f.Identity.Name
 	f.balancer.AdmitCold, f.balancer.ColdTime = f.admitCold, f.coldTime
@@ -185,6 +193,9 @@
 	}
 	cleanups = append(cleanups, closeCallers)
 	callers.Handler = f
+	if f.Identity.MemoryBytes > 0 {
+		callers.Bodies.Limit = int64(bodiesFraction * float64(f.Identity.MemoryBytes))
+	}
 	f.callerServer = callers
 	go f.runListener(callers.Run)
 	for address, handler := range map[string]http.Handler{
@@ -229,6 +240,7 @@
 
 // receive handles a message of another instance.
 func (f *Front) receive(message *wire.InstanceMessage, from netip.AddrPort) {
+	defer f.recoverPanic("datagram", nil)
 	switch content := message.Content.(type) {
 	case *wire.InstanceMessage_Report:
 		f.members.Receive(content.Report)
--- /dev/null
+++ b/internal/program/front/recovery.go
@@ -0,0 +1,47 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+	"time"
+
+	"tamarackrun/internal/coordination/waiting"
+	"tamarackrun/internal/protocol/event"
+)
+
+const (
+	// maxStackLog bounds the stack trace in the event of a panic, in bytes.
+	maxStackLog = 2 << 10
+	// restartPause is the pause before a background task is started again after a
+	// panic.
+	restartPause = time.Second
+)
+
+// recoverPanic records the panic of the calling goroutine, if there is one, and calls
+// handle. It must be deferred. Without it, one malformed message or record would end the
+// process and with it all running requests.
+func (f *Front) recoverPanic(task string, handle func()) {
+	value := recover()
+	if value == nil {
+		return
+	}
+	stack := debug.Stack()
+	f.history.Record(event.PanicRecovered, "", "task", task, "error", fmt.Sprint(value),
+		"stack", string(stack[:min(len(stack), maxStackLog)]))
+	if handle != nil {
+		handle()
+	}
+}
+
+// keepRunning runs a background task until the context ends and starts it again after a
+// panic.
+func (f *Front) keepRunning(ctx context.Context, name string, task func(context.Context)) {
+	for ctx.Err() == nil {
+		func() {
+			defer f.recoverPanic(name, nil)
+			task(ctx)
+		}()
+		waiting.Pause(ctx, restartPause)
+	}
+}
--- a/internal/program/front/serve.go
+++ b/internal/program/front/serve.go
@@ -87,8 +87,12 @@
 }
 
 // Serve answers a caller's request.
-func (f *Front) Serve(ctx context.Context, call pipeline.Call) pipeline.Answer {
-	req := &request{call: call, caller: f.HeaderCodec.DecodeRequest(call.Request.Header), configuration: f.snapshot.Load()}
+func (f *Front) Serve(ctx context.Context, call pipeline.Call) (answer pipeline.Answer) {
+	req := &request{call: call, configuration: f.snapshot.Load()}
+	defer f.recoverPanic("request", func() {
+		answer = f.outcomeAnswer(req, tamarackrun.Uncertain(tamarackrun.InternalError), 0)
+	})
+	req.caller = f.HeaderCodec.DecodeRequest(call.Request.Header)
 	if reason, retryAfter := f.admit(ctx, req); reason != "" {
 		return f.outcomeAnswer(req, tamarackrun.Refused(reason), retryAfter)
 	}
@@ -98,7 +102,7 @@
 		timeout = min(timeout, req.caller.Timeout)
 	}
 	req.deadline = call.Arrived.Add(timeout)
-	answer := f.dispatch(ctx, req)
+	answer = f.dispatch(ctx, req)
 	f.scope.Tagged(map[string]string{"route": req.route.Name}).Timer("request_latency").Record(time.Since(call.Arrived))
 	return answer
 }
@@ -162,7 +166,8 @@
 // serverAnswer returns the server's answer unchanged.
 func (f *Front) serverAnswer(result exchange.Result) pipeline.Answer {
 	f.history.CountOutcome("request", tamarackrun.Done)
-	return pipeline.Answer{Status: result.Status, Header: result.Header, Body: result.Body}
+	return pipeline.Answer{Status: result.Status, Header: result.Header, Body: result.Body,
+		Release: func() { f.backendClient.Release(result) }}
 }
 
 // outcomeAnswer returns the answer to a request for which there is no answer of a
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -14,6 +14,7 @@
 	SettingsReloaded      tamarackrun.EventID = 1006
 	SettingsRejected      tamarackrun.EventID = 1007
 	NotReady              tamarackrun.EventID = 1008
+	PanicRecovered        tamarackrun.EventID = 1009
 	ConfigurationAccepted tamarackrun.EventID = 1101
 	ConfigurationRejected tamarackrun.EventID = 1102
 	StoreUnreachable      tamarackrun.EventID = 1103
@@ -93,6 +94,7 @@
 	{SettingsReloaded, "settingsReloaded", "info", "the settings file was read again"},
 	{SettingsRejected, "settingsRejected", "error", "the changed settings file can't be used; the previous settings stay in force"},
 	{NotReady, "notReady", "warn", "the instance can't serve callers yet"},
+	{PanicRecovered, "panicRecovered", "error", "an unexpected error ended one request, message or round of a background task; the process goes on"},
 	{ConfigurationAccepted, "configurationAccepted", "info", "a newer configuration is in force on this instance"},
 	{ConfigurationRejected, "configurationRejected", "error", "a stored configuration could not be read; the previous one stays in force"},
 	{StoreUnreachable, "storeUnreachable", "warn", "the platform's object store does not answer"},
--- a/internal/transport/exchange/connection.go
+++ b/internal/transport/exchange/connection.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,6 +15,8 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/protocol/hopheader"
+	"tamarackrun/internal/state/memory"
+	"tamarackrun/internal/transport/bounded"
 )
 
 // shortRequest is a size, in bytes, that always fits in the socket's send buffer, so
@@ -26,6 +27,9 @@
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
+	head   *bounded.HeadReader
+	// bodies is the memory that all connections share for the bodies of answers.
+	bodies *memory.Budget
 	// lastAnswer is when the latest answer was complete, and usableUntil until
 	// when the connection may carry another request.
 	lastAnswer, usableUntil time.Time
@@ -33,8 +37,9 @@
 	broken bool
 }
 
-func newConnection(conn net.Conn) *connection {
-	return &connection{Conn: conn, reader: bufio.NewReader(conn)}
+func newConnection(conn net.Conn, bodies *memory.Budget) *connection {
+	head := &bounded.HeadReader{Reader: conn, MaxBytes: maxHeadBytes, MaxLines: maxHeadLines}
+	return &connection{Conn: conn, reader: bufio.NewReader(head), head: head, bodies: bodies}
 }
 
 func (c *connection) close() { _ = c.Close() }
@@ -42,7 +47,7 @@
 // Errors of invalid answers.
 var (
 	errOtherAnswers = errors.New("the server sent only answers to other requests")
-	errTooLarge     = fmt.Errorf("the answer's body is larger than %d bytes", maxAnswer)
+	errInterim      = fmt.Errorf("the server sent more than %d interim answers", maxInterimAnswers)
 	errUnsigned     = errors.New("the server's 2xx answer has no signature or no request id")
 )
 
@@ -88,22 +93,21 @@
 // readResult reads answers until one belongs to the request.
 func (c *connection) readResult(codec tamarackrun.HeaderCodec, r Request) Result {
 	for range maxLateAnswers {
-		response, body, err := c.readAnswer(r) //nolint:bodyclose // readAnswer reads and closes the body.
+		response, body, reserved, err := c.readAnswer(r) //nolint:bodyclose // readAnswer reads and closes the body.
 		if err != nil {
 			c.broken = true
-			reason := tamarackrun.AnswerLost
-			if response != nil {
-				reason = tamarackrun.AnswerTruncated
-			}
-			return Result{Outcome: tamarackrun.Uncertain(reason), Sent: true, Err: err}
+			return Result{Outcome: tamarackrun.Uncertain(reasonOf(response, err)), Sent: true, Err: err}
 		}
 		fields := codec.DecodeAnswer(response.StatusCode, response.Header)
 		if fields.ID != "" && fields.ID != r.ID {
-			// The answer belongs to an earlier request.
-			c.usableUntil = time.Time{}
+			// The answer belongs to an earlier request, and more of them may follow.
+			c.broken = true
+			c.bodies.Release(reserved)
 			continue
 		}
-		return c.resultOf(response, body, fields)
+		result := c.resultOf(response, body, fields)
+		result.reserved = reserved
+		return result
 	}
 	c.broken = true
 	return Result{Outcome: tamarackrun.Uncertain(tamarackrun.AnswerLost), Sent: true, Err: errOtherAnswers}
@@ -123,27 +127,46 @@
 	return result
 }
 
+// reasonOf returns why the outcome is unknown after an answer could not be read.
+// response is nil if its head is incomplete.
+func reasonOf(response *http.Response, err error) tamarackrun.Reason {
+	var limit *bounded.LimitError
+	switch {
+	case errors.As(err, &limit), errors.Is(err, errInterim):
+		return tamarackrun.AnswerTooLarge
+	case errors.Is(err, bounded.ErrNoMemory):
+		return tamarackrun.AnswersFull
+	case response != nil:
+		return tamarackrun.AnswerTruncated
+	}
+	return tamarackrun.AnswerLost
+}
+
 // readAnswer reads one answer and skips interim ones. The response is nil if its head
-// is incomplete.
-func (c *connection) readAnswer(r Request) (*http.Response, []byte, error) {
-	for {
+// is incomplete. reserved is the memory that the body holds of c.bodies, in bytes.
+func (c *connection) readAnswer(r Request) (response *http.Response, body []byte, reserved int64, err error) {
+	c.head.Begin(c.reader.Buffered())
+	defer c.head.End()
+	for range maxInterimAnswers + 1 {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, nil, err
+			return nil, nil, 0, err
 		}
 		if response.StatusCode/100 == 1 {
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
-		_ = response.Body.Close()
-		if err == nil && len(body) > maxAnswer {
-			err = errTooLarge
+		c.head.End()
+		body, reserved, err := bounded.ReadBody(response.Body, response.ContentLength, c.bodies.Limit/maxAnswerFraction, c.bodies)
+		if err != nil {
+			// Close would read the rest of the body.
+			return response, nil, 0, eris.Wrap(err, "incomplete answer")
 		}
 		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			c.broken = true
 		}
-		return response, body, eris.Wrap(err, "incomplete answer")
+		return response, body, reserved, eris.Wrap(response.Body.Close(), "incomplete answer")
 	}
+	return nil, nil, 0, errInterim
 }
 
 // setUsableUntil sets how long the connection may be used again after an answer, or
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -14,14 +14,24 @@
 	"github.com/rotisserie/eris"
 
 	"tamarackrun"
+	"tamarackrun/internal/state/memory"
 )
 
 const (
 	// dialTimeout bounds the time to connect. A round trip between regions takes
 	// 0.11 s, and a lost SYN packet is sent again only after seconds.
 	dialTimeout = 500 * time.Millisecond
-	// maxAnswer bounds the size of an answer's body, in bytes.
-	maxAnswer = 16 << 20
+	// maxHeadBytes and maxHeadLines bound the head of an answer, together with the
+	// interim answers before it.
+	maxHeadBytes = 64 << 10
+	maxHeadLines = 512
+	// maxInterimAnswers bounds the number of interim answers before an answer.
+	maxInterimAnswers = 8
+	// maxAnswerFraction is the number of answers of the largest size that fit in the
+	// memory for answers.
+	maxAnswerFraction = 4
+	// defaultMemory is the memory for answers if none is set, in bytes.
+	defaultMemory = 64 << 20
 	// maxLateAnswers bounds the number of late answers to earlier requests that
 	// are skipped.
 	maxLateAnswers = 4
@@ -70,6 +80,9 @@
 	Sent bool
 	// Err is the error that led to the outcome, for logs.
 	Err error
+
+	// reserved is the memory that Body holds, in bytes, until Release.
+	reserved int64
 }
 
 // Client sends requests to servers.
@@ -80,6 +93,9 @@
 	// OnDial is called for each new connection. It may be nil. It is set before
 	// the first request.
 	OnDial func()
+	// Bodies is the memory for the bodies of answers. Its limit is set before the first
+	// request. An answer may take a quarter of it.
+	Bodies memory.Budget
 
 	dialer net.Dialer
 	mu     sync.Mutex
@@ -92,9 +108,13 @@
 func New() (*Client, func()) {
 	c := &Client{idle: map[string][]*connection{}, dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}}}
+	c.Bodies.Limit = defaultMemory
 	return c, func() { c.RetainOnly(nil) }
 }
 
+// Release gives back the memory of a result's body, which must not be used any more.
+func (c *Client) Release(r Result) { c.Bodies.Release(r.reserved) }
+
 // RetainOnly closes the idle connections to all other addresses.
 func (c *Client) RetainOnly(addresses map[string]bool) {
 	c.mu.Lock()
@@ -151,7 +171,7 @@
 	if c.OnDial != nil {
 		c.OnDial()
 	}
-	return newConnection(conn), nil
+	return newConnection(conn, &c.Bodies), nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil if none
--- a/internal/transport/pipeline/connection.go
+++ b/internal/transport/pipeline/connection.go
@@ -14,11 +14,9 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/protocol/hopheader"
+	"tamarackrun/internal/transport/bounded"
 )
 
-// errHeaderTooLong is returned for a header that is longer than allowed.
-var errHeaderTooLong = errors.New("the header is too long")
-
 // pendingAnswer is the answer to a request that was read. Answers are written in
 // the order of the requests.
 type pendingAnswer struct {
@@ -36,10 +34,10 @@
 // writes the answers in order, and each request is served by a goroutine of its
 // own.
 type connection struct {
-	server      *Server
-	conn        net.Conn
-	reader      *bufio.Reader
-	headerLimit *limitedReader
+	server *Server
+	conn   net.Conn
+	reader *bufio.Reader
+	head   *bounded.HeadReader
 	// ctx ends when the connection is lost.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -65,32 +63,15 @@
 	c := &connection{
 		server:         s,
 		conn:           conn,
-		headerLimit:    &limitedReader{reader: conn},
+		head:           &bounded.HeadReader{Reader: conn, MaxLines: maxHeadLines},
 		pendingAnswers: make(chan *pendingAnswer, maxPending),
 	}
-	c.reader = bufio.NewReader(c.headerLimit)
+	c.reader = bufio.NewReader(c.head)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.allAnswered = sync.NewCond(&c.mu)
 	return c
 }
 
-// limitedReader fails after a number of bytes while it is enabled, which is only
-// while a header is read.
-type limitedReader struct {
-	reader    io.Reader
-	remaining int
-	enabled   bool
-}
-
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.enabled && l.remaining <= 0 {
-		return 0, errHeaderTooLong
-	}
-	n, err := l.reader.Read(p)
-	l.remaining -= n
-	return n, err
-}
-
 // run serves the connection until it is closed.
 func (c *connection) run() {
 	written := make(chan struct{})
@@ -154,12 +135,12 @@
 			c.awaitAnswers()
 		}
 		if !c.beginRequest() {
-			c.server.bodyMemory.Add(-int64(len(call.Body)))
+			c.server.Bodies.Release(call.reserved)
 			return
 		}
 		c.pendingAnswers <- pending
 		go func() {
-			defer c.server.bodyMemory.Add(-int64(len(call.Body)))
+			defer c.server.Bodies.Release(call.reserved)
 			ctx, cancel := context.WithCancel(c.ctx)
 			defer cancel()
 			defer context.AfterFunc(c.server.requestContext, cancel)()
@@ -193,6 +174,15 @@
 	return c.closing
 }
 
+// mayStopReading reports whether no further request has to be read. A request whose bytes
+// are in the buffer was read by the process and must be answered, unless an answer has told
+// the caller that the connection closes.
+func (c *connection) mayStopReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing || c.server.closingIdle.Load() && c.unanswered == 0 && c.reader.Buffered() == 0
+}
+
 // awaitAnswers waits until all requests that were read are answered, or the
 // connection is closing or lost.
 func (c *connection) awaitAnswers() {
@@ -206,7 +196,7 @@
 // awaitClose waits until the caller closes the connection, while the last request is
 // served, and then cancels the request. What the caller sends is discarded.
 func (c *connection) awaitClose() {
-	c.headerLimit.enabled = false
+	c.head.End()
 	_ = c.conn.SetReadDeadline(time.Time{})
 	_, _ = io.Copy(io.Discard, c.reader)
 	if !c.isClosing() {
@@ -219,11 +209,11 @@
 // closed without an answer.
 func (c *connection) readRequest() (Call, tamarackrun.Reason, error) {
 	limits := c.server.Handler.Limits()
-	c.headerLimit.enabled = false
+	c.head.End()
 	_ = c.conn.SetReadDeadline(c.idleDeadline(limits.IdleTimeout))
 	for {
-		if c.isClosing() {
-			// stopReading may have been called before the deadline was set.
+		if c.mayStopReading() {
+			// The end of the reading may have been requested before the deadline was set.
 			return Call{}, "", net.ErrClosed
 		}
 		_, err := c.reader.Peek(1)
@@ -241,13 +231,14 @@
 	c.mu.Lock()
 	c.reading = true
 	c.mu.Unlock()
-	c.headerLimit.enabled, c.headerLimit.remaining = true, limits.HeaderBytes-c.reader.Buffered()
+	c.head.MaxBytes = int64(limits.HeaderBytes)
+	c.head.Begin(c.reader.Buffered())
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	r, err := http.ReadRequest(c.reader)
-	c.headerLimit.enabled = false
+	c.head.End()
 	var timeout net.Error
 	switch {
-	case errors.Is(err, errHeaderTooLong):
+	case c.head.Exceeded() != nil:
 		return Call{}, tamarackrun.HeaderTooLarge, nil
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return Call{}, tamarackrun.BodyTimeout, nil
@@ -292,22 +283,22 @@
 		}
 	}
 	// Each read of the body may take as long as a whole header.
-	body, err := io.ReadAll(&timedReader{io.LimitReader(r.Body, maxBytes+1), c.conn, timeout})
+	body, reserved, err := bounded.ReadBody(&timedReader{r.Body, c.conn, timeout}, r.ContentLength, maxBytes, &c.server.Bodies)
 	var netErr net.Error
+	var limit *bounded.LimitError
 	switch {
+	case errors.As(err, &limit):
+		return Call{}, tamarackrun.BodyTooLarge, nil
+	case errors.Is(err, bounded.ErrNoMemory):
+		return Call{}, tamarackrun.BodiesFull, nil
 	case errors.As(err, &netErr) && netErr.Timeout():
 		return Call{}, tamarackrun.BodyTimeout, nil
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
 		return Call{}, "", err
 	case err != nil:
 		return Call{}, tamarackrun.Malformed, nil
-	case int64(len(body)) > maxBytes:
-		return Call{}, tamarackrun.BodyTooLarge, nil
-	case c.server.bodyMemory.Add(int64(len(body))) > maxBodyMemory:
-		c.server.bodyMemory.Add(-int64(len(body)))
-		return Call{}, tamarackrun.BodiesFull, nil
 	}
-	call.Body, call.Arrived = body, time.Now()
+	call.Body, call.reserved, call.Arrived = body, reserved, time.Now()
 	return call, "", nil
 }
 
@@ -333,11 +324,15 @@
 		case answer = <-pending.answer:
 		case <-c.ctx.Done():
 			c.markLost()
+			// The handler returns soon, because its context has ended.
+			(<-pending.answer).release()
 			continue
 		}
 		closes := c.decideClose(pending)
 		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := c.conn.Write(encodeAnswer(answer, pending, closes)); err != nil {
+		_, err := c.conn.Write(encodeAnswer(answer, pending, closes))
+		answer.release()
+		if err != nil {
 			c.cancel()
 			c.markLost()
 			continue
@@ -363,8 +358,8 @@
 func (c *connection) answerWritten(closes bool) {
 	c.mu.Lock()
 	c.unanswered--
-	if c.server.closingIdle.Load() && c.unanswered == 0 && !c.reading {
-		c.closing, closes = true, true
+	if c.server.closingIdle.Load() {
+		c.stopReadingIfIdle()
 	}
 	c.allAnswered.Broadcast()
 	c.mu.Unlock()
@@ -391,13 +386,17 @@
 // in part.
 func (c *connection) closeIfIdle() {
 	c.mu.Lock()
-	idle := c.unanswered == 0 && !c.reading && !c.closing
-	if idle {
-		c.closing = true
-	}
-	c.mu.Unlock()
-	if idle {
-		c.abort()
+	defer c.mu.Unlock()
+	c.stopReadingIfIdle()
+}
+
+// stopReadingIfIdle ends the current read if the connection has no request. The reading
+// goroutine then closes the connection, unless a request has arrived at the same time:
+// closing it here would drop a request that the process has read. The caller holds c.mu,
+// which keeps the deadline from replacing that of a request.
+func (c *connection) stopReadingIfIdle() {
+	if c.unanswered == 0 && !c.reading && !c.closing {
+		c.stopReading()
 	}
 }
 
--- a/internal/transport/pipeline/pipeline.go
+++ b/internal/transport/pipeline/pipeline.go
@@ -15,15 +15,17 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/state/configuration"
+	"tamarackrun/internal/state/memory"
 )
 
 const (
 	// maxPending bounds the unanswered requests of one connection. At the bound no
 	// further request is read.
 	maxPending = 64
-	// maxBodyMemory bounds the memory for request bodies of all connections, in
-	// bytes. Requests above it are refused.
-	maxBodyMemory = 64 << 20
+	// maxHeadLines bounds the number of lines of a request's head.
+	maxHeadLines = 512
+	// defaultMemory is the memory for request bodies if none is set, in bytes.
+	defaultMemory = 64 << 20
 	// writeTimeout bounds the write of an answer, since callers may not read.
 	writeTimeout = 10 * time.Second
 	// lingerTimeout bounds how long a closing connection waits for the caller to
@@ -43,6 +45,9 @@
 	Body    []byte
 	// Arrived is when the last byte of the request was read.
 	Arrived time.Time
+
+	// reserved is the memory that Body holds, in bytes.
+	reserved int64
 }
 
 // Answer is a complete answer.
@@ -50,6 +55,15 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Release is called once the answer was written or can't be delivered. It may be
+	// nil.
+	Release func()
+}
+
+func (a Answer) release() {
+	if a.Release != nil {
+		a.Release()
+	}
 }
 
 // Handler answers requests.
@@ -72,6 +86,9 @@
 type Server struct {
 	// Handler is set before Run.
 	Handler Handler
+	// Bodies is the memory for the bodies of requests; requests beyond it are refused.
+	// Its limit is set before Run.
+	Bodies memory.Budget
 
 	listener net.Listener
 	// closingIdle reports whether connections are closed as soon as they are
@@ -80,9 +97,7 @@
 	// requestContext ends when running requests are cancelled.
 	requestContext context.Context
 	cancelRequests context.CancelFunc
-	// bodyMemory is the size of all request bodies that are held, in bytes.
-	bodyMemory atomic.Int64
-	mu         sync.Mutex
+	mu             sync.Mutex
 	// connections holds all open connections.
 	connections map[*connection]struct{}
 	group       sync.WaitGroup
@@ -98,6 +113,7 @@
 		return nil, nil, err
 	}
 	s := &Server{listener: listener, connections: map[*connection]struct{}{}}
+	s.Bodies.Limit = defaultMemory
 	s.requestContext, s.cancelRequests = context.WithCancel(context.Background())
 	return s, s.close, nil
 }
--- a/internal/transport/pipeline/pipeline_test.go
+++ b/internal/transport/pipeline/pipeline_test.go
@@ -273,3 +273,84 @@
 		})
 	}
 }
+
+// hookedConn calls afterRead once, after the first bytes were read from the connection and
+// before the reader sees them.
+type hookedConn struct {
+	net.Conn
+	once      sync.Once
+	afterRead func()
+}
+
+func (h *hookedConn) Read(p []byte) (int, error) {
+	n, err := h.Conn.Read(p)
+	if n > 0 {
+		h.once.Do(h.afterRead)
+	}
+	return n, err
+}
+
+// Guards against a request that is dropped without an answer because the graceful shutdown
+// begins between the moment at which its bytes were read and the moment at which the
+// connection counts as busy.
+func TestRequestReadAsShutdownBeginsIsAnswered(t *testing.T) {
+	s, g, _ := startServer(t)
+	g.release("/1")
+	near, far := net.Pipe()
+	_ = far.SetDeadline(time.Now().Add(testTimeout))
+	c := newConnection(s, &hookedConn{Conn: near, afterRead: s.CloseIdle})
+	s.mu.Lock()
+	s.connections[c] = struct{}{}
+	s.mu.Unlock()
+	go c.run()
+	caller := &client{far, bufio.NewReader(far)}
+	caller.send(t, get("/1"))
+	if body, closed := caller.readAnswer(t); body != "/1" || !closed {
+		t.Errorf("answer %q, closes %v; want /1 and a close", body, closed)
+	}
+}
+
+// Guards against heads and bodies without end of callers, which would take the memory of
+// the process.
+func TestEndlessRequestsAreRefused(t *testing.T) {
+	tests := map[string]struct{ start, piece, want string }{
+		"request line": {"GET /", "x", "headerTooLarge"},
+		"header lines": {"GET / HTTP/1.1\r\nHost: h\r\n", "A: b\r\n", "headerTooLarge"},
+		"chunked body": {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n", "bodyTooLarge"},
+		"chunk header": {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x", "malformed"},
+		"trailer":      {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: ", "x", "malformed"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, _, c := startServer(t)
+			go func() {
+				_, err := io.WriteString(c, test.start)
+				for err == nil {
+					_, err = io.WriteString(c, strings.Repeat(test.piece, 100))
+				}
+			}()
+			if body, closed := c.readAnswer(t); body != test.want || !closed {
+				t.Errorf("answer %q, closes %v; want %q and a close", body, closed, test.want)
+			}
+			if got := s.Bodies.Reserved(); got != 0 {
+				t.Errorf("%d bytes are still reserved", got)
+			}
+		})
+	}
+}
+
+// Guards against bodies of many callers that together exceed the memory of the process
+// while they are still being read.
+func TestRequestBodiesShareMemory(t *testing.T) {
+	s, _, c := startServer(t)
+	s.Bodies.Limit = 6000
+	c.send(t, "POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n")
+	for s.Bodies.Reserved() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	second := dial(t, s)
+	second.send(t, "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n")
+	if body, _ := second.readAnswer(t); body != "bodiesFull" {
+		t.Errorf("answer %q, want bodiesFull", body)
+	}
+}
--- a/outcome.go
+++ b/outcome.go
@@ -90,16 +90,22 @@
 
 // Reasons of unknown outcomes; the request may have run. HomeLost and IssuerLost mean that
 // the home of the server or the issuer of the ticket can't be reached, and IssuerGone that
-// the issuer's process ended and left no record of the ticket.
+// the issuer's process ended and left no record of the ticket. AnswerTooLarge means that the
+// server sent more than an answer may have, and AnswersFull that the process has no memory
+// left for answers.
 const (
 	AnswerLost      Reason = "answerLost"
 	AnswerTruncated Reason = "answerTruncated"
+	AnswerTooLarge  Reason = "answerTooLarge"
+	AnswersFull     Reason = "answersFull"
 	AnswerTimeout   Reason = "answerTimeout"
 	AnswerCancelled Reason = "answerCancelled"
 	HomeLost        Reason = "homeLost"
 	IssuerGone      Reason = "issuerGone"
 	IssuerLost      Reason = "issuerLost"
 	StillRunning    Reason = "stillRunning"
+	// InternalError means that the instance failed while it handled the request.
+	InternalError Reason = "internalError"
 	// RecordDropped means that the time has passed for which the issuer keeps
 	// the record of a ticket.
 	RecordDropped Reason = "recordDropped"
