Send reports through relays of failure domains

Cause: every instance reported to every other.

Change: an instance reports to two relays of its failure domain, which all instances choose alike by hash. Relays exchange digests (states with ages, sums of demand, revisions, a lender for each organisation) and send a digest of the fleet back. An instance that hears no one of its domain reports to all of it, and one that gets no answer from a relay in two intervals uses the next. A share may grow only after the reports that the longest way takes.

Weighed: gossip to random peers (no bound on the age of a report, which the bound on rates needs), and one level of relays by region (a hop less, but bytes between zones for each report).

Ruled out: an age filter on what relays say of contact would cut off instances behind slow relays; contact ages are passed on instead.

--- /dev/null
+++ b/internal/coordination/membership/main_test.go
@@ -0,0 +1,9 @@
+package membership
+
+import (
+	"testing"
+
+	"tamarackrun/internal/standin/property"
+)
+
+func TestMain(m *testing.M) { property.Main(m) }
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -1,12 +1,14 @@
 // Package membership tracks the other instances of the fleet. Each instance
-// periodically sends a report to all others with its state, its demand by
-// organisation and the record revisions that it knows.
+// periodically reports its state, its demand by organisation and the record revisions
+// that it knows to the relays of its failure domain. The relays exchange digests of
+// these reports and send a digest of the whole fleet back, so that the number of
+// messages grows with the number of instances and not with its square. In a small fleet
+// every instance is a relay.
 package membership
 
 import (
 	"cmp"
 	"context"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -25,18 +27,21 @@
 
 const (
 	// The interval between reports is intervalPerPeer times the number of other
-	// instances, because each instance sends to all others, but at least
-	// minInterval and at most maxInterval.
+	// instances, but at least minInterval and at most maxInterval. Three intervals, the
+	// longest way of a report, must end well within half of DetectionBound.
 	minInterval     = 250 * time.Millisecond
-	maxInterval     = time.Second
+	maxInterval     = 500 * time.Millisecond
 	intervalPerPeer = 25 * time.Millisecond
 	// heardFraction and aliveFraction are the fractions of DetectionBound for which
 	// the sender of a report counts as heard and as alive.
-	heardFraction = 0.5
+	heardFraction = 0.6
 	aliveFraction = 0.75
 	// recentIntervals is the number of report intervals without a report after
-	// which an instance loses its turn to read the store to the next one.
+	// which an instance loses its turn to read the store to the next one, and a relay is
+	// replaced. Reports of other instances of large failure domains take relayHops
+	// intervals more.
 	recentIntervals = 3
+	relayHops       = 2
 	// removeAfter is how long an instance must be silent before its record may be
 	// removed. Until then it may merely be cut off and still use its share of the
 	// limits: at times the users' regions are partitioned for an hour.
@@ -51,8 +56,8 @@
 	// Alive is true if the latest report is younger than aliveFraction of
 	// DetectionBound.
 	Alive bool
-	// HeardRecently is true if a report arrived within the last recentIntervals
-	// report intervals.
+	// HeardRecently is true if the latest report is so young that its sender keeps its
+	// turn to read the store.
 	HeardRecently bool
 	// StoreUnreachable is true if the instance reported that it cannot reach the
 	// store.
@@ -70,30 +75,77 @@
 	CutOff bool
 }
 
-// peer holds what the instance knows of another one.
+// stream orders the messages of one kind from one sender. Late messages of the process
+// before, which had previousIncarnation, are ignored.
+type stream struct {
+	incarnation, previousIncarnation int64
+	sequence                         uint64
+}
+
+// accept reports whether a message is newer than all earlier ones.
+func (s *stream) accept(incarnation int64, sequence uint64) bool {
+	if incarnation == s.previousIncarnation || incarnation == s.incarnation && sequence <= s.sequence {
+		return false
+	}
+	if incarnation != s.incarnation {
+		s.previousIncarnation = s.incarnation
+	}
+	s.incarnation, s.sequence = incarnation, sequence
+	return true
+}
+
+// peer holds what the instance knows of another one. Times are on the instance's own
+// clock; the age that a relay has stated is subtracted.
 type peer struct {
+	name    string
 	record  tamarackrun.InstanceRecord
 	address netip.AddrPort
-	// incarnation and sequence are those of the latest report. Late reports of
-	// the process before, which had previousIncarnation, are ignored.
-	incarnation, previousIncarnation int64
-	sequence                         uint64
-	ready, leaving                   bool
+	// hash is the hash of the name.
+	hash           uint64
+	ready, leaving bool
 	// storeUnreachable is true if the peer reported that it cannot reach the
 	// store.
 	storeUnreachable bool
-	// lastReport is when the latest report arrived, and lastMutual when the
-	// latest report arrived that lists this instance as heard.
+	// lastReport is when the peer sent its latest known report, and lastMutual until
+	// when messages passed in both directions, directly or through relays.
 	lastReport, lastMutual time.Duration
 	// recordSeen is when the record first arrived.
 	recordSeen time.Duration
+	// known is true once a report of the peer is known.
+	known bool
 	// unreachable is true if the latest event about the peer is PeerUnreachable.
 	unreachable bool
-	// demands holds the demand by organisation in the latest report.
-	demands map[string]float64
-	// spareTokens holds, by organisation, the tokens that the peer would lend,
-	// minus those that this instance asked for since its report.
-	spareTokens map[string]float64
+	// spareTokens holds, by the hash of the organisation, the tokens that the peer would
+	// lend, minus those that this instance asked for since its report.
+	spareTokens map[uint64]float64
+
+	// report is the latest report that the peer sent to this instance as a relay.
+	report struct {
+		stream
+		at          time.Duration
+		demands     map[uint64]float64
+		spareTokens map[uint64]float64
+	}
+	// domain is the latest digest that the peer sent as the relay of another failure
+	// domain. members is the number of members that the demands cover.
+	domain struct {
+		stream
+		at      time.Duration
+		demands map[uint64]float64
+		members int
+	}
+	// fleet is the latest digest that the peer sent as a relay of this failure domain.
+	fleet struct {
+		stream
+		at      time.Duration
+		demands map[uint64]float64
+		members int
+	}
+	// askedSince is when the instance began to report to the peer, or 0 if it does not.
+	askedSince time.Duration
+	// avoided is true if the peer did not answer the instance's reports in time. It is no
+	// relay for this instance until it answers.
+	avoided bool
 }
 
 // Membership is the view that one instance has of the fleet. It is safe for
@@ -107,11 +159,11 @@
 	Clock     tamarackrun.Clock
 	// DetectionBound is the users' bound on noticing that contact is lost. The
 	// other instances use the share of the limits of an instance that was silent
-	// for that long. A cut-off instance stops using its share after half of that
+	// for that long. A cut-off instance stops using its share after heardFraction of that
 	// time, which leaves a margin for the age of reports.
 	DetectionBound time.Duration
 	Recorder       tamarackrun.Recorder
-	// Demands returns this instance's demand by organisation.
+	// Demands returns this instance's demand by organisation, in requests per second.
 	Demands func() map[string]float64
 	// SpareTokens returns the tokens that this instance would lend, by organisation.
 	SpareTokens func() map[string]float64
@@ -121,9 +173,9 @@
 	// Verifier supplies the revisions that this instance reports and receives those
 	// that others report.
 	Verifier *verify.Verifier
-	// OnReport is called after each report that this instance sends. totalDemand is
-	// the demand of all instances that are not silent, by organisation.
-	OnReport func(reachability Reachability, totalDemand map[string]float64)
+	// OnReport is called after each report that this instance sends. totalDemand returns
+	// the demand of an organisation summed over all instances that are not silent.
+	OnReport func(reachability Reachability, totalDemand func(organisation string) float64)
 	// OnRecordMissing is called when the store does not hold this instance's record.
 	OnRecordMissing func()
 
@@ -134,9 +186,15 @@
 	// starts again at zero, and the time of day may jump.
 	incarnation int64
 
-	mu       sync.Mutex
-	peers    map[string]*peer
+	mu    sync.Mutex
+	peers map[string]*peer
+	// byHash holds the peers by the hashes of their names.
+	byHash   map[uint64]*peer
 	sequence uint64
+	// ownHash is the hash of Name.
+	ownHash uint64
+	// early receives a value when the next report is due at once.
+	early chan struct{}
 	// members is the latest list, which includes this instance.
 	members atomic.Pointer[[]Member]
 }
@@ -148,6 +206,9 @@
 		OwnRecord:   ownRecord,
 		Clock:       clock,
 		peers:       map[string]*peer{},
+		byHash:      map[uint64]*peer{},
+		ownHash:     xxhash.Sum64String(name),
+		early:       make(chan struct{}, 1),
 		incarnation: 1 + rand.Int64N(math.MaxInt64-1),
 	}
 	m.members.Store(&[]Member{})
@@ -160,8 +221,20 @@
 // IsReady reports whether the instance is ready to serve.
 func (m *Membership) IsReady() bool { return m.ready.Load() }
 
-// Leave makes the following reports say that the instance is about to stop.
-func (m *Membership) Leave() { m.leaving.Store(true) }
+// Leave reports that the instance is about to stop.
+func (m *Membership) Leave() {
+	m.leaving.Store(true)
+	m.reportSoon()
+}
+
+// reportSoon makes Run send a report without waiting for the interval to end.
+func (m *Membership) reportSoon() {
+	select {
+	case m.early <- struct{}{}:
+	default:
+		// An early report is due already.
+	}
+}
 
 // Members returns all instances, sorted by name, as of the latest report that this
 // instance sent. The slice is shared and must not be changed.
@@ -171,9 +244,9 @@
 // and reach the store. Instances are ordered by hash, so that neighbours in the
 // order rarely fail together.
 func (m *Membership) Rank() int {
-	rank, ownHash := 0, xxhash.Sum64String(m.Name)
+	rank := 0
 	for _, member := range m.Members() {
-		if member.Name != m.Name && member.HeardRecently && !member.StoreUnreachable && xxhash.Sum64String(member.Name) < ownHash {
+		if member.Name != m.Name && member.HeardRecently && !member.StoreUnreachable && xxhash.Sum64String(member.Name) < m.ownHash {
 			rank++
 		}
 	}
@@ -191,7 +264,11 @@
 		for _, r := range page.Records {
 			listed[r.Name] = true
 		}
-		maps.DeleteFunc(m.peers, func(name string, _ *peer) bool { return !listed[name] })
+		for name := range m.peers {
+			if !listed[name] {
+				m.remove(name)
+			}
+		}
 		if !listed[m.Name] {
 			m.OnRecordMissing()
 		}
@@ -204,7 +281,7 @@
 			continue
 		}
 		if r.Removed {
-			delete(m.peers, r.Name)
+			m.remove(r.Name)
 			continue
 		}
 		if r.Instance == nil {
@@ -216,43 +293,21 @@
 		}
 		p := m.peers[r.Name]
 		if p == nil {
-			p = &peer{lastReport: now - removeAfter, lastMutual: now - removeAfter, recordSeen: now}
-			m.peers[r.Name] = p
+			p = &peer{name: r.Name, hash: xxhash.Sum64String(r.Name), lastReport: now - removeAfter, lastMutual: now - removeAfter,
+				recordSeen: now}
+			p.report.at, p.domain.at, p.fleet.at = now-removeAfter, now-removeAfter, now-removeAfter
+			m.peers[r.Name], m.byHash[p.hash] = p, p
 			m.Recorder.Record(event.InstanceKnown, "", "peer", r.Name, "address", r.Instance.ReportAddress)
 		}
 		p.record, p.address = *r.Instance, address
 	}
 }
 
-// Receive processes a report of another instance. It ignores reports of unknown
-// instances and of the process before a restart, and those that arrive out of order.
-func (m *Membership) Receive(report *wire.InstanceReport) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	p := m.peers[report.Name]
-	if p == nil || report.Incarnation == p.previousIncarnation || report.Incarnation == p.incarnation && report.Sequence <= p.sequence {
-		return
-	}
-	if report.Incarnation != p.incarnation {
-		p.previousIncarnation = p.incarnation
-	}
-	now := m.Clock.Now()
-	p.incarnation, p.sequence, p.lastReport = report.Incarnation, report.Sequence, now
-	p.ready, p.leaving, p.storeUnreachable = report.Ready, report.Leaving, report.StoreAway
-	ownHash := xxhash.Sum64String(m.Name)
-	if slices.Contains(report.Heard, ownHash) {
-		p.lastMutual = now
-	}
-	var revisions verify.Revisions
-	copy(revisions[:], report.Revisions)
-	m.Verifier.MergeReport(time.Now(), revisions, time.Duration(report.VerifiedAge)*time.Millisecond)
-	p.demands = make(map[string]float64, len(report.Demands))
-	p.spareTokens = map[string]float64{}
-	for _, d := range report.Demands {
-		p.demands[d.Organisation] = float64(d.Rate)
-		if d.Spare >= 1 {
-			p.spareTokens[d.Organisation] = float64(d.Spare)
-		}
+// remove forgets a peer. The caller holds m.mu.
+func (m *Membership) remove(name string) {
+	if p := m.peers[name]; p != nil {
+		delete(m.peers, name)
+		delete(m.byHash, p.hash)
 	}
 }
 
@@ -266,6 +321,8 @@
 		case <-ctx.Done():
 			timer.Stop()
 			return
+		case <-m.early:
+			timer.Stop()
 		case <-timer.C:
 		}
 		m.sendReport()
@@ -282,66 +339,25 @@
 	return min(maxInterval, max(minInterval, time.Duration(len(m.peers))*intervalPerPeer))
 }
 
-// sendReport sends one report, publishes the members and calls OnReport.
-func (m *Membership) sendReport() {
-	ownDemand, spareTokens := m.Demands(), m.SpareTokens()
-	m.mu.Lock()
-	now := m.Clock.Now()
-	m.sequence++
-	report := &wire.InstanceReport{Name: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Ready: m.ready.Load(),
-		Leaving: m.leaving.Load()}
-	for organisation, spare := range spareTokens {
-		if _, ok := ownDemand[organisation]; !ok {
-			report.Demands = append(report.Demands, &wire.OrganisationDemand{Organisation: organisation, Spare: float32(spare)})
-		}
-	}
-	for organisation, rate := range ownDemand {
-		report.Demands = append(report.Demands, &wire.OrganisationDemand{Organisation: organisation, Rate: float32(rate),
-			Spare: float32(spareTokens[organisation])})
-	}
-	revisions, age := m.Verifier.OwnReport(time.Now())
-	report.StoreAway = m.Verifier.StoreUnreachable()
-	report.Revisions, report.VerifiedAge = revisions[:], uint32(age.Milliseconds())
-	var addresses []netip.AddrPort
-	for name, p := range m.peers {
-		addresses = append(addresses, p.address)
-		if now-p.lastReport < m.boundFraction(heardFraction) {
-			report.Heard = append(report.Heard, xxhash.Sum64String(name))
-		}
+// recentAge returns the age of a report up to which its sender counts as heard recently.
+// The caller holds m.mu.
+func (m *Membership) recentAge() time.Duration {
+	intervals := recentIntervals
+	if m.relayed() {
+		intervals += relayHops
 	}
-	reachability, totalDemand := m.summarise(now, ownDemand)
-	m.publish(now)
-	m.mu.Unlock()
-	// A failed send needs no handling: the receiver's reports then stop listing
-	// this instance as heard.
-	_ = m.Send(&wire.InstanceMessage{Content: &wire.InstanceMessage_Report{Report: report}}, addresses...)
-	m.OnReport(reachability, totalDemand)
+	return time.Duration(intervals) * m.reportInterval()
 }
 
-// summarise returns the reachability of the fleet, and the demand by organisation
-// summed over this instance and the peers that are not silent. The caller holds
-// m.mu.
-func (m *Membership) summarise(now time.Duration, ownDemand map[string]float64) (Reachability, map[string]float64) {
-	// Silent instances count as members, because they may still serve on the
-	// other side of a partition.
-	members, silent, mutual := 1+len(m.peers), 0, 1
-	totalDemand := make(map[string]float64, len(ownDemand))
-	for organisation, rate := range ownDemand {
-		totalDemand[organisation] = rate
-	}
-	for _, p := range m.peers {
-		if now-p.lastMutual < m.boundFraction(heardFraction) {
-			mutual++
-		}
-		if now-p.lastReport >= m.DetectionBound {
-			silent++
-			continue
-		}
-		for organisation, rate := range p.demands {
-			totalDemand[organisation] += rate
-		}
+// ReportHops returns the number of report intervals that a report takes to reach the whole
+// fleet.
+func (m *Membership) ReportHops() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.relayed() {
+		return 1 + relayHops
 	}
-	return Reachability{Members: members, Silent: silent, CutOff: 2*mutual <= members}, totalDemand
+	return 1
 }
 
 // ChooseLender returns the address of an instance that reported a spare token of
@@ -351,10 +367,10 @@
 func (m *Membership) ChooseLender(organisation string) (address netip.AddrPort, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.Clock.Now()
+	now, hash := m.Clock.Now(), xxhash.Sum64String(organisation)
 	var lenders []*peer
 	for _, p := range m.peers {
-		if p.spareTokens[organisation] >= 1 && p.record.Region == m.OwnRecord.Region &&
+		if p.spareTokens[hash] >= 1 && p.record.Region == m.OwnRecord.Region &&
 			now-p.lastMutual < m.boundFraction(heardFraction) && !p.leaving {
 			lenders = append(lenders, p)
 		}
@@ -365,7 +381,7 @@
 	// The choice is random because all instances know the same reports and would
 	// otherwise ask the same lender.
 	p := lenders[rand.IntN(len(lenders))]
-	p.spareTokens[organisation]--
+	p.spareTokens[hash]--
 	return p.address, true
 }
 
@@ -391,13 +407,13 @@
 // publish stores the list that Members returns and records an event for each
 // member that became unreachable or reachable. The caller holds m.mu.
 func (m *Membership) publish(now time.Duration) {
-	interval := m.reportInterval()
+	recent := m.recentAge()
 	members := []Member{{Name: m.Name, InstanceRecord: m.OwnRecord, Ready: m.ready.Load(), Leaving: m.leaving.Load(), Alive: true}}
 	for name, p := range m.peers {
 		alive := now-p.lastReport < m.boundFraction(aliveFraction)
 		// A peer that has not reported yet gets some time before it counts as
 		// unreachable.
-		isNew := p.incarnation == 0 && now-p.recordSeen < m.boundFraction(aliveFraction)
+		isNew := !p.known && now-p.recordSeen < m.boundFraction(aliveFraction)
 		if alive == p.unreachable && !isNew {
 			p.unreachable = !alive
 			id := event.PeerReachable
@@ -407,7 +423,7 @@
 			m.Recorder.Record(id, "", "peer", name, "silentFor", (now - max(p.lastReport, p.recordSeen)).String())
 		}
 		members = append(members, Member{Name: name, InstanceRecord: p.record, Ready: p.ready, Leaving: p.leaving, Alive: alive,
-			HeardRecently: now-p.lastReport < recentIntervals*interval, StoreUnreachable: p.storeUnreachable})
+			HeardRecently: now-p.lastReport < recent, StoreUnreachable: p.storeUnreachable})
 	}
 	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	m.members.Store(&members)
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -28,8 +28,14 @@
 	totalDemand  []map[string]float64
 	demands      []map[string]float64
 	spareTokens  []map[string]float64
-	// drops reports whether a report from one instance to another is lost.
+	// drops reports whether a message from one instance to another is lost.
 	drops func(from, to int) bool
+	// domains is the number of failure domains, over which the instances are spread in
+	// turn.
+	domains int
+	// messages counts the messages sent, and bytes their size, by the domains of sender
+	// and receiver: the same or another one.
+	messages, bytes map[bool]int
 }
 
 const reportInterval = 250 * time.Millisecond
@@ -38,8 +44,14 @@
 
 func address(i int) string { return fmt.Sprintf("127.0.0.%d:7460", i+1) }
 
-func newFleet(n int) *fleet {
+// newFleet returns a fleet of n instances in one failure domain.
+func newFleet(n int) *fleet { return newFleetIn(n, 1) }
+
+func newFleetIn(n, domains int) *fleet {
 	f := &fleet{
+		domains:      domains,
+		messages:     map[bool]int{},
+		bytes:        map[bool]int{},
 		clock:        &clock{now: time.Hour},
 		reachability: make([]Reachability, n),
 		totalDemand:  make([]map[string]float64, n),
@@ -58,28 +70,39 @@
 func (f *fleet) restart(i int) {
 	var records []tamarackrun.Record
 	for k := range f.members {
-		records = append(records, tamarackrun.Record{Name: instanceName(k), Instance: &tamarackrun.InstanceRecord{ReportAddress: address(k)}})
+		record := f.recordOf(k)
+		records = append(records, tamarackrun.Record{Name: instanceName(k), Instance: &record})
 	}
 	f.members[i] = f.newMembership(i)
 	f.members[i].Apply(tamarackrun.Page{Records: records, Full: true})
 }
 
+func (f *fleet) domainOf(i int) string { return fmt.Sprint("domain-", i%f.domains) }
+
+func (f *fleet) recordOf(i int) tamarackrun.InstanceRecord {
+	return tamarackrun.InstanceRecord{FailureDomain: f.domainOf(i), ReportAddress: address(i)}
+}
+
 // newMembership returns a ready membership that sends its reports to the others of
 // the fleet.
 func (f *fleet) newMembership(i int) *Membership {
-	m := New(instanceName(i), tamarackrun.InstanceRecord{ReportAddress: address(i)}, f.clock)
+	m := New(instanceName(i), f.recordOf(i), f.clock)
 	m.DetectionBound = 4 * time.Second
 	m.Recorder = recorder.Discard{}
 	m.Verifier = &verify.Verifier{WatchFailed: func() bool { return false }}
 	m.Demands = func() map[string]float64 { return f.demands[i] }
-	m.OnReport = func(reachability Reachability, totalDemand map[string]float64) {
-		f.reachability[i], f.totalDemand[i] = reachability, totalDemand
+	m.OnReport = func(reachability Reachability, totalDemand func(string) float64) {
+		f.reachability[i], f.totalDemand[i] = reachability, map[string]float64{"o": totalDemand("o")}
 	}
 	m.SpareTokens = func() map[string]float64 { return f.spareTokens[i] }
 	m.Send = func(message *wire.InstanceMessage, addresses ...netip.AddrPort) int {
 		for _, a := range addresses {
-			if to := int(a.Addr().As4()[3]) - 1; to != i && !f.drops(i, to) {
-				f.members[to].Receive(proto.CloneOf(message.GetReport()))
+			to := int(a.Addr().As4()[3]) - 1
+			sameDomain := f.domainOf(i) == f.domainOf(to)
+			f.messages[sameDomain]++
+			f.bytes[sameDomain] += proto.Size(message)
+			if to != i && !f.drops(i, to) {
+				f.members[to].Receive(proto.CloneOf(message))
 			}
 		}
 		return 0
@@ -280,7 +303,7 @@
 // are out of contact, are in another region, or were already asked for all their
 // spare tokens.
 func TestChooseLender(t *testing.T) {
-	f := newFleet(5)
+	f := newFleetIn(5, 5)
 	for i, spare := range []float64{0, 2.5, 3, 0.5, 4} {
 		f.spareTokens[i] = map[string]float64{"o": spare}
 	}
--- /dev/null
+++ b/internal/coordination/membership/receive.go
@@ -0,0 +1,192 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"tamarackrun/internal/coordination/verify"
+	"tamarackrun/internal/protocol/wire"
+)
+
+// Receive processes a report or digest of another instance. It ignores messages of unknown
+// instances and of the process before a restart, and those that arrive out of order.
+func (m *Membership) Receive(message *wire.InstanceMessage) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch content := message.Content.(type) {
+	case *wire.InstanceMessage_Report:
+		m.receiveReport(content.Report)
+	case *wire.InstanceMessage_DomainDigest:
+		m.receiveDomainDigest(content.DomainDigest)
+	case *wire.InstanceMessage_FleetDigest:
+		m.receiveFleetDigest(content.FleetDigest)
+	}
+}
+
+func (m *Membership) receiveReport(r *wire.InstanceReport) {
+	p := m.peers[r.GetName()]
+	if p == nil || !p.report.accept(r.Incarnation, r.Sequence) {
+		return
+	}
+	now := m.Clock.Now()
+	p.report.at, p.report.demands, p.report.spareTokens = now, readTable(r.Demands), readTable(r.SpareTokens)
+	if r.Leaving && !p.leaving {
+		m.reportSoon()
+	}
+	p.known, p.lastReport, p.spareTokens = true, now, maps.Clone(p.report.spareTokens)
+	p.ready, p.leaving, p.storeUnreachable = r.Ready, r.Leaving, r.StoreAway
+	if slices.Contains(r.HeardRelays, m.ownHash) {
+		p.lastMutual = now
+	}
+	m.mergeRevisions(r.Revisions, r.VerifiedAge)
+}
+
+func (m *Membership) receiveDomainDigest(d *wire.DomainDigest) {
+	p := m.peers[d.GetRelay()]
+	if p == nil || !p.domain.accept(d.Incarnation, d.Sequence) {
+		return
+	}
+	now := m.Clock.Now()
+	p.domain.at, p.domain.demands, p.domain.members = now, readTable(d.Demands), int(d.Covered)
+	mutual := now - removeAfter
+	if slices.Contains(d.HeardRelays, m.ownHash) {
+		mutual = now
+	}
+	m.mergeMembers(now, d.Members, d.Lenders, mutual)
+	m.mergeRevisions(d.Revisions, d.VerifiedAge)
+}
+
+func (m *Membership) receiveFleetDigest(d *wire.FleetDigest) {
+	p := m.peers[d.GetRelay()]
+	if p == nil || !p.fleet.accept(d.Incarnation, d.Sequence) {
+		return
+	}
+	now := m.Clock.Now()
+	p.fleet.at, p.fleet.demands, p.fleet.members = now, readTable(d.Demands), int(d.Covered)
+	p.avoided = false
+	// The relay hears this instance if its table says so.
+	mutual := now - removeAfter
+	if i := slices.Index(d.Members.GetNames(), m.ownHash); i >= 0 && i < len(d.Members.GetAges()) {
+		mutual = now - time.Duration(d.Members.Ages[i])*time.Millisecond
+	}
+	m.mergeMembers(now, d.Members, d.Lenders, mutual)
+	m.mergeRevisions(d.Revisions, d.VerifiedAge)
+}
+
+// mergeMembers updates the peers from a relay's member table. mutual is until when messages
+// passed between this instance and the relay in both directions. In a DomainDigest the relay
+// is in contact with all members, and in a FleetDigest with each as its contact age says. The
+// caller holds m.mu.
+func (m *Membership) mergeMembers(now time.Duration, t *wire.MemberTable, lenders *wire.LenderTable, mutual time.Duration) {
+	fromOtherDomain := len(t.GetContactAges()) == 0
+	count := min(len(t.GetNames()), len(t.GetAges()), len(t.GetFlags()))
+	for i := range count {
+		p := m.byHash[t.Names[i]]
+		if p == nil {
+			continue
+		}
+		at, f := now-time.Duration(t.Ages[i])*time.Millisecond, t.Flags[i]
+		if at > p.lastReport {
+			p.known = p.known || t.Ages[i] < uint32(removeAfter.Milliseconds())
+			p.lastReport = at
+			if fromOtherDomain && f&flagLeaving != 0 && !p.leaving {
+				// Callers must soon see that the directory no longer names the member.
+				m.reportSoon()
+			}
+			p.ready, p.leaving, p.storeUnreachable = f&flagReady != 0, f&flagLeaving != 0, f&flagStoreUnreachable != 0
+		}
+		contact := mutual
+		if i < len(t.ContactAges) {
+			contact = min(contact, now-time.Duration(t.ContactAges[i])*time.Millisecond)
+		}
+		p.lastMutual = max(p.lastMutual, contact)
+		if p.report.at < now-m.recentAge() {
+			p.spareTokens = nil
+		}
+	}
+	for i, organisation := range lenders.GetOrganisations() {
+		if i >= len(lenders.Members) || i >= len(lenders.Tokens) || int(lenders.Members[i]) >= count {
+			continue
+		}
+		p := m.byHash[t.Names[lenders.Members[i]]]
+		if p == nil || p.report.at >= now-m.recentAge() {
+			continue
+		}
+		if p.spareTokens == nil {
+			p.spareTokens = map[uint64]float64{}
+		}
+		p.spareTokens[organisation] = float64(lenders.Tokens[i])
+	}
+}
+
+// mergeRevisions passes on what another instance knows of the store.
+func (m *Membership) mergeRevisions(known []int64, verifiedAge uint32) {
+	var revisions verify.Revisions
+	copy(revisions[:], known)
+	m.Verifier.MergeReport(time.Now(), revisions, time.Duration(verifiedAge)*time.Millisecond)
+}
+
+// totalDemand returns the demand of the fleet by the hash of the organisation, and the number
+// of instances that it covers. A relay sums up reports and the digests of other failure
+// domains; other instances take the sums of their relay. The caller holds m.mu.
+func (m *Membership) totalDemand(now time.Duration, own map[uint64]float64) (map[uint64]float64, int) {
+	best := map[string]*peer{}
+	total, covered := maps.Clone(own), 1
+	var fleet *peer
+	for _, p := range m.peers {
+		if p.record.FailureDomain == m.OwnRecord.FailureDomain {
+			if now-p.report.at < m.DetectionBound {
+				addTo(total, p.report.demands)
+				covered++
+			}
+			if now-p.fleet.at < m.DetectionBound && (fleet == nil || p.fleet.members > fleet.fleet.members ||
+				p.fleet.members == fleet.fleet.members && p.fleet.at > fleet.fleet.at) {
+				fleet = p
+			}
+			continue
+		}
+		if now-p.domain.at >= m.DetectionBound {
+			continue
+		}
+		b := best[p.record.FailureDomain]
+		if b == nil || p.domain.members > b.domain.members || p.domain.members == b.domain.members && p.domain.at > b.domain.at {
+			best[p.record.FailureDomain] = p
+		}
+	}
+	for _, p := range best {
+		addTo(total, p.domain.demands)
+		covered += p.domain.members
+	}
+	if fleet != nil && fleet.fleet.members > covered {
+		return fleet.fleet.demands, fleet.fleet.members
+	}
+	return total, covered
+}
+
+// reachability counts the fleet's instances. The caller holds m.mu.
+func (m *Membership) reachability(now time.Duration) Reachability {
+	// Silent instances count as members, because they may still serve on the
+	// other side of a partition.
+	members, silent, mutual := 1+len(m.peers), 0, 1
+	for _, p := range m.peers {
+		if now-p.lastMutual < m.boundFraction(heardFraction) && now-p.lastReport < m.boundFraction(aliveFraction) {
+			mutual++
+		}
+		if now-p.lastReport >= m.DetectionBound {
+			silent++
+		}
+	}
+	return Reachability{Members: members, Silent: silent, CutOff: 2*mutual <= members}
+}
+
+// readTable returns the values of a table. Rows without a value are ignored.
+func readTable(t *wire.RateTable) map[uint64]float64 {
+	values := make(map[uint64]float64, len(t.GetOrganisations()))
+	for i, organisation := range t.GetOrganisations() {
+		if i < len(t.Values) && t.Values[i] > 0 {
+			values[organisation] = float64(t.Values[i])
+		}
+	}
+	return values
+}
--- /dev/null
+++ b/internal/coordination/membership/relays.go
@@ -0,0 +1,123 @@
+package membership
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// relaysPerDomain is the number of relays of a failure domain. With 2, one may fail
+	// without a gap in the reports.
+	relaysPerDomain = 2
+	// answerIntervals is the number of report intervals in which a relay must answer. After
+	// it the instance avoids the relay, which may be dead or out of its reach only.
+	answerIntervals = 2
+)
+
+// relayed reports whether some failure domain has instances that are no relays. The caller
+// holds m.mu.
+func (m *Membership) relayed() bool {
+	counts := map[string]int{m.OwnRecord.FailureDomain: 1}
+	for _, p := range m.peers {
+		counts[p.record.FailureDomain]++
+		if counts[p.record.FailureDomain] > relaysPerDomain {
+			return true
+		}
+	}
+	return false
+}
+
+// presumedAlive reports whether the peer may serve as a relay: a report of it is recent, or
+// its record is new and the report may be on the way. The caller holds m.mu.
+func (m *Membership) presumedAlive(p *peer, now time.Duration) bool {
+	return now-p.lastReport < m.recentAge() || !p.known && now-p.recordSeen < m.boundFraction(aliveFraction)
+}
+
+// peersOf returns the peers of a failure domain, ordered by the hash of their names, so that
+// all instances choose the same relays. The caller holds m.mu.
+func (m *Membership) peersOf(domain string) []*peer {
+	var peers []*peer
+	for _, p := range m.peers {
+		if p.record.FailureDomain == domain {
+			peers = append(peers, p)
+		}
+	}
+	slices.SortFunc(peers, func(a, b *peer) int { return cmp.Compare(a.hash, b.hash) })
+	return peers
+}
+
+// ownRelays returns the relays of the instance's failure domain other than itself, and
+// whether the instance is a relay. An instance that hears no other of its domain is a relay
+// and reports to all of them: after many have died at once, nobody knows who is left. The
+// caller holds m.mu.
+func (m *Membership) ownRelays(now time.Duration) (relays []*peer, isRelay bool) {
+	peers := m.peersOf(m.OwnRecord.FailureDomain)
+	position, lonely := 0, true
+	var avoided []*peer
+	for _, p := range peers {
+		if !m.presumedAlive(p, now) {
+			continue
+		}
+		if p.avoided {
+			avoided = append(avoided, p)
+			continue
+		}
+		lonely = lonely && now-p.lastReport >= m.recentAge()
+		if p.hash < m.ownHash {
+			position++
+		}
+		if len(relays) < relaysPerDomain {
+			relays = append(relays, p)
+		}
+	}
+	isRelay = position < relaysPerDomain
+	if isRelay && len(relays) == relaysPerDomain {
+		// The instance itself is one of the relays.
+		relays = relays[:relaysPerDomain-1]
+	}
+	if lonely {
+		return peers, true
+	}
+	if len(avoided) > 0 {
+		// The report shows whether the relay answers again.
+		relays = append(relays, avoided[rand.IntN(len(avoided))])
+	}
+	return relays, isRelay
+}
+
+// domainRelays returns the relays of another failure domain, or random instances of it if
+// none is heard. The caller holds m.mu.
+func (m *Membership) domainRelays(domain string, now time.Duration) []*peer {
+	peers := m.peersOf(domain)
+	var relays []*peer
+	for _, p := range peers {
+		if m.presumedAlive(p, now) && len(relays) < relaysPerDomain {
+			relays = append(relays, p)
+		}
+	}
+	if len(relays) == 0 {
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		relays = peers[:min(len(peers), relaysPerDomain)]
+	}
+	return relays
+}
+
+// noteAsked records that the instance reports to the relays, and avoids those that have not
+// answered in time. The caller holds m.mu.
+func (m *Membership) noteAsked(relays []*peer, now time.Duration) {
+	asked := map[*peer]bool{}
+	for _, p := range relays {
+		asked[p] = true
+		if p.askedSince == 0 {
+			p.askedSince = now
+		}
+		p.avoided = p.avoided || now-max(p.askedSince, p.fleet.at) >= answerIntervals*m.reportInterval()
+	}
+	for _, p := range m.peers {
+		if !asked[p] {
+			p.askedSince = 0
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/membership/send.go
@@ -0,0 +1,253 @@
+package membership
+
+import (
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tamarackrun/internal/coordination/verify"
+	"tamarackrun/internal/protocol/wire"
+)
+
+const (
+	// minReportedDemand is the demand, in requests per second, below which an
+	// organisation is left out of reports.
+	minReportedDemand = 0.05
+	// maxLenders is the number of lenders that a digest names for an organisation and a
+	// failure domain. They change from digest to digest.
+	maxLenders = 1
+	// maxTokens bounds the number of tokens that a digest names for a lender.
+	maxTokens = 99
+)
+
+// Flags of an instance in a member table.
+const (
+	flagReady = 1 << iota
+	flagLeaving
+	flagStoreUnreachable
+)
+
+// sendReport sends one report and, as a relay, the digests, publishes the members and calls
+// OnReport.
+func (m *Membership) sendReport() {
+	demands, spareTokens := hashKeys(m.Demands(), minReportedDemand), hashKeys(m.SpareTokens(), 1)
+	revisions, verifiedAge := m.Verifier.OwnReport(time.Now())
+	m.mu.Lock()
+	now := m.Clock.Now()
+	m.sequence++
+	relays, isRelay := m.ownRelays(now)
+	m.noteAsked(relays, now)
+	report := &wire.InstanceReport{Name: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Ready: m.ready.Load(),
+		Leaving: m.leaving.Load(), StoreAway: m.Verifier.StoreUnreachable(), Revisions: revisions[:],
+		VerifiedAge: uint32(verifiedAge.Milliseconds()), Demands: rateTable(demands), SpareTokens: rateTable(spareTokens),
+		HeardRelays: m.heardRelays(now)}
+	messages := []outgoing{{&wire.InstanceMessage{Content: &wire.InstanceMessage_Report{Report: report}}, addressesOf(relays)}}
+	total, covered := m.totalDemand(now, demands)
+	reporters := m.reporters(now, m.recentAge())
+	if isRelay || len(reporters) > 0 || m.servesAsRelay(now) {
+		messages = append(messages, m.digests(now, reporters, demands, spareTokens, total, covered, revisions, verifiedAge)...)
+	}
+	reachability := m.reachability(now)
+	m.publish(now)
+	m.mu.Unlock()
+	for _, message := range messages {
+		// A failed send needs no handling: the receiver's messages then stop listing
+		// this instance as heard.
+		_ = m.Send(message.content, message.addresses...)
+	}
+	m.OnReport(reachability, func(organisation string) float64 { return total[xxhash.Sum64String(organisation)] })
+}
+
+// servesAsRelay reports whether an instance of another failure domain has sent its digest to
+// this one, because it knows no relay of this failure domain. The caller holds m.mu.
+func (m *Membership) servesAsRelay(now time.Duration) bool {
+	for _, p := range m.peers {
+		if now-p.domain.at < recentIntervals*m.reportInterval() {
+			return true
+		}
+	}
+	return false
+}
+
+// outgoing is a message with the addresses to which it is sent.
+type outgoing struct {
+	content   *wire.InstanceMessage
+	addresses []netip.AddrPort
+}
+
+// digests returns the digests that the instance sends as a relay. The caller holds m.mu.
+func (m *Membership) digests(now time.Duration, reporters []*peer, demands, spareTokens, total map[uint64]float64, covered int,
+	revisions verify.Revisions, verifiedAge time.Duration) []outgoing {
+	domainDemands := maps.Clone(demands)
+	spares := []memberTokens{{0, spareTokens}}
+	// The demand of an instance that fell silent counts until it has stopped using its
+	// share.
+	counted := m.reporters(now, m.DetectionBound)
+	for _, p := range counted {
+		addTo(domainDemands, p.report.demands)
+	}
+	for i, p := range m.peersOf(m.OwnRecord.FailureDomain) {
+		if now-p.report.at < m.recentAge() {
+			spares = append(spares, memberTokens{i + 1, p.report.spareTokens})
+		}
+	}
+	// Members that report to another relay are in the table too: after all relays of
+	// another failure domain have died, its instances learn from it where to report.
+	domainMembers := m.memberTable(now, m.peersOf(m.OwnRecord.FailureDomain))
+	domainMembers.ContactAges = nil
+	digest := func(withLenders bool) *wire.InstanceMessage {
+		d := &wire.DomainDigest{Relay: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Members: domainMembers,
+			Demands: rateTable(domainDemands), HeardRelays: m.heardRelays(now), Revisions: revisions[:],
+			VerifiedAge: uint32(verifiedAge.Milliseconds()), Covered: uint32(1 + len(counted))}
+		if withLenders {
+			d.Lenders = lenderTable(spares)
+		}
+		return &wire.InstanceMessage{Content: &wire.InstanceMessage_DomainDigest{DomainDigest: d}}
+	}
+	var near, far []netip.AddrPort
+	domains := map[string]string{}
+	for _, p := range m.peers {
+		domains[p.record.FailureDomain] = p.record.Region
+	}
+	delete(domains, m.OwnRecord.FailureDomain)
+	for domain, region := range domains {
+		addresses := addressesOf(m.domainRelays(domain, now))
+		if region == m.OwnRecord.Region {
+			near = append(near, addresses...)
+		} else {
+			far = append(far, addresses...)
+		}
+	}
+	messages := []outgoing{{digest(true), near}, {digest(false), far}}
+	if len(reporters) == 0 {
+		return messages
+	}
+	all := make([]*peer, 0, len(m.peers))
+	spares = []memberTokens{{0, spareTokens}}
+	for _, p := range m.peers {
+		all = append(all, p)
+		if p.record.Region == m.OwnRecord.Region && len(p.spareTokens) > 0 {
+			spares = append(spares, memberTokens{len(all), p.spareTokens})
+		}
+	}
+	fleet := &wire.FleetDigest{Relay: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Members: m.memberTable(now, all),
+		Demands: rateTable(total), Covered: uint32(covered), Lenders: lenderTable(spares), Revisions: revisions[:],
+		VerifiedAge: uint32(verifiedAge.Milliseconds())}
+	return append(messages, outgoing{&wire.InstanceMessage{Content: &wire.InstanceMessage_FleetDigest{FleetDigest: fleet}}, addressesOf(reporters)})
+}
+
+// reporters returns the peers of the own failure domain whose latest report to this instance
+// is younger than the age. The caller holds m.mu.
+func (m *Membership) reporters(now, age time.Duration) []*peer {
+	var reporters []*peer
+	for _, p := range m.peersOf(m.OwnRecord.FailureDomain) {
+		if now-p.report.at < age {
+			reporters = append(reporters, p)
+		}
+	}
+	return reporters
+}
+
+// heardRelays returns the hashes of the relays whose messages arrived within one and a half
+// intervals. The receiver takes the contact as present at the arrival of this message, so a
+// longer time would delay the moment at which a cut-off relay notices that it is cut off.
+// The caller holds m.mu.
+func (m *Membership) heardRelays(now time.Duration) []uint64 {
+	var hashes []uint64
+	for _, p := range m.peers {
+		if now-max(p.report.at, p.domain.at, p.fleet.at) < 3*m.reportInterval()/2 {
+			hashes = append(hashes, p.hash)
+		}
+	}
+	return hashes
+}
+
+// memberTable returns a table with this instance and the peers. The caller holds m.mu.
+func (m *Membership) memberTable(now time.Duration, peers []*peer) *wire.MemberTable {
+	t := &wire.MemberTable{Names: []uint64{m.ownHash}, Ages: []uint32{0}, ContactAges: []uint32{0},
+		Flags: []byte{flags(m.ready.Load(), m.leaving.Load(), m.Verifier.StoreUnreachable())}}
+	for _, p := range peers {
+		t.Names = append(t.Names, p.hash)
+		t.Ages = append(t.Ages, uint32(min(now-p.lastReport, removeAfter).Milliseconds()))
+		t.Flags = append(t.Flags, flags(p.ready, p.leaving, p.storeUnreachable))
+		t.ContactAges = append(t.ContactAges, uint32(min(now-p.lastMutual, removeAfter).Milliseconds()))
+	}
+	return t
+}
+
+func flags(ready, leaving, storeUnreachable bool) byte {
+	f := byte(0)
+	if ready {
+		f |= flagReady
+	}
+	if leaving {
+		f |= flagLeaving
+	}
+	if storeUnreachable {
+		f |= flagStoreUnreachable
+	}
+	return f
+}
+
+// memberTokens holds the tokens that the member at a position of a member table can lend, by
+// the hash of the organisation.
+type memberTokens struct {
+	member int
+	tokens map[uint64]float64
+}
+
+// lenderTable names, for each organisation, up to maxLenders random lenders.
+func lenderTable(spares []memberTokens) *wire.LenderTable {
+	rand.Shuffle(len(spares), func(i, j int) { spares[i], spares[j] = spares[j], spares[i] })
+	t, counts := &wire.LenderTable{}, map[uint64]int{}
+	for _, s := range spares {
+		for organisation, tokens := range s.tokens {
+			if tokens < 1 || counts[organisation] == maxLenders {
+				continue
+			}
+			counts[organisation]++
+			t.Organisations = append(t.Organisations, organisation)
+			t.Members = append(t.Members, uint32(s.member))
+			t.Tokens = append(t.Tokens, uint32(min(tokens, maxTokens)))
+		}
+	}
+	return t
+}
+
+// hashKeys replaces the names of organisations by their hashes and leaves out values below
+// the minimum.
+func hashKeys(values map[string]float64, minimum float64) map[uint64]float64 {
+	hashed := make(map[uint64]float64, len(values))
+	for name, v := range values {
+		if v >= minimum {
+			hashed[xxhash.Sum64String(name)] = v
+		}
+	}
+	return hashed
+}
+
+func rateTable(values map[uint64]float64) *wire.RateTable {
+	t := &wire.RateTable{Organisations: make([]uint64, 0, len(values)), Values: make([]float32, 0, len(values))}
+	for organisation, v := range values {
+		t.Organisations = append(t.Organisations, organisation)
+		t.Values = append(t.Values, float32(v))
+	}
+	return t
+}
+
+func addTo(sums, values map[uint64]float64) {
+	for k, v := range values {
+		sums[k] += v
+	}
+}
+
+func addressesOf(peers []*peer) []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(peers))
+	for _, p := range peers {
+		addresses = append(addresses, p.address)
+	}
+	return addresses
+}
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -39,9 +39,6 @@
 	// minCapacity is the least capacity of a bucket, in requests. With a capacity
 	// below 1 no request could ever be admitted.
 	minCapacity = 1
-	// minReportedDemand is the demand, in requests per second, below which an
-	// organisation is left out of reports.
-	minReportedDemand = 0.05
 )
 
 // bucket is the instance's share of one organisation's token bucket.
@@ -52,10 +49,11 @@
 	tokens float64
 	// demand is the average demand at the time updated, in requests per second.
 	demand float64
-	// reportedDemand is the demand in the latest report. effectiveDemand determines
-	// the share: it is the demand that the other instances have had a report
-	// interval to make room for.
-	reportedDemand, effectiveDemand float64
+	// reportedDemands holds the demands of the latest reports, the newest last.
+	// effectiveDemand determines the share: it is the demand for which the other
+	// instances have had time to make room.
+	reportedDemands []float64
+	effectiveDemand float64
 	// updated is the time up to which tokens and demand are computed.
 	updated time.Time
 	// extraCapacity is added to the share of the burst, in requests.
@@ -84,9 +82,12 @@
 	Members, Silent int
 	// CutOff is true if the instance has lost contact with most of the others.
 	CutOff bool
-	// TotalDemand is the demand on all instances that are not silent, by
-	// organisation, in requests per second.
-	TotalDemand map[string]float64
+	// TotalDemand returns the demand of an organisation on all instances that are not
+	// silent, in requests per second. It may be nil if no demand is known.
+	TotalDemand func(organisation string) float64
+	// ReportHops is the number of reports after which all instances know a demand, at
+	// least 1.
+	ReportHops int
 }
 
 // New returns a limiter for an instance that knows no other instance yet.
@@ -203,7 +204,7 @@
 
 // ReportDemand returns the demand of each organisation in requests per second, for a
 // report to the other instances. An increase raises the instance's own share only
-// from the next report on, after the others have lowered theirs; a decrease takes
+// ReportHops reports later, after the others have lowered theirs; a decrease takes
 // effect at once.
 func (l *Limiter) ReportDemand(now time.Time) map[string]float64 {
 	l.mu.Lock()
@@ -211,10 +212,17 @@
 	demands := make(map[string]float64, len(l.buckets))
 	for name, b := range l.buckets {
 		b.advance(now)
-		b.effectiveDemand, b.reportedDemand = min(b.demand, b.reportedDemand), b.demand
-		if b.demand >= minReportedDemand {
-			demands[name] = b.demand
+		hops := max(1, l.fleet.ReportHops)
+		b.effectiveDemand = b.demand
+		if len(b.reportedDemands) < hops {
+			b.effectiveDemand = 0
 		}
+		b.reportedDemands = b.reportedDemands[max(0, len(b.reportedDemands)-hops):]
+		for _, reported := range b.reportedDemands {
+			b.effectiveDemand = min(b.effectiveDemand, reported)
+		}
+		b.reportedDemands = append(b.reportedDemands, b.demand)
+		demands[name] = b.demand
 	}
 	return demands
 }
@@ -242,7 +250,10 @@
 	}
 	available := 1 - reservedShare - cutOffShare*equalShare*float64(fleet.Silent)
 	ownNeed := demandHeadroom * b.effectiveDemand / b.limit.Rate
-	totalNeed := max(ownNeed, demandHeadroom*fleet.TotalDemand[organisation]/b.limit.Rate)
+	totalNeed := ownNeed
+	if fleet.TotalDemand != nil {
+		totalNeed = max(totalNeed, demandHeadroom*fleet.TotalDemand(organisation)/b.limit.Rate)
+	}
 	if totalNeed >= available {
 		return reservedShare*equalShare + available*ownNeed/totalNeed
 	}
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -75,7 +75,8 @@
 		if f.cutOff >= 0 {
 			silent = 1
 		}
-		l.SetFleetState(f.now, FleetState{Members: len(f.limiters), Silent: silent, CutOff: i == f.cutOff, TotalDemand: totals})
+		l.SetFleetState(f.now, FleetState{Members: len(f.limiters), Silent: silent, CutOff: i == f.cutOff,
+			TotalDemand: func(organisation string) float64 { return totals[organisation] }})
 	}
 }
 
--- a/internal/coordination/verify/verify.go
+++ b/internal/coordination/verify/verify.go
@@ -148,12 +148,17 @@
 // StoreUnreachable reports whether the store does not answer this instance.
 func (v *Verifier) StoreUnreachable() bool { return v.lastReadFailed.Load() || v.WatchFailed() }
 
-// OwnReport returns what this instance reports: the applied revisions and the age of
-// the latest read by any instance.
+// OwnReport returns what this instance reports: the highest revisions that it has applied or
+// heard of, since reports pass through relays, and the age of the latest read by any
+// instance.
 func (v *Verifier) OwnReport(now time.Time) (Revisions, time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.appliedRevisions, min(now.Sub(v.lastRead), maxReportedAge)
+	known := v.appliedRevisions
+	for c, revision := range v.reportedRevisions {
+		known[c] = max(known[c], revision)
+	}
+	return known, min(now.Sub(v.lastRead), maxReportedAge)
 }
 
 // MergeReport processes the report of another instance. age is the age of the
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -219,14 +219,14 @@
 	f.members.Demands = func() map[string]float64 { return f.limiter.ReportDemand(time.Now()) }
 	f.members.OnRecordMissing = f.requestAnnounce
 	var latest membership.Reachability
-	f.members.OnReport = func(reachability membership.Reachability, totalDemand map[string]float64) {
+	f.members.OnReport = func(reachability membership.Reachability, totalDemand func(organisation string) float64) {
 		if reachability != latest {
 			f.history.Record(event.PartChanged, "", "members", strconv.Itoa(reachability.Members),
 				"silent", strconv.Itoa(reachability.Silent), "cutOff", strconv.FormatBool(reachability.CutOff))
 			latest = reachability
 		}
 		f.limiter.SetFleetState(time.Now(), quota.FleetState{Members: reachability.Members, Silent: reachability.Silent,
-			CutOff: reachability.CutOff, TotalDemand: totalDemand})
+			CutOff: reachability.CutOff, TotalDemand: totalDemand, ReportHops: f.members.ReportHops()})
 		f.retryBudgets.setMembers(reachability.Members, f.terms.Load())
 	}
 	f.members.SpareTokens = func() map[string]float64 { return f.limiter.SpareTokens(time.Now()) }
@@ -242,12 +242,12 @@
 func (f *Front) receive(message *wire.InstanceMessage, from netip.AddrPort) {
 	defer f.recoverPanic("datagram", nil)
 	switch content := message.Content.(type) {
-	case *wire.InstanceMessage_Report:
-		f.members.Receive(content.Report)
 	case *wire.InstanceMessage_TokenRequest:
 		f.loans.HandleRequest(content.TokenRequest, from)
 	case *wire.InstanceMessage_TokenGrant:
 		f.loans.HandleGrant(content.TokenGrant)
+	default:
+		f.members.Receive(message)
 	}
 }
 
