Read the platform's store through one instance of each failure domain

Cause: every instance listed and watched every collection.

Change: the first live instance of a failure domain that reaches the store, in the order of the relays, is its reader. The others list and watch through it over yamux (RecordQuery), with the records as the platform encodes them and the store's revisions. A page below a revision that an instance has seen is refused, so that nothing that was removed comes back. When the whole fleet starts, instances write their records first and then list them once; a restarted one writes nothing.

Weighed: stale reads by all (a tenth of the price, but seconds old, above the bound on leaving servers), and readers for each region (fewer calls, but each change crosses failure domains once for every instance).

--- a/fleet.go
+++ b/fleet.go
@@ -69,6 +69,8 @@
 	Configuration *configuration.Snapshot
 	Server        *ServerRecord
 	Instance      *InstanceRecord
+	// Encoded is the record as the platform encodes it, for Decode on another instance.
+	Encoded []byte
 }
 
 // Page is the result of one Read or Watch of a collection.
@@ -79,6 +81,9 @@
 	Full bool
 	// Revision is the platform's revision up to which the page is complete.
 	Revision int64
+	// Reconnected reports whether the instance that read the page had lost contact with
+	// the store before, so that records may have lapsed meanwhile.
+	Reconnected bool
 }
 
 // ErrHistoryGone is returned by a watch when the store no longer has the changes
@@ -96,18 +101,28 @@
 	// answers readiness checks and look-ups, receives the datagrams of other
 	// instances, and serves its metrics.
 	CallerAddress, ReadyAddress, LookupAddress, ReportAddress, MetricsAddress string
+	// FirstStart is true if all instances of the fleet start for the first time, at about the
+	// same moment.
+	FirstStart bool
 	// MemoryBytes is the memory that the process may use; 0 if it is not known.
 	MemoryBytes int64
 }
 
-// RecordStore is the platform's store of configurations, backend servers,
-// evacuations and instances.
-type RecordStore interface {
+// RecordReader reads the records of the platform.
+type RecordReader interface {
 	// Read returns all records of a collection.
 	Read(ctx context.Context, collection Collection) (Page, error)
 	// Watch returns the changes after a revision as soon as there are any, or
 	// an empty page after about the time wait.
 	Watch(ctx context.Context, collection Collection, after int64, wait time.Duration) (Page, error)
+}
+
+// RecordStore is the platform's store of configurations, backend servers,
+// evacuations and instances.
+type RecordStore interface {
+	RecordReader
+	// Decode returns the record of a collection from its encoding.
+	Decode(collection Collection, encoded []byte, removed bool) Record
 	// Announce writes the record of an instance.
 	Announce(ctx context.Context, name string, instance InstanceRecord) error
 	// Withdraw removes the record of an instance. It is no error if there is
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -25,12 +25,15 @@
 	// The exported fields are set before Run.
 
 	// Store is the store that holds the collection.
-	Store      tamarackrun.RecordStore
+	Store      tamarackrun.RecordReader
 	Collection tamarackrun.Collection
 	Recorder   tamarackrun.Recorder
 	// MinInterval is the shortest time between two calls, so that frequent changes
 	// arrive in batches.
 	MinInterval time.Duration
+	// Paced reports whether MinInterval applies to the present source; nil means that it
+	// always does.
+	Paced func() bool
 	// WatchTimeout is how long a watch waits for a change.
 	WatchTimeout time.Duration
 	// MaxBackoff is the longest pause after a failed call. After an outage, this
@@ -102,7 +105,9 @@
 			f.Apply(page, failing)
 			f.lastCallFailed.Store(false)
 			revision, complete, failing, backoff = page.Revision, complete || page.Full, false, minBackoff
-			waiting.Pause(ctx, f.MinInterval-time.Since(began))
+			if f.Paced == nil || f.Paced() {
+				waiting.Pause(ctx, f.MinInterval-time.Since(began))
+			}
 		}
 	}
 }
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -123,7 +123,7 @@
 // slowStore is a store whose reads take roundTrip. Its calls fail while failed is
 // true.
 type slowStore struct {
-	tamarackrun.RecordStore
+	tamarackrun.RecordReader
 	reads  int
 	failed atomic.Bool
 }
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -197,6 +197,8 @@
 	early chan struct{}
 	// members is the latest list, which includes this instance.
 	members atomic.Pointer[[]Member]
+	// reader is the address that Reader returns.
+	reader atomic.Pointer[string]
 }
 
 // New returns a membership without other instances.
@@ -212,6 +214,7 @@
 		incarnation: 1 + rand.Int64N(math.MaxInt64-1),
 	}
 	m.members.Store(&[]Member{})
+	m.reader.Store(new(string))
 	return m
 }
 
@@ -275,7 +278,7 @@
 	}
 	for _, r := range page.Records {
 		if r.Name == m.Name {
-			if r.Removed {
+			if r.Removed || r.Instance != nil && *r.Instance != m.OwnRecord {
 				m.OnRecordMissing()
 			}
 			continue
@@ -301,6 +304,7 @@
 		}
 		p.record, p.address = *r.Instance, address
 	}
+	m.chooseReader(now)
 }
 
 // remove forgets a peer. The caller holds m.mu.
@@ -427,4 +431,5 @@
 	}
 	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	m.members.Store(&members)
+	m.chooseReader(now)
 }
--- a/internal/coordination/membership/relays.go
+++ b/internal/coordination/membership/relays.go
@@ -104,6 +104,37 @@
 	return relays
 }
 
+// Reader returns the report address of the instance that reads the platform's store for the
+// failure domain of this one, or "" if this instance does.
+func (m *Membership) Reader() string { return *m.reader.Load() }
+
+// chooseReader sets the reader: the first instance of the failure domain, in the order of
+// relays, that is alive and reaches the store. If none reaches it, it is the first that is
+// alive, so that only one keeps asking the store. The caller holds m.mu.
+func (m *Membership) chooseReader(now time.Duration) {
+	type candidate struct {
+		hash    uint64
+		address string
+		reaches bool
+	}
+	candidates := []candidate{{m.ownHash, "", !m.Verifier.StoreUnreachable() && !m.leaving.Load()}}
+	for _, p := range m.peersOf(m.OwnRecord.FailureDomain) {
+		if m.presumedAlive(p, now) && !p.avoided && !p.leaving {
+			candidates = append(candidates, candidate{p.hash, p.record.ReportAddress, !p.storeUnreachable})
+		}
+	}
+	reader := slices.MinFunc(candidates, func(a, b candidate) int {
+		if a.reaches != b.reaches {
+			if a.reaches {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.hash, b.hash)
+	})
+	m.reader.Store(&reader.address)
+}
+
 // noteAsked records that the instance reports to the relays, and avoids those that have not
 // answered in time. The caller holds m.mu.
 func (m *Membership) noteAsked(relays []*peer, now time.Duration) {
--- /dev/null
+++ b/internal/coordination/source/source.go
@@ -0,0 +1,268 @@
+// Package source decides from where an instance reads the records of the platform: from the
+// platform's store, or from the reader of its failure domain, an instance that reads the store
+// for the others. The calls to the store then grow with the number of failure domains and not
+// with the number of instances.
+package source
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"tamarackrun"
+	"tamarackrun/internal/coordination/waiting"
+	"tamarackrun/internal/protocol/event"
+)
+
+const (
+	// pollInterval is how often a running watch checks whether the reader is still the same.
+	pollInterval = 100 * time.Millisecond
+	// readTimeout bounds a read from a reader, which may not know the collection yet.
+	readTimeout = time.Second
+	// avoidTime is how long a reader that failed is not asked.
+	avoidTime = 2 * time.Second
+	// catchUpPause is the shortest time between two catch-ups of a collection.
+	catchUpPause = 2 * time.Second
+	// probeInterval is the average time between two calls to a store that does not answer,
+	// while another instance reads it.
+	probeInterval = 2 * time.Second
+	// collectionCount is the number of values of tamarackrun.Collection.
+	collectionCount = 4
+)
+
+// errOld is returned for a page of a reader that knows less than this instance.
+var errOld = errors.New("the reader's records are older than those of this instance")
+
+// Source implements tamarackrun.RecordReader. It is safe for concurrent use.
+type Source struct {
+	// The exported fields are set before the first call.
+
+	// Store is the platform's store.
+	Store tamarackrun.RecordReader
+	// Reader returns the address of the reader of the failure domain, or "" if this
+	// instance reads the store itself.
+	Reader func() string
+	// Dial returns the records of the reader at an address.
+	Dial     func(address string) tamarackrun.RecordReader
+	Recorder tamarackrun.Recorder
+
+	mu sync.Mutex
+	// latest is the address of the latest source of each collection, "" for the store.
+	latest [collectionCount]string
+	// revisions holds the highest revision of a page of each collection. No reader's page
+	// below it is accepted, so that nothing comes back that was removed.
+	revisions [collectionCount]int64
+	// avoidUntil holds the times until which readers are not asked, by address.
+	avoidUntil map[string]time.Time
+	// catchUp is true for the collections whose next watch asks the store. cancels holds the
+	// function that ends the running watch of a reader, and caughtUp the time of the latest
+	// catch-up.
+	catchUp  [collectionCount]bool
+	cancels  [collectionCount]context.CancelFunc
+	caughtUp [collectionCount]time.Time
+	// storeUnreachable is true if the latest call to the store failed.
+	storeUnreachable bool
+}
+
+// StoreUnreachable reports whether the store does not answer this instance, as far as it has
+// asked.
+func (s *Source) StoreUnreachable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.storeUnreachable
+}
+
+// ReadsStore reports whether the instance reads the collection from the store.
+func (s *Source) ReadsStore(collection tamarackrun.Collection) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.latest[collection] == "" && s.revisions[collection] > 0
+}
+
+// noteStore records the result of a call to the store.
+func (s *Source) noteStore(ctx context.Context, collection tamarackrun.Collection, page tamarackrun.Page, err error) {
+	if err != nil && ctx.Err() != nil {
+		return
+	}
+	s.mu.Lock()
+	// A store that has dropped its history does answer.
+	s.storeUnreachable = err != nil && !errors.Is(err, tamarackrun.ErrHistoryGone)
+	s.mu.Unlock()
+	if err == nil {
+		s.accept(collection, page)
+	}
+}
+
+// Run asks the store again at times while it is unreachable and another instance reads it,
+// until the context ends. Until the store answers, the instance is no reader.
+func (s *Source) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		waiting.Pause(ctx, probeInterval/2+rand.N(probeInterval))
+		if s.StoreUnreachable() && s.Reader() != "" {
+			probeCtx, cancel := context.WithTimeout(ctx, readTimeout)
+			page, err := s.Store.Read(probeCtx, tamarackrun.Evacuations)
+			cancel()
+			page.Revision = 0
+			s.noteStore(ctx, tamarackrun.Evacuations, page, err)
+		}
+	}
+}
+
+// reader returns the address of the reader to ask for the collection, or "" for the store.
+func (s *Source) reader(collection tamarackrun.Collection) string {
+	address := s.Reader()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Now().Before(s.avoidUntil[address]) {
+		address = ""
+	}
+	if s.latest[collection] != address {
+		s.latest[collection] = address
+		s.Recorder.Record(event.SourceChanged, "", "collection", collection.String(), "reader", address)
+	}
+	return address
+}
+
+// avoid makes the following calls not ask a reader for avoidTime.
+func (s *Source) avoid(address string, collection tamarackrun.Collection, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.avoidUntil == nil {
+		s.avoidUntil = map[string]time.Time{}
+	}
+	s.avoidUntil[address] = time.Now().Add(avoidTime)
+	s.Recorder.Record(event.ReaderFailed, "", "collection", collection.String(), "reader", address, "error", err.Error())
+}
+
+// accept records the revision of a page. It reports whether the page is not older than an
+// earlier one.
+func (s *Source) accept(collection tamarackrun.Collection, page tamarackrun.Page) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if page.Revision < s.revisions[collection] {
+		return false
+	}
+	s.revisions[collection] = page.Revision
+	return true
+}
+
+// Read returns all records of a collection.
+func (s *Source) Read(ctx context.Context, collection tamarackrun.Collection) (tamarackrun.Page, error) {
+	if address := s.reader(collection); address != "" {
+		readerCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		page, err := s.Dial(address).Read(readerCtx, collection)
+		cancel()
+		if err == nil && !s.accept(collection, page) {
+			err = errOld
+		}
+		if err == nil {
+			return page, nil
+		}
+		if ctx.Err() != nil {
+			return tamarackrun.Page{}, ctx.Err()
+		}
+		s.avoid(address, collection, err)
+	}
+	page, err := s.Store.Read(ctx, collection)
+	s.noteStore(ctx, collection, page, err)
+	return page, err
+}
+
+// Watch returns the changes of a collection after a revision as soon as there are any, or an
+// empty page after the time wait or when the reader changes.
+func (s *Source) Watch(ctx context.Context, collection tamarackrun.Collection, after int64, wait time.Duration) (tamarackrun.Page, error) {
+	s.mu.Lock()
+	catchUp := s.catchUp[collection]
+	s.catchUp[collection] = false
+	s.mu.Unlock()
+	address := s.reader(collection)
+	if address == "" || catchUp {
+		if catchUp && address != "" {
+			wait = 0
+		}
+		page, err := s.Store.Watch(ctx, collection, after, wait)
+		s.noteStore(ctx, collection, page, err)
+		return page, err
+	}
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.mu.Lock()
+	s.cancels[collection] = cancel
+	s.mu.Unlock()
+	stop := s.cancelOnChange(watchCtx, cancel, address)
+	page, err := s.Dial(address).Watch(watchCtx, collection, after, wait)
+	stop()
+	switch {
+	case ctx.Err() != nil:
+		return tamarackrun.Page{}, ctx.Err()
+	case watchCtx.Err() != nil:
+		// The reader has changed, or the collection is read from the store next.
+		return tamarackrun.Page{Revision: after}, nil
+	case err == nil && page.Revision < after:
+		err = errOld
+	}
+	if err != nil {
+		s.avoid(address, collection, err)
+		return tamarackrun.Page{Revision: after}, nil
+	}
+	s.accept(collection, page)
+	return withoutOld(page, after), nil
+}
+
+// withoutOld returns the page without the records that a page up to the revision has
+// contained. A reader's page may start earlier.
+func withoutOld(page tamarackrun.Page, after int64) tamarackrun.Page {
+	if page.Full {
+		return page
+	}
+	records := make([]tamarackrun.Record, 0, len(page.Records))
+	for _, r := range page.Records {
+		if r.Removed || r.Revision > after {
+			records = append(records, r)
+		}
+	}
+	page.Records = records
+	return page
+}
+
+// cancelOnChange calls cancel when the reader is no longer the one at the address. The
+// returned function ends the check.
+func (s *Source) cancelOnChange(ctx context.Context, cancel context.CancelFunc, address string) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(pollInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				if s.Reader() != address {
+					cancel()
+					return
+				}
+			case <-done:
+				return
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
+// CatchUp makes the next watch of a collection ask the store, because the reader has not
+// delivered a change that others know. It returns false if the instance asks the store
+// already or did so recently.
+func (s *Source) CatchUp(collection tamarackrun.Collection) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.latest[collection] == "" || time.Since(s.caughtUp[collection]) < catchUpPause {
+		return false
+	}
+	s.caughtUp[collection], s.catchUp[collection] = time.Now(), true
+	if s.cancels[collection] != nil {
+		s.cancels[collection]()
+	}
+	return true
+}
--- a/internal/coordination/verify/verify.go
+++ b/internal/coordination/verify/verify.go
@@ -67,7 +67,7 @@
 	// The exported fields are set before Run.
 
 	// Store is the store that is read.
-	Store tamarackrun.RecordStore
+	Store tamarackrun.RecordReader
 	// Rank returns the instance's position in the order of turns, from 0.
 	Rank func() int
 	// WatchFailed reports whether the latest call of the instance's watch failed.
--- a/internal/coordination/verify/verify_test.go
+++ b/internal/coordination/verify/verify_test.go
@@ -18,7 +18,7 @@
 
 // store is a record store without records that counts reads.
 type store struct {
-	tamarackrun.RecordStore
+	tamarackrun.RecordReader
 
 	mu       sync.Mutex
 	reads    int
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -24,6 +24,7 @@
 	"tamarackrun/internal/coordination/loan"
 	"tamarackrun/internal/coordination/membership"
 	"tamarackrun/internal/coordination/quota"
+	"tamarackrun/internal/coordination/source"
 	"tamarackrun/internal/coordination/steer"
 	"tamarackrun/internal/coordination/verify"
 	"tamarackrun/internal/coordination/waiting"
@@ -33,10 +34,12 @@
 	"tamarackrun/internal/state/configuration"
 	"tamarackrun/internal/state/history"
 	"tamarackrun/internal/state/metrics"
+	"tamarackrun/internal/state/records"
 	"tamarackrun/internal/state/registry"
 	"tamarackrun/internal/state/sla"
 	"tamarackrun/internal/transport/datagram"
 	"tamarackrun/internal/transport/exchange"
+	"tamarackrun/internal/transport/peer"
 	"tamarackrun/internal/transport/pipeline"
 )
 
@@ -81,6 +84,11 @@
 	balancer      *steer.Balancer
 	coldLimiter   *coldstart.Limiter
 	verifier      *verify.Verifier
+	source        *source.Source
+	mesh          *peer.Mesh
+	// known holds what the instance knows of each collection, for the instances that read
+	// the store through this one.
+	known map[tamarackrun.Collection]*records.Collection
 	// followers holds the follower of each collection.
 	followers    map[tamarackrun.Collection]*follow.Follower
 	retryBudgets retryBudgets
@@ -96,8 +104,9 @@
 	// leaving reports whether look-ups no longer return the instance, and
 	// refusingRequests whether new requests are refused.
 	leaving, refusingRequests atomic.Bool
-	// announced reports whether the instance's own record was written once.
-	announced atomic.Bool
+	// instancesRead is closed when the other instances are known for the first time, and
+	// recordWritten when the first write of the instance's own record has ended.
+	instancesRead, recordWritten chan struct{}
 	// announceAgain receives a value when the instance's record must be written again.
 	announceAgain chan struct{}
 }
@@ -111,6 +120,9 @@
 		balancer:      steer.New(),
 		coldLimiter:   &coldstart.Limiter{},
 		announceAgain: make(chan struct{}, 1),
+		instancesRead: make(chan struct{}),
+		recordWritten: make(chan struct{}),
+		known:         map[tamarackrun.Collection]*records.Collection{},
 	}
 	f.terms.Store(&t)
 	f.limiter.SetBound(t.RateWindow, t.RateOverage, t.RateSlack)
@@ -142,8 +154,9 @@
 		group.Go(func() { f.keepRunning(background, name, task) })
 	}
 	for collection, follower := range f.followers {
-		start("follow "+collection.String(), follower.Run)
+		start("follow "+collection.String(), func(ctx context.Context) { f.follow(ctx, collection, follower) })
 	}
+	start("source", f.source.Run)
 	start("settings", func(ctx context.Context) { f.FollowSettings(ctx, f.reload, f.reject) })
 	start("announce", f.announce)
 	start("withdraw", f.withdrawGone)
@@ -185,6 +198,13 @@
 		return cleanup, err
 	}
 	cleanups = append(cleanups, closeSocket)
+	mesh, closeMesh, err := peer.New(f.Identity.ReportAddress)
+	if err != nil {
+		return cleanup, err
+	}
+	cleanups = append(cleanups, closeMesh)
+	f.mesh, mesh.Handler = mesh, f
+	go f.runListener(mesh.Run)
 	f.openFollowers()
 	f.openMembership(socket)
 	callers, closeCallers, err := pipeline.New(f.Identity.CallerAddress)
@@ -290,9 +310,17 @@
 	return 0
 }
 
-// announce writes the instance's own record to the store, and again after a
-// failure or when the record is missing.
+// announce writes the instance's own record to the store, and again after a failure or when
+// the record is missing. A restarted instance finds its record in the store.
 func (f *Front) announce(ctx context.Context) {
+	if !f.Identity.FirstStart {
+		select {
+		case <-ctx.Done():
+		case <-f.announceAgain:
+		}
+	}
+	written := sync.OnceFunc(func() { close(f.recordWritten) })
+	defer written()
 	for ctx.Err() == nil {
 		err := f.Store.Announce(ctx, f.Identity.Name, f.ownRecord())
 		if err != nil {
@@ -300,7 +328,7 @@
 			waiting.Pause(ctx, announceRetryDelay)
 			continue
 		}
-		f.announced.Store(true)
+		written()
 		select {
 		case <-ctx.Done():
 		case <-f.announceAgain:
@@ -308,12 +336,8 @@
 	}
 }
 
-// requestAnnounce asks announce to write the instance's record again. It does
-// nothing before the first write, until which the record is missing anyway.
+// requestAnnounce asks announce to write the instance's record.
 func (f *Front) requestAnnounce() {
-	if !f.announced.Load() {
-		return
-	}
 	select {
 	case f.announceAgain <- struct{}{}:
 	default:
--- /dev/null
+++ b/internal/program/front/reading.go
@@ -0,0 +1,106 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"tamarackrun"
+	"tamarackrun/internal/protocol/recordpage"
+	"tamarackrun/internal/protocol/wire"
+)
+
+const (
+	// maxQueryWait bounds how long a query waits for a change, so that queries of instances
+	// that are gone end.
+	maxQueryWait = 30 * time.Second
+	// firstReadWait is how long a query waits until this instance knows a collection and
+	// reads it from the store. Instances don't change their reader at the same moment.
+	firstReadWait = 500 * time.Millisecond
+	// sourcePoll is how often a query checks whether this instance reads the store.
+	sourcePoll = 50 * time.Millisecond
+	// queryMargin is how much longer than its wait a query may take.
+	queryMargin = time.Second
+)
+
+// remoteReader implements tamarackrun.RecordReader by queries to the reader at an address.
+type remoteReader struct {
+	front   *Front
+	address string
+}
+
+// Read returns all records of a collection.
+func (r *remoteReader) Read(ctx context.Context, collection tamarackrun.Collection) (tamarackrun.Page, error) {
+	return r.query(ctx, collection, &wire.RecordQuery{Collection: uint32(collection), Full: true})
+}
+
+// Watch returns the changes after a revision.
+func (r *remoteReader) Watch(ctx context.Context, collection tamarackrun.Collection, after int64, wait time.Duration) (tamarackrun.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+queryMargin)
+	defer cancel()
+	return r.query(ctx, collection, &wire.RecordQuery{Collection: uint32(collection), After: after, WaitMillis: uint32(wait.Milliseconds())})
+}
+
+func (r *remoteReader) query(ctx context.Context, collection tamarackrun.Collection, query *wire.RecordQuery) (tamarackrun.Page, error) {
+	reply, err := r.front.mesh.Call(ctx, r.address, &wire.Envelope{Kind: &wire.Envelope_RecordQuery{RecordQuery: query}})
+	if err != nil {
+		return tamarackrun.Page{}, err
+	}
+	page := reply.GetRecordPage()
+	switch {
+	case page == nil:
+		return tamarackrun.Page{}, errors.New("the reader's reply is not a page of records")
+	case page.Problem != "":
+		return tamarackrun.Page{}, errors.New("the reader can't answer: " + page.Problem)
+	}
+	return recordpage.Decode(page, func(encoded []byte, removed bool) tamarackrun.Record {
+		return r.front.Store.Decode(collection, encoded, removed)
+	})
+}
+
+// ServePeer answers a query of an instance that reads the store through this one.
+func (f *Front) ServePeer(ctx context.Context, first *wire.Envelope, stream tamarackrun.Stream) {
+	defer f.recoverPanic("record query", nil)
+	query := first.GetRecordQuery()
+	if query == nil {
+		return
+	}
+	page, err := f.answerQuery(ctx, query)
+	if err != nil {
+		page = &wire.RecordPage{Problem: err.Error()}
+	}
+	// An error means that the asking instance has gone.
+	_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_RecordPage{RecordPage: page}})
+}
+
+// answerQuery returns the page for a query. An instance that does not read the store itself
+// gives no answer: two instances that read through each other would learn nothing new.
+func (f *Front) answerQuery(ctx context.Context, query *wire.RecordQuery) (*wire.RecordPage, error) {
+	collection := tamarackrun.Collection(query.Collection)
+	known := f.known[collection]
+	if known == nil {
+		return nil, errors.New("unknown collection")
+	}
+	for deadline := time.Now().Add(firstReadWait); !f.source.ReadsStore(collection); time.Sleep(sourcePoll) {
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return nil, errors.New("it does not read the store itself")
+		}
+	}
+	if query.Full {
+		if f.source.StoreUnreachable() {
+			return nil, errors.New("the store does not answer it")
+		}
+		ctx, cancel := context.WithTimeout(ctx, firstReadWait)
+		defer cancel()
+		page, err := known.Read(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return recordpage.Encode(page)
+	}
+	page, err := known.Watch(ctx, query.After, min(maxQueryWait, time.Duration(query.WaitMillis)*time.Millisecond))
+	if err != nil {
+		return nil, err
+	}
+	return recordpage.Encode(page)
+}
--- a/internal/program/front/records.go
+++ b/internal/program/front/records.go
@@ -2,13 +2,17 @@
 
 import (
 	"cmp"
+	"context"
 	"strconv"
 	"time"
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/follow"
+	"tamarackrun/internal/coordination/source"
 	"tamarackrun/internal/coordination/verify"
+	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/event"
+	"tamarackrun/internal/state/records"
 )
 
 const (
@@ -28,18 +32,23 @@
 	// pause after a failed call for servers, which are needed first.
 	maxBackoff       = time.Second
 	maxServerBackoff = 400 * time.Millisecond
+	// firstStartPause is the time for all instances to write their records when the whole
+	// fleet starts. The users start them within 0.3 s of each other.
+	firstStartPause = 600 * time.Millisecond
 )
 
 // openFollowers creates the followers of the store's collections and the
 // verifier that finds changes which they missed.
 func (f *Front) openFollowers() {
 	t := f.terms.Load()
+	f.source = &source.Source{Store: f.Store, Recorder: f.history, Reader: func() string { return f.members.Reader() },
+		Dial: func(address string) tamarackrun.RecordReader { return &remoteReader{front: f, address: address} }}
 	bound := min(t.DrainBound, t.ApplyBound, t.EvacuateBound)
 	f.verifier = &verify.Verifier{Store: f.Store, PropagationBound: bound, HeartbeatInterval: t.ServerHeartbeat,
 		Rank:             func() int { return f.members.Rank() },
 		ApplyEvacuations: f.applyEvacuations,
-		WatchFailed:      func() bool { return f.followers[tamarackrun.Servers].LastCallFailed() },
-		Resync:           func(c tamarackrun.Collection) { f.followers[c].Resync() }}
+		WatchFailed:      f.storeUnreachable,
+		Resync:           f.resync}
 	f.registry.StoreStable = f.verifier.StoreStable
 	f.followers = map[tamarackrun.Collection]*follow.Follower{
 		tamarackrun.Configurations: {Apply: f.applyConfiguration},
@@ -50,15 +59,52 @@
 	}
 	for collection, follower := range f.followers {
 		apply := follower.Apply
+		f.known[collection] = records.New()
 		follower.Apply = func(page tamarackrun.Page, reconnected bool) {
-			apply(page, reconnected)
+			page.Reconnected = page.Reconnected || reconnected
+			apply(page, page.Reconnected)
 			f.verifier.Applied(collection, page)
+			f.known[collection].Apply(page)
 		}
-		follower.Collection, follower.Store, follower.Recorder, follower.WatchTimeout = collection, f.Store, f.history, watchTimeout
+		follower.Collection, follower.Store, follower.Recorder, follower.WatchTimeout = collection, f.source, f.history, watchTimeout
+		follower.Paced = func() bool { return f.source.ReadsStore(collection) }
 		follower.MaxBackoff = cmp.Or(follower.MaxBackoff, maxBackoff)
 	}
 }
 
+// follow runs the follower of a collection. The instances are read first, because they tell
+// which instance reads the other collections for this failure domain. When the whole fleet
+// starts, they are read only after the others have had time to write their records.
+func (f *Front) follow(ctx context.Context, collection tamarackrun.Collection, follower *follow.Follower) {
+	switch {
+	case collection != tamarackrun.Instances:
+		waitFor(ctx, f.instancesRead)
+	case f.Identity.FirstStart:
+		waitFor(ctx, f.recordWritten)
+		waiting.Pause(ctx, firstStartPause)
+	}
+	follower.Run(ctx)
+}
+
+// waitFor waits until the channel is closed or the context ends.
+func waitFor(ctx context.Context, closed <-chan struct{}) {
+	select {
+	case <-closed:
+	case <-ctx.Done():
+	}
+}
+
+// storeUnreachable reports whether the latest call to the store failed.
+func (f *Front) storeUnreachable() bool { return f.source.StoreUnreachable() }
+
+// resync reads a collection again, of which the instance has missed a change. If another
+// instance reads it, the missing changes are asked for first.
+func (f *Front) resync(c tamarackrun.Collection) {
+	if !f.source.CatchUp(c) {
+		f.followers[c].Resync()
+	}
+}
+
 // applyEvacuations applies a page of evacuations.
 func (f *Front) applyEvacuations(page tamarackrun.Page) {
 	f.registry.ApplyEvacuations(time.Now(), page)
@@ -67,7 +113,9 @@
 // applyInstances applies a page of instance records.
 func (f *Front) applyInstances(page tamarackrun.Page, _ bool) {
 	f.members.Apply(page)
-	f.instancesKnown.Store(true)
+	if !f.instancesKnown.Swap(true) {
+		close(f.instancesRead)
+	}
 	f.updateReady()
 }
 
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -33,6 +33,8 @@
 	InstanceKnown         tamarackrun.EventID = 1117
 	AnnounceFailed        tamarackrun.EventID = 1118
 	InstanceWithdrawn     tamarackrun.EventID = 1119
+	SourceChanged         tamarackrun.EventID = 1120
+	ReaderFailed          tamarackrun.EventID = 1121
 	PeerReachable         tamarackrun.EventID = 1201
 	PeerUnreachable       tamarackrun.EventID = 1202
 	PeerRefused           tamarackrun.EventID = 1203
@@ -113,6 +115,8 @@
 	{InstanceKnown, "instanceKnown", "info", "another instance announced itself in the store"},
 	{AnnounceFailed, "announceFailed", "warn", "the instance's own record could not be written to the store"},
 	{InstanceWithdrawn, "instanceWithdrawn", "info", "this instance tried to remove the record of an instance that was silent for a day from the store"},
+	{SourceChanged, "sourceChanged", "info", "the instance reads a collection of the store's records from another instance now, or from the store if none is named"},
+	{ReaderFailed, "readerFailed", "warn", "the instance that reads the store for its failure domain did not answer; this instance reads the store itself for a short time"},
 	{PeerReachable, "peerReachable", "info", "heartbeats with a peer succeed"},
 	{PeerUnreachable, "peerUnreachable", "warn", "a peer did not answer heartbeats"},
 	{PeerRefused, "peerRefused", "warn", "a connection of another process was refused because it did not prove that it is an instance of the fleet"},
