Choose a server without sorting or allocating, and send callers to a part of a large fleet

Cause: a choice sorted and allocated all servers of the service for each request. Callers of a region were spread over all of its instances: 119 instances opened 40,138 connections for 54,679 requests.

Change: the best candidates are moved to the front one by one, scores come from prepared hashes (rendezvous.Mix), and the slice is kept. Look-ups name as many instances of each failure domain as the region's reported rate of requests needs, in a fixed order by hash; the number grows at once and shrinks slowly.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -62,6 +62,8 @@
 	// StoreUnreachable is true if the instance reported that it cannot reach the
 	// store.
 	StoreUnreachable bool
+	// RequestRate is the rate at which callers' requests arrive, in requests per second.
+	RequestRate float64
 }
 
 // Reachability counts the instances that share the limits of the fleet and those
@@ -113,6 +115,9 @@
 	lastReport, lastMutual time.Duration
 	// recordSeen is when the record first arrived.
 	recordSeen time.Duration
+	// requestRate is the rate at which callers' requests arrive there, in requests per
+	// second.
+	requestRate uint32
 	// known is true once a report of the peer is known.
 	known bool
 	// unreachable is true if the latest event about the peer is PeerUnreachable.
@@ -167,6 +172,9 @@
 	Recorder       tamarackrun.Recorder
 	// Demands returns this instance's demand by organisation, in requests per second.
 	Demands func() map[string]float64
+	// RequestRate returns the rate at which callers' requests arrive, in requests per second.
+	// It may be nil.
+	RequestRate func() float64
 	// SpareTokens returns the tokens that this instance would lend, by organisation.
 	SpareTokens func() map[string]float64
 	// Send sends a message to each of the addresses and returns the number of
@@ -340,6 +348,14 @@
 	}
 }
 
+// requestRate returns the rate at which callers' requests arrive, in requests per second.
+func (m *Membership) requestRate() uint32 {
+	if m.RequestRate == nil {
+		return 0
+	}
+	return uint32(math.Round(m.RequestRate()))
+}
+
 // boundFraction returns the given fraction of DetectionBound.
 func (m *Membership) boundFraction(fraction float64) time.Duration {
 	return time.Duration(fraction * float64(m.DetectionBound))
@@ -419,7 +435,8 @@
 // member that became unreachable or reachable. The caller holds m.mu.
 func (m *Membership) publish(now time.Duration) {
 	recent := m.recentAge()
-	members := []Member{{Name: m.Name, InstanceRecord: m.OwnRecord, Ready: m.ready.Load(), Leaving: m.leaving.Load(), Alive: true}}
+	members := []Member{{Name: m.Name, InstanceRecord: m.OwnRecord, Ready: m.ready.Load(), Leaving: m.leaving.Load(), Alive: true,
+		RequestRate: float64(m.requestRate())}}
 	for name, p := range m.peers {
 		alive := now-p.lastReport < m.boundFraction(aliveFraction)
 		// A peer that has not reported yet gets some time before it counts as
@@ -434,7 +451,8 @@
 			m.Recorder.Record(id, "", "peer", name, "silentFor", (now - max(p.lastReport, p.recordSeen)).String())
 		}
 		members = append(members, Member{Name: name, InstanceRecord: p.record, Ready: p.ready, Leaving: p.leaving, Alive: alive,
-			HeardRecently: now-p.lastReport < recent, StoreUnreachable: p.storeUnreachable})
+			HeardRecently: now-p.lastReport < recent, StoreUnreachable: p.storeUnreachable,
+			RequestRate: float64(p.requestRate)})
 	}
 	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	m.members.Store(&members)
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -35,7 +35,7 @@
 		m.reportSoon()
 	}
 	p.known, p.lastReport, p.spareTokens = true, now, maps.Clone(p.report.spareTokens)
-	p.ready, p.leaving, p.storeUnreachable = r.Ready, r.Leaving, r.StoreAway
+	p.ready, p.leaving, p.storeUnreachable, p.requestRate = r.Ready, r.Leaving, r.StoreAway, r.RequestRate
 	if slices.Contains(r.HeardRelays, m.ownHash) {
 		p.lastMutual = now
 	}
@@ -95,6 +95,9 @@
 				m.reportSoon()
 			}
 			p.ready, p.leaving, p.storeUnreachable = f&flagReady != 0, f&flagLeaving != 0, f&flagStoreUnreachable != 0
+			if i < len(t.RequestRates) {
+				p.requestRate = t.RequestRates[i]
+			}
 		}
 		contact := mutual
 		if i < len(t.ContactAges) {
--- a/internal/coordination/membership/relays.go
+++ b/internal/coordination/membership/relays.go
@@ -14,6 +14,9 @@
 	// answerIntervals is the number of report intervals in which a relay must answer. After
 	// it the instance avoids the relay, which may be dead or out of its reach only.
 	answerIntervals = 2
+	// searchReports is the number of reports in which all instances of a failure domain are
+	// tried from which nothing is heard.
+	searchReports = 3
 )
 
 // relayed reports whether some failure domain has instances that are no relays. The caller
@@ -87,8 +90,8 @@
 	return relays, isRelay
 }
 
-// domainRelays returns the relays of another failure domain, or random instances of it if
-// none is heard. The caller holds m.mu.
+// domainRelays returns the relays of another failure domain. If none of its instances is heard,
+// it returns others in turn, so that survivors find each other. The caller holds m.mu.
 func (m *Membership) domainRelays(domain string, now time.Duration) []*peer {
 	peers := m.peersOf(domain)
 	var relays []*peer
@@ -97,9 +100,11 @@
 			relays = append(relays, p)
 		}
 	}
-	if len(relays) == 0 {
-		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		relays = peers[:min(len(peers), relaysPerDomain)]
+	if len(relays) == 0 && len(peers) > 0 {
+		count := max(min(len(peers), relaysPerDomain), (len(peers)+searchReports-1)/searchReports)
+		for i := range count {
+			relays = append(relays, peers[(int(m.sequence%uint64(len(peers)))*count+i)%len(peers)])
+		}
 	}
 	return relays
 }
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -43,7 +43,7 @@
 	report := &wire.InstanceReport{Name: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Ready: m.ready.Load(),
 		Leaving: m.leaving.Load(), StoreAway: m.Verifier.StoreUnreachable(), Revisions: revisions[:],
 		VerifiedAge: uint32(verifiedAge.Milliseconds()), Demands: rateTable(demands), SpareTokens: rateTable(spareTokens),
-		HeardRelays: m.heardRelays(now)}
+		HeardRelays: m.heardRelays(now), RequestRate: m.requestRate()}
 	messages := []outgoing{{&wire.InstanceMessage{Content: &wire.InstanceMessage_Report{Report: report}}, addressesOf(relays)}}
 	total, covered := m.totalDemand(now, demands)
 	reporters := m.reporters(now, m.recentAge())
@@ -167,11 +167,12 @@
 
 // memberTable returns a table with this instance and the peers. The caller holds m.mu.
 func (m *Membership) memberTable(now time.Duration, peers []*peer) *wire.MemberTable {
-	t := &wire.MemberTable{Names: []uint64{m.ownHash}, Ages: []uint32{0}, ContactAges: []uint32{0},
+	t := &wire.MemberTable{Names: []uint64{m.ownHash}, Ages: []uint32{0}, ContactAges: []uint32{0}, RequestRates: []uint32{m.requestRate()},
 		Flags: []byte{flags(m.ready.Load(), m.leaving.Load(), m.Verifier.StoreUnreachable())}}
 	for _, p := range peers {
 		t.Names = append(t.Names, p.hash)
 		t.Ages = append(t.Ages, uint32(min(now-p.lastReport, removeAfter).Milliseconds()))
+		t.RequestRates = append(t.RequestRates, p.requestRate)
 		t.Flags = append(t.Flags, flags(p.ready, p.leaving, p.storeUnreachable))
 		t.ContactAges = append(t.ContactAges, uint32(min(now-p.lastMutual, removeAfter).Milliseconds()))
 	}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -4,7 +4,6 @@
 package steer
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -137,6 +136,8 @@
 	mu        sync.Mutex
 	servers   map[string]*serverState
 	createdAt time.Time
+	// candidates is the memory for the candidates of one choice.
+	candidates []candidate
 }
 
 // New returns a balancer without observations.
@@ -154,18 +155,14 @@
 func (b *Balancer) Choose(now time.Time, servers []*registry.Server, q Query) (Choice, tamarackrun.Reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	candidates := b.rankServers(servers, q)
-	if len(candidates) == 0 {
+	b.listCandidates(servers, q)
+	if len(b.candidates) == 0 {
 		return Choice{}, tamarackrun.NoHealthyServer
 	}
-	ejected := 0
-	for _, c := range candidates {
-		if st := b.servers[c.server.Name]; st != nil && st.health.Ejected() {
-			ejected++
-		}
-	}
 	refused, reason := Choice{}, tamarackrun.QueueFull
-	for i, c := range candidates {
+	for i := range b.candidates {
+		b.moveBest(i)
+		c := b.candidates[i]
 		st := b.stateOf(c.server)
 		if st.outstanding >= maxOutstanding || now.Before(st.backoffUntil) {
 			continue
@@ -174,14 +171,14 @@
 			overload := Choice{Server: c.server, Rank: i, Overload: &LoadReport{st.waiting, st.slots, now.Sub(st.reportedAt), st.responseTime}}
 			// The second server may not have the object's data and then needs several
 			// times as long, so it gets the request only if its queue is empty.
-			if q.Object != "" && (i > 0 || len(candidates) == 1 || !b.stateOf(candidates[1].server).idle(now)) {
+			if q.Object != "" && (i > 0 || len(b.candidates) == 1 || !b.second().idle(now)) {
 				return overload, tamarackrun.ServerBusy
 			}
 			refused, reason = overload, tamarackrun.ServerBusy
 			continue
 		}
 		admitted, probe := st.health.Admit(now.Sub(b.createdAt), true)
-		if !admitted && ejected < len(candidates) {
+		if !admitted && !b.allEjected() {
 			continue
 		}
 		if (c.server.Cold(now) || now.Before(st.coldUntil)) && !b.AdmitCold(now, c.server) {
@@ -196,12 +193,41 @@
 	return refused, reason
 }
 
-// rankServers returns the allowed servers, best first.
-func (b *Balancer) rankServers(servers []*registry.Server, q Query) []candidate {
-	candidates := make([]candidate, 0, len(servers))
-	remoteWeight := 0.0
+// moveBest moves the best of the candidates from the position on to that position. The first
+// ones are usually enough, so the candidates are not sorted.
+func (b *Balancer) moveBest(position int) {
+	best := position
+	for i := position + 1; i < len(b.candidates); i++ {
+		if b.candidates[i].score < b.candidates[best].score {
+			best = i
+		}
+	}
+	b.candidates[position], b.candidates[best] = b.candidates[best], b.candidates[position]
+}
+
+// second returns the state of the second best candidate, while the best one is at the first
+// position.
+func (b *Balancer) second() *serverState {
+	b.moveBest(1)
+	return b.stateOf(b.candidates[1].server)
+}
+
+// allEjected reports whether all candidates are ejected.
+func (b *Balancer) allEjected() bool {
+	for _, c := range b.candidates {
+		if st := b.servers[c.server.Name]; st == nil || !st.health.Ejected() {
+			return false
+		}
+	}
+	return true
+}
+
+// listCandidates sets b.candidates to the allowed servers, in any order.
+func (b *Balancer) listCandidates(servers []*registry.Server, q Query) {
+	b.candidates = b.candidates[:0]
+	remoteWeight, objectHash := 0.0, uint64(0)
 	if q.Object != "" {
-		remoteWeight = remoteWeightFor(servers, q)
+		remoteWeight, objectHash = remoteWeightFor(servers, q), rendezvous.Hash(q.Object)
 	}
 	for _, server := range servers {
 		if !allows(q.AllowedRegions, server.Region) || slices.Contains(q.Tried, server.Name) {
@@ -213,15 +239,13 @@
 			weight, penalty = remoteWeight, remotePenalty
 		}
 		if q.Object != "" {
-			c.score = weightedScore(q.Object, server.Name, weight)
+			c.score = weightedScore(objectHash, server.Hash, weight)
 		} else {
 			// Without the jitter, the same idle server would always come first.
 			c.score = b.loadOf(server) + rand.Float64()*tieJitter + penalty
 		}
-		candidates = append(candidates, c)
+		b.candidates = append(b.candidates, c)
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
-	return candidates
 }
 
 // remoteWeightFor returns the weight of servers in other regions. The weight is above
@@ -229,11 +253,13 @@
 // would use more than localCapacityFraction of them. It depends neither on load nor on
 // earlier attempts, so that an object keeps its ranking of servers.
 func remoteWeightFor(servers []*registry.Server, q Query) float64 {
-	regions := map[string]bool{}
+	var regions []string
 	local, all := 0.0, 0.0
 	for _, server := range servers {
 		if allows(q.AllowedRegions, server.Region) {
-			regions[server.Region] = true
+			if !slices.Contains(regions, server.Region) {
+				regions = append(regions, server.Region)
+			}
 			all++
 			if server.Region == q.Region {
 				local++
@@ -249,10 +275,11 @@
 	return min(1, max(minRemoteWeight, balanced))
 }
 
-// weightedScore returns a server's score in weighted rendezvous hashing. A server has
+// weightedScore returns a server's score in weighted rendezvous hashing, from the hashes of the
+// object and the server. A server has
 // the lowest score, which is the best, with a probability proportional to its weight.
-func weightedScore(object, server string, weight float64) float64 {
-	uniform := (float64(rendezvous.Score(object, server)) + 1) / (math.MaxUint64 + 1)
+func weightedScore(object, server uint64, weight float64) float64 {
+	uniform := (float64(rendezvous.Mix(object, server)) + 1) / (math.MaxUint64 + 1)
 	return -math.Log(uniform) / weight
 }
 
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -9,6 +9,7 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/health"
+	"tamarackrun/internal/coordination/rendezvous"
 	"tamarackrun/internal/state/registry"
 )
 
@@ -22,7 +23,7 @@
 func servers(n int) []*registry.Server {
 	var list []*registry.Server
 	for i := range n {
-		list = append(list, &registry.Server{Name: fmt.Sprint("server-", i), Region: []string{"a", "b"}[i%2],
+		list = append(list, &registry.Server{Name: fmt.Sprint("server-", i), Hash: rendezvous.Hash(fmt.Sprint("server-", i)), Region: []string{"a", "b"}[i%2],
 			ServerRecord: tamarackrun.ServerRecord{Slots: 3}})
 	}
 	return list
@@ -165,7 +166,7 @@
 	var list []*registry.Server
 	for region, n := range map[string]int{"a": 2, "b": 6, "c": 6} {
 		for i := range n {
-			list = append(list, &registry.Server{Name: fmt.Sprint(region, i), Region: region, ServerRecord: tamarackrun.ServerRecord{Slots: 9}})
+			list = append(list, &registry.Server{Name: fmt.Sprint(region, i), Hash: rendezvous.Hash(fmt.Sprint(region, i)), Region: region, ServerRecord: tamarackrun.ServerRecord{Slots: 9}})
 		}
 	}
 	const objects = 20_000
--- a/internal/program/front/directory.go
+++ b/internal/program/front/directory.go
@@ -1,7 +1,11 @@
 package front
 
 import (
+	"math/rand/v2"
 	"time"
+
+	"tamarackrun/internal/coordination/directory"
+	"tamarackrun/internal/coordination/membership"
 )
 
 const (
@@ -15,22 +19,43 @@
 // Ready reports whether the instance takes callers.
 func (f *Front) Ready() bool { return f.members.IsReady() && !f.leaving.Load() }
 
-// Lookup returns the addresses of the serving instances in the caller's region,
-// or of the serving instances in other regions if there is none, and how long
-// the caller may use them.
+// Lookup returns the addresses of serving instances in the caller's region, or in other regions
+// if there is none, and how long the caller may use them.
 func (f *Front) Lookup(region string) ([]string, time.Duration) {
-	near, far := []string{}, []string{}
+	var near, far []membership.Member
 	for _, m := range f.members.Members() {
 		switch {
 		case !m.Alive || !m.Ready || m.Leaving:
 		case m.Region == region:
-			near = append(near, m.CallerAddress)
+			near = append(near, m)
 		default:
-			far = append(far, m.CallerAddress)
+			far = append(far, m)
 		}
 	}
 	if len(near) == 0 {
-		near = far
+		near, region = far, ""
+	}
+	addresses := []string{}
+	for _, m := range f.chooseInstances(region, near) {
+		addresses = append(addresses, m.CallerAddress)
+	}
+	if len(addresses) > maxAddresses {
+		// A fixed choice would leave the other instances without callers.
+		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		addresses = addresses[:maxAddresses]
+	}
+	return addresses, min(lookupLifetime, f.terms.Load().LookupLifetime)
+}
+
+// chooseInstances returns the instances of a region that callers are sent to. The region is
+// empty for callers whose own region has no instance.
+func (f *Front) chooseInstances(region string, serving []membership.Member) []membership.Member {
+	f.selectorsMutex.Lock()
+	defer f.selectorsMutex.Unlock()
+	s := f.selectors[region]
+	if s == nil {
+		s = &directory.Selector{}
+		f.selectors[region] = s
 	}
-	return near[:min(len(near), maxAddresses)], min(lookupLifetime, f.terms.Load().LookupLifetime)
+	return s.Choose(time.Now(), serving)
 }
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -20,6 +20,7 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/coldstart"
+	"tamarackrun/internal/coordination/directory"
 	"tamarackrun/internal/coordination/follow"
 	"tamarackrun/internal/coordination/loan"
 	"tamarackrun/internal/coordination/membership"
@@ -92,6 +93,11 @@
 	// followers holds the follower of each collection.
 	followers    map[tamarackrun.Collection]*follow.Follower
 	retryBudgets retryBudgets
+	// requestRate is the rate at which callers' requests arrive.
+	requestRate movingRate
+	// selectors holds the choice of instances for callers of each region.
+	selectorsMutex sync.Mutex
+	selectors      map[string]*directory.Selector
 
 	// snapshot is the configuration in force; nil until the first one is known.
 	// Its version only grows.
@@ -123,6 +129,7 @@
 		instancesRead: make(chan struct{}),
 		recordWritten: make(chan struct{}),
 		known:         map[tamarackrun.Collection]*records.Collection{},
+		selectors:     map[string]*directory.Selector{},
 	}
 	f.terms.Store(&t)
 	f.limiter.SetBound(t.RateWindow, t.RateOverage, t.RateSlack)
@@ -237,6 +244,7 @@
 	f.members.Verifier, f.members.DetectionBound = f.verifier, f.terms.Load().DetectionBound
 	f.members.Recorder, f.members.Send = f.history, socket.Send
 	f.members.Demands = func() map[string]float64 { return f.limiter.ReportDemand(time.Now()) }
+	f.members.RequestRate = func() float64 { return f.requestRate.value(time.Now()) }
 	f.members.OnRecordMissing = f.requestAnnounce
 	var latest membership.Reachability
 	f.members.OnReport = func(reachability membership.Reachability, totalDemand func(organisation string) float64) {
--- a/internal/program/front/serve.go
+++ b/internal/program/front/serve.go
@@ -91,6 +91,7 @@
 
 // Serve answers a caller's request.
 func (f *Front) Serve(ctx context.Context, call pipeline.Call) (answer pipeline.Answer) {
+	f.requestRate.add(call.Arrived)
 	req := &request{call: call, configuration: f.snapshot.Load()}
 	defer f.recoverPanic("request", func() {
 		answer = f.outcomeAnswer(req, tamarackrun.Uncertain(tamarackrun.InternalError), 0)
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/rendezvous"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/state/sla"
 )
@@ -19,6 +20,8 @@
 	Name string
 	tamarackrun.ServerRecord
 	Region string
+	// Hash is the hash of the name for rendezvous.Mix.
+	Hash uint64
 	// Revision is the store's revision of the record.
 	Revision int64
 	// ColdUntil is the time until which the server gets fewer requests because
@@ -138,7 +141,7 @@
 	}
 	delete(r.missing, record.Name)
 	s := &Server{Name: record.Name, ServerRecord: *record.Server, Region: r.Regions[record.Server.FailureDomain],
-		Revision: record.Revision, ReceivedAt: now, ColdUntil: now.Add(record.Server.ColdFor)}
+		Hash: rendezvous.Hash(record.Name), Revision: record.Revision, ReceivedAt: now, ColdUntil: now.Add(record.Server.ColdFor)}
 	if until := r.coldDomainsUntil[s.FailureDomain]; until.After(s.ColdUntil) {
 		s.ColdUntil = until
 	}
