Estimate queues of servers between their reports

Cause: a load report was used for 0.4 s. In a fleet of several regions an instance hears of a server of another region less often, so that it kept sending to full ones. Refusals of full servers counted as fast answers and lowered the average response time.

Change: a reported queue shrinks at the rate at which the server works and grows by what this instance has sent, in proportion to its part of the server's requests. Refusals no longer count as response times.

--- a/internal/coordination/home/home_test.go
+++ b/internal/coordination/home/home_test.go
@@ -108,3 +108,19 @@
 		t.Errorf("%d of 2 slots, want 1", got)
 	}
 }
+
+// Guards against requests of other regions above their cap while two instances may both serve
+// them: the home that has taken a server over waits until those of the earlier home have ended.
+func TestNewHomeRefusesShiftedRequests(t *testing.T) {
+	gained, longest := time.Minute, 10*time.Second
+	for _, test := range []struct {
+		first bool
+		after time.Duration
+		want  bool
+	}{{false, 0, false}, {false, MaxListLag + longest - 1, false}, {false, MaxListLag + longest, true}, {true, 0, true}} {
+		o := Ownership{FirstHome: test.first, Gained: gained, LongestRequest: longest}
+		if got := o.AllowsShifted(gained + test.after); got != test.want {
+			t.Errorf("first home %v, %s after it was gained: shifted requests allowed %v, want %v", test.first, test.after, got, test.want)
+		}
+	}
+}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -34,7 +34,8 @@
 	// maxOutstanding is the number of outstanding requests of this instance at which
 	// a server is skipped.
 	maxOutstanding = 9
-	// reportLifetime is how long a server's load report is used.
+	// reportLifetime is how long a server's load report is used as it is. After it, a
+	// reported queue counts as shrinking at the rate at which the server works.
 	reportLifetime = 400 * time.Millisecond
 	// A server counts as overloaded only if its average response time is at least
 	// slowFraction of the target latency.
@@ -106,14 +107,33 @@
 	// waiting and slots are from the latest load report, received at reportedAt.
 	waiting, slots int
 	reportedAt     time.Time
-	// responseTime is the moving average of the response time.
-	responseTime time.Duration
+	// responseTime is the moving average of the response time, and serviceTime that of the
+	// part of it for which the request did not wait.
+	responseTime, serviceTime time.Duration
+	// sentSince is the number of requests that this instance has sent since the report, and
+	// ownShare its part of the requests that the server had then, above 0.
+	sentSince int
+	ownShare  float64
 }
 
 // overloaded reports whether the server recently reported a long queue and is slow. A
 // long queue alone does not count if answers arrive well before the target latency.
 func (st *serverState) overloaded(now time.Time, targetLatency time.Duration) bool {
-	return st.hasRecentReport(now) && st.waiting >= st.slots && float64(st.responseTime) >= slowFraction*float64(targetLatency)
+	return st.slots > 0 && st.waitingAt(now) >= float64(st.slots) && float64(st.responseTime) >= slowFraction*float64(targetLatency)
+}
+
+// waitingAt estimates how many requests wait at the server from its latest report. If some
+// waited then, the other instances are taken to have sent as many requests since, in
+// proportion, as this one.
+func (st *serverState) waitingAt(now time.Time) float64 {
+	waiting := float64(st.waiting)
+	if age := now.Sub(st.reportedAt); age >= reportLifetime && st.serviceTime > 0 {
+		waiting -= float64(st.slots) * float64(age) / float64(st.serviceTime)
+	}
+	if st.waiting > 0 {
+		waiting += float64(st.sentSince) / st.ownShare
+	}
+	return waiting
 }
 
 // idle reports whether the server recently reported an empty queue.
@@ -188,6 +208,7 @@
 			continue
 		}
 		st.outstanding++
+		st.sentSince++
 		return Choice{Server: c.server, Rank: i, Outstanding: st.outstanding - 1, Probe: probe}, ""
 	}
 	return refused, reason
@@ -344,13 +365,24 @@
 }
 
 // ReportLoad records the load that a server reported in an answer, and the answer's
-// response time.
+// response time, which is 0 if the server did not run the request.
 func (b *Balancer) ReportLoad(now time.Time, server string, waiting, slots int, responseTime time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if st := b.servers[server]; st != nil {
-		st.waiting, st.slots, st.reportedAt = waiting, slots, now
+		st.waiting, st.slots, st.reportedAt, st.sentSince = waiting, slots, now, 0
+		st.ownShare = min(1, float64(st.outstanding+1)/float64(max(1, waiting+slots)))
+		if responseTime == 0 {
+			// A refusal comes at once, however long the queue is.
+			return
+		}
 		st.responseTime += time.Duration(responseTimeWeight * float64(responseTime-st.responseTime))
+		// The request has waited behind about as many others as wait now.
+		service := float64(responseTime) / (1 + float64(waiting)/float64(max(1, slots)))
+		if st.serviceTime == 0 {
+			st.serviceTime = time.Duration(service)
+		}
+		st.serviceTime += time.Duration(responseTimeWeight * (service - float64(st.serviceTime)))
 	}
 }
 
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -137,7 +137,11 @@
 	connectFailed := result.Outcome.Reason == tamarackrun.ConnectFailed || result.Fields.Misdirected
 	ejected, reinstated := f.balancer.Done(time.Now(), choice, healthResult(result), connectFailed, len(f.registry.ServersOf(req.service)))
 	if l := result.Fields.Load; l != nil {
-		f.balancer.ReportLoad(time.Now(), choice.Server.Name, l.Waiting, l.Slots, time.Since(now))
+		responseTime := time.Since(now)
+		if result.Outcome != tamarackrun.Done {
+			responseTime = 0
+		}
+		f.balancer.ReportLoad(time.Now(), choice.Server.Name, l.Waiting, l.Slots, responseTime)
 	}
 	if ejected {
 		f.history.Record(event.ServerEjected, req.caller.ID, "server", choice.Server.Name)
--- a/internal/program/instance/resolve_test.go
+++ b/internal/program/instance/resolve_test.go
@@ -67,8 +67,11 @@
 	if err != nil {
 		i.t.Fatal(err)
 	}
+	// A home that took the server over from another instance refuses requests of other
+	// regions (shiftCapped) until the earlier home's requests have ended. The order in which
+	// the instances start decides whether that happens.
 	request := tamarackrun.Request{ID: attempt, Attempt: attempt, Organisation: "tea", Route: "order", Service: "order",
-		Server: "order-01", Method: "POST", Target: "/order", Body: []byte(body), Deadline: 10 * time.Second,
+		Server: "order-01", OriginRegion: "r1", Method: "POST", Target: "/order", Body: []byte(body), Deadline: 10 * time.Second,
 		KeyHash: document.HashKey(fleet.CallerKey("tea"))}
 	if err := stream.Send(&wire.Envelope{Kind: &wire.Envelope_Dispatch{Dispatch: frame.FromRequest(request, 0)}}); err != nil {
 		i.t.Fatal(err)
