Take no answer of another request on the product's own interface

Cause: the pooled connections to backend servers did not check to which request an answer belongs. A second copy of an answer that arrived after the next request was written became that request's answer.

Change: servers name the request in Tamarackrun-Request-Id of their answers. An answer with another id, or without one on a pooled connection, is answerLost. Connections to servers that don't name it are not used again. Heads are bounded by 64 KiB. The metrics of the platform's path split calls to the store, bytes of datagrams by kind, and pages of records.

Ruled out: net/http closes a connection on which bytes arrive while it is idle; the copy that arrives after the write passes that check.

--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -205,6 +205,8 @@
 		return cleanup, err
 	}
 	cleanups = append(cleanups, closeSocket)
+	socket.OnSend = f.countMessage
+	f.Store = &countingStore{f.Store, meter.Scope}
 	mesh, closeMesh, err := peer.New(f.Identity.ReportAddress)
 	if err != nil {
 		return cleanup, err
--- a/internal/program/front/reading.go
+++ b/internal/program/front/reading.go
@@ -69,6 +69,8 @@
 	if err != nil {
 		page = &wire.RecordPage{Problem: err.Error()}
 	}
+	f.scope.Counter("record_pages").Inc(1)
+	f.scope.Counter("record_page_bytes").Inc(int64(len(page.Records)))
 	// An error means that the asking instance has gone.
 	_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_RecordPage{RecordPage: page}})
 }
--- /dev/null
+++ b/internal/program/front/traffic.go
@@ -0,0 +1,56 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"tamarackrun"
+	"tamarackrun/internal/protocol/wire"
+)
+
+// countingStore counts the calls to the platform's store by collection and kind. Together with
+// the counters of reports and record pages, they show what the control of the fleet costs.
+type countingStore struct {
+	tamarackrun.RecordStore
+	scope tally.Scope
+}
+
+func (s *countingStore) count(call, collection string) {
+	s.scope.Tagged(map[string]string{"call": call, "collection": collection}).Counter("store_calls").Inc(1)
+}
+
+func (s *countingStore) Read(ctx context.Context, collection tamarackrun.Collection) (tamarackrun.Page, error) {
+	s.count("read", collection.String())
+	return s.RecordStore.Read(ctx, collection)
+}
+
+func (s *countingStore) Watch(ctx context.Context, collection tamarackrun.Collection, after int64, wait time.Duration) (tamarackrun.Page, error) {
+	s.count("watch", collection.String())
+	return s.RecordStore.Watch(ctx, collection, after, wait)
+}
+
+func (s *countingStore) Announce(ctx context.Context, name string, instance tamarackrun.InstanceRecord) error {
+	s.count("announce", tamarackrun.Instances.String())
+	return s.RecordStore.Announce(ctx, name, instance)
+}
+
+func (s *countingStore) Withdraw(ctx context.Context, name string) error {
+	s.count("withdraw", tamarackrun.Instances.String())
+	return s.RecordStore.Withdraw(ctx, name)
+}
+
+// countMessage counts the bytes of the datagrams to other instances by kind.
+func (f *Front) countMessage(message *wire.InstanceMessage, bytes int) {
+	kind := "token"
+	switch message.Content.(type) {
+	case *wire.InstanceMessage_Report:
+		kind = "report"
+	case *wire.InstanceMessage_DomainDigest:
+		kind = "domainDigest"
+	case *wire.InstanceMessage_FleetDigest:
+		kind = "fleetDigest"
+	}
+	f.scope.Tagged(map[string]string{"kind": kind}).Counter("datagram_bytes").Inc(int64(bytes))
+}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -164,6 +164,7 @@
 	if err != nil {
 		return
 	}
+	w.Header().Set("Tamarackrun-Request-Id", r.Header.Get("Tamarackrun-Request-Id"))
 	f, ok := s.acquireSlot(r, string(body))
 	if f.Draining {
 		w.Header().Set("X-Draining", "true")
--- a/internal/transport/backend/backend.go
+++ b/internal/transport/backend/backend.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,12 +24,18 @@
 	// instance.
 	maxPiece    = 32 << 10
 	idleTimeout = 30 * time.Second
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
 )
 
 // notRunHeaders are the headers by which a backend server says that it did not run a
 // request.
 var notRunHeaders = []string{"Tamarackrun-Not-Run", "X-Not-Run"}
 
+// requestIDHeader names the request, in the request and in the answers of servers that say to
+// which request an answer belongs.
+const requestIDHeader = "Tamarackrun-Request-Id"
+
 // DrainingHeader is the header by which a backend server announces that it is
 // draining.
 const DrainingHeader = "X-Draining"
@@ -44,8 +51,11 @@
 
 	dialer *net.Dialer
 	// pooled reuses connections. It may send a request again by itself, so it is used
-	// only for idempotent requests.
+	// only for idempotent requests, and only for servers that name the request in their
+	// answers: a second copy of an answer may arrive when its connection is in use again.
 	pooled *http.Transport
+	// naming holds the servers whose latest answer named its request.
+	naming sync.Map
 }
 
 // New returns a client with at most the given number of pooled connections to each
@@ -54,7 +64,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	pooled := &http.Transport{
 		DialContext: dialer.DialContext, MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
-		IdleConnTimeout: idleTimeout, DisableCompression: true,
+		IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	c := &Client{dialer: dialer, pooled: pooled}
 	return c, pooled.CloseIdleConnections, nil
@@ -77,7 +87,7 @@
 		return tamarackrun.Refused(tamarackrun.Malformed)
 	}
 	transport := c.pooled
-	if !request.Idempotent {
+	if _, names := c.naming.Load(request.Server); !request.Idempotent || !names {
 		conn, err := c.dialer.DialContext(ctx, "tcp", address)
 		if err != nil {
 			// The dial may have failed by the end of the context, but in any case
@@ -92,6 +102,18 @@
 		return outcomeOfError(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	switch id := response.Header.Get(requestIDHeader); id {
+	case request.ID:
+		c.naming.Store(request.Server, true)
+	case "":
+		c.naming.Delete(request.Server)
+		if transport == c.pooled {
+			// The answer can't be told from a second copy of an earlier one.
+			return c.refuseAnswer()
+		}
+	default:
+		return c.refuseAnswer()
+	}
 	if c.OnAnswer != nil {
 		c.OnAnswer(request.Server, response.Header)
 	}
@@ -101,6 +123,13 @@
 	return copyAnswer(ctx, response, answer)
 }
 
+// refuseAnswer returns the outcome after an answer that may belong to another request. It
+// closes all idle connections, because the answer's own one may be among them.
+func (c *Client) refuseAnswer() tamarackrun.Outcome {
+	c.pooled.CloseIdleConnections()
+	return tamarackrun.Uncertain(tamarackrun.AnswerLost)
+}
+
 // errOneConnection is returned if http.Transport asks for a second connection.
 var errOneConnection = errors.New("the request may use only one connection")
 
@@ -109,7 +138,7 @@
 // connection fails; this one has no other connection to send it on.
 func singleConnectionTransport(conn net.Conn) *http.Transport {
 	var used atomic.Bool
-	return &http.Transport{DisableKeepAlives: true, DisableCompression: true,
+	return &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 		DialContext: func(context.Context, string, string) (net.Conn, error) {
 			if used.Swap(true) {
 				return nil, errOneConnection
@@ -144,7 +173,7 @@
 		outgoing.Header.Del("X-Idempotency-Key")
 	}
 	outgoing.Header.Set("Tamarackrun-Organisation", request.Organisation)
-	outgoing.Header.Set("Tamarackrun-Request-Id", request.ID)
+	outgoing.Header.Set(requestIDHeader, request.ID)
 	return outgoing, nil
 }
 
--- a/internal/transport/datagram/datagram.go
+++ b/internal/transport/datagram/datagram.go
@@ -23,6 +23,9 @@
 	// Receive is called with each message and its sender's address. It is set
 	// before Run.
 	Receive func(message *wire.InstanceMessage, from netip.AddrPort)
+	// OnSend is called with the number of bytes of each message, summed over its
+	// receivers. It may be nil. It is set before the first Send.
+	OnSend func(message *wire.InstanceMessage, bytes int)
 
 	conn *net.UDPConn
 }
@@ -70,6 +73,9 @@
 		// configuration is.
 		return len(addresses)
 	}
+	if s.OnSend != nil {
+		s.OnSend(message, len(encoded)*len(addresses))
+	}
 	failed := 0
 	for _, a := range addresses {
 		if _, err := s.conn.WriteToUDPAddrPort(encoded, a); err != nil {
