Let the choice of instances grow with those that are known

Cause: the number of instances for callers was set from the first look-up, when a process that has just started knows few others. After a loss of all power, callers would have been sent to two instances of each failure domain.

Change: until the load is known for 4 s the number follows the known instances.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -40,7 +40,7 @@
 type Selector struct {
 	// perDomain is the number of instances of each failure domain; 0 before the first call.
 	perDomain int
-	// firstLoad is when a load was known first, and lastShrink when perDomain was reduced.
+	// firstLoad is when a load was known first, and lastShrink when perDomain was reduced last.
 	firstLoad, lastShrink time.Time
 }
 
@@ -73,17 +73,19 @@
 	if domains == 0 {
 		return
 	}
-	if s.perDomain == 0 {
-		s.perDomain = max(min(largest, minSpread), int(math.Ceil(initialFraction*float64(largest))))
-	}
 	if load > 0 && s.firstLoad.IsZero() {
 		s.firstLoad = now
 	}
+	learned := !s.firstLoad.IsZero() && now.Sub(s.firstLoad) >= learnTime
+	if !learned {
+		// A process that has just started knows few instances at first.
+		s.perDomain = max(s.perDomain, min(largest, minSpread), int(math.Ceil(initialFraction*float64(largest))))
+	}
 	needed := max(minInstances, int(math.Ceil(load/float64(domains)/targetRate)))
 	switch {
 	case needed > s.perDomain:
 		s.perDomain = needed
-	case !s.firstLoad.IsZero() && now.Sub(s.firstLoad) >= learnTime && now.Sub(s.lastShrink) >= shrinkPause:
+	case learned && now.Sub(s.lastShrink) >= shrinkPause:
 		s.lastShrink = now
 		s.perDomain = max(needed, int(shrinkFraction*float64(min(s.perDomain, largest))))
 	}
--- a/internal/coordination/directory/directory_test.go
+++ b/internal/coordination/directory/directory_test.go
@@ -117,3 +117,16 @@
 		t.Errorf("instances after the loss of a failure domain (-want +got):\n%s", diff)
 	}
 }
+
+// Pattern: a process starts, and knows the other instances one after the other. Guards against
+// a choice that stays with the number of those that it knew first.
+func TestChoiceGrowsWithKnownInstances(t *testing.T) {
+	s, now := &Selector{}, time.Unix(1000, 0)
+	s.Choose(now, region(1, 0))
+	if got := len(s.Choose(now.Add(time.Second), region(5, 0))); got != 15 {
+		t.Errorf("%d of 15 instances are used, want all", got)
+	}
+	if got := perDomain(s.Choose(now.Add(2*time.Second), region(13, 0)))["domain-0"]; got != 7 {
+		t.Errorf("%d of 13 instances of a failure domain are used before the load is known, want 7", got)
+	}
+}
