--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -28,8 +28,14 @@
 	totalDemand  []map[string]float64
 	demands      []map[string]float64
 	spareTokens  []map[string]float64
-	// drops reports whether a report from one instance to another is lost.
+	// drops reports whether a message from one instance to another is lost.
 	drops func(from, to int) bool
+	// domains is the number of failure domains, over which the instances are spread in
+	// turn.
+	domains int
+	// messages counts the messages sent, and bytes their size, by the domains of sender
+	// and receiver: the same or another one.
+	messages, bytes map[bool]int
 }
 
 const reportInterval = 250 * time.Millisecond
@@ -38,8 +44,14 @@
 
 func address(i int) string { return fmt.Sprintf("127.0.0.%d:7460", i+1) }
 
-func newFleet(n int) *fleet {
+// newFleet returns a fleet of n instances in one failure domain.
+func newFleet(n int) *fleet { return newFleetIn(n, 1) }
+
+func newFleetIn(n, domains int) *fleet {
 	f := &fleet{
+		domains:      domains,
+		messages:     map[bool]int{},
+		bytes:        map[bool]int{},
 		clock:        &clock{now: time.Hour},
 		reachability: make([]Reachability, n),
 		totalDemand:  make([]map[string]float64, n),
@@ -58,28 +70,39 @@
 func (f *fleet) restart(i int) {
 	var records []tamarackrun.Record
 	for k := range f.members {
-		records = append(records, tamarackrun.Record{Name: instanceName(k), Instance: &tamarackrun.InstanceRecord{ReportAddress: address(k)}})
+		record := f.recordOf(k)
+		records = append(records, tamarackrun.Record{Name: instanceName(k), Instance: &record})
 	}
 	f.members[i] = f.newMembership(i)
 	f.members[i].Apply(tamarackrun.Page{Records: records, Full: true})
 }
 
+func (f *fleet) domainOf(i int) string { return fmt.Sprint("domain-", i%f.domains) }
+
+func (f *fleet) recordOf(i int) tamarackrun.InstanceRecord {
+	return tamarackrun.InstanceRecord{FailureDomain: f.domainOf(i), ReportAddress: address(i)}
+}
+
 // newMembership returns a ready membership that sends its reports to the others of
 // the fleet.
 func (f *fleet) newMembership(i int) *Membership {
-	m := New(instanceName(i), tamarackrun.InstanceRecord{ReportAddress: address(i)}, f.clock)
+	m := New(instanceName(i), f.recordOf(i), f.clock)
 	m.DetectionBound = 4 * time.Second
 	m.Recorder = recorder.Discard{}
 	m.Verifier = &verify.Verifier{WatchFailed: func() bool { return false }}
 	m.Demands = func() map[string]float64 { return f.demands[i] }
-	m.OnReport = func(reachability Reachability, totalDemand map[string]float64) {
-		f.reachability[i], f.totalDemand[i] = reachability, totalDemand
+	m.OnReport = func(reachability Reachability, totalDemand func(string) float64) {
+		f.reachability[i], f.totalDemand[i] = reachability, map[string]float64{"o": totalDemand("o")}
 	}
 	m.SpareTokens = func() map[string]float64 { return f.spareTokens[i] }
 	m.Send = func(message *wire.InstanceMessage, addresses ...netip.AddrPort) int {
 		for _, a := range addresses {
-			if to := int(a.Addr().As4()[3]) - 1; to != i && !f.drops(i, to) {
-				f.members[to].Receive(proto.CloneOf(message.GetReport()))
+			to := int(a.Addr().As4()[3]) - 1
+			sameDomain := f.domainOf(i) == f.domainOf(to)
+			f.messages[sameDomain]++
+			f.bytes[sameDomain] += proto.Size(message)
+			if to != i && !f.drops(i, to) {
+				f.members[to].Receive(proto.CloneOf(message))
 			}
 		}
 		return 0
@@ -144,7 +167,7 @@
 				f.demands[i] = map[string]float64{"o": 10}
 			}
 			f.run(2 * time.Second)
-			if diff := cmp.Diff([]any{Reachability{Members: 5}, 50.0}, []any{f.reachability[0], f.totalDemand[0]["o"]}); diff != "" {
+			if diff := cmp.Diff([]any{Reachability{Members: 5, Regions: 1}, 50.0}, []any{f.reachability[0], f.totalDemand[0]["o"]}); diff != "" {
 				t.Errorf("in contact (-want +got):\n%s", diff)
 			}
 			f.drops = drops
@@ -156,7 +179,7 @@
 					}
 				}
 			}
-			if diff := cmp.Diff([]Reachability{{Members: 5, Silent: 4, CutOff: true}, {Members: 5, Silent: 1}}, f.reachability[:2]); diff != "" && name == "both ways" {
+			if diff := cmp.Diff([]Reachability{{Members: 5, Silent: 4, CutOff: true, Regions: 1}, {Members: 5, Silent: 1, Regions: 1}}, f.reachability[:2]); diff != "" && name == "both ways" {
 				t.Errorf("reachability after the cut (-want +got):\n%s", diff)
 			}
 		})
@@ -183,7 +206,7 @@
 	}
 	f.members[0].Apply(tamarackrun.Page{Records: []tamarackrun.Record{{Name: instanceName(2), Removed: true}}})
 	f.run(reportInterval, 2)
-	if diff := cmp.Diff(Reachability{Members: 2}, f.reachability[0]); diff != "" {
+	if diff := cmp.Diff(Reachability{Members: 2, Regions: 1}, f.reachability[0]); diff != "" {
 		t.Errorf("reachability (-want +got):\n%s", diff)
 	}
 }
@@ -195,11 +218,11 @@
 	f.run(time.Second)
 	missing := 0
 	f.members[0].OnRecordMissing = func() { missing++ }
+	own, other := f.recordOf(0), f.recordOf(1)
 	f.members[0].Apply(tamarackrun.Page{Full: true, Records: []tamarackrun.Record{
-		{Name: instanceName(0), Instance: &tamarackrun.InstanceRecord{ReportAddress: address(0)}},
-		{Name: instanceName(1), Instance: &tamarackrun.InstanceRecord{ReportAddress: address(1)}}}})
+		{Name: instanceName(0), Instance: &own}, {Name: instanceName(1), Instance: &other}}})
 	f.run(reportInterval)
-	if diff := cmp.Diff([]any{Reachability{Members: 2}, 0}, []any{f.reachability[0], missing}); diff != "" {
+	if diff := cmp.Diff([]any{Reachability{Members: 2, Regions: 1}, 0}, []any{f.reachability[0], missing}); diff != "" {
 		t.Errorf("reachability, missing (-want +got):\n%s", diff)
 	}
 	f.members[0].Apply(tamarackrun.Page{Full: true})
@@ -216,7 +239,7 @@
 	f.run(2 * time.Second)
 	f.drops = func(from, to int) bool { return (from < 3) != (to < 3) }
 	f.run(time.Hour)
-	want := []Reachability{{Members: 7, Silent: 4, CutOff: true}, {Members: 7, Silent: 3}}
+	want := []Reachability{{Members: 7, Silent: 4, CutOff: true, Regions: 1}, {Members: 7, Silent: 3, Regions: 1}}
 	if diff := cmp.Diff(want, []Reachability{f.reachability[0], f.reachability[6]}); diff != "" {
 		t.Errorf("reachability (-want +got):\n%s", diff)
 	}
@@ -256,7 +279,7 @@
 	if diff := cmp.Diff([]string{instanceName(0), instanceName(1), instanceName(2)}, f.aliveNames(0)); diff != "" {
 		t.Errorf("alive after the restart (-want +got):\n%s", diff)
 	}
-	if diff := cmp.Diff([]Reachability{{Members: 3}, {Members: 3}}, f.reachability[:2]); diff != "" {
+	if diff := cmp.Diff([]Reachability{{Members: 3, Regions: 1}, {Members: 3, Regions: 1}}, f.reachability[:2]); diff != "" {
 		t.Errorf("reachability (-want +got):\n%s", diff)
 	}
 }
@@ -280,7 +303,7 @@
 // are out of contact, are in another region, or were already asked for all their
 // spare tokens.
 func TestChooseLender(t *testing.T) {
-	f := newFleet(5)
+	f := newFleetIn(5, 5)
 	for i, spare := range []float64{0, 2.5, 3, 0.5, 4} {
 		f.spareTokens[i] = map[string]float64{"o": spare}
 	}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -4,7 +4,6 @@
 package steer
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -35,7 +34,8 @@
 	// maxOutstanding is the number of outstanding requests of this instance at which
 	// a server is skipped.
 	maxOutstanding = 9
-	// reportLifetime is how long a server's load report is used.
+	// reportLifetime is how long a server's load report is used as it is. After it, a
+	// reported queue counts as shrinking at the rate at which the server works.
 	reportLifetime = 400 * time.Millisecond
 	// A server counts as overloaded only if its average response time is at least
 	// slowFraction of the target latency.
@@ -107,14 +107,33 @@
 	// waiting and slots are from the latest load report, received at reportedAt.
 	waiting, slots int
 	reportedAt     time.Time
-	// responseTime is the moving average of the response time.
-	responseTime time.Duration
+	// responseTime is the moving average of the response time, and serviceTime that of the
+	// part of it for which the request did not wait.
+	responseTime, serviceTime time.Duration
+	// sentSince is the number of requests that this instance has sent since the report, and
+	// ownShare its part of the requests that the server had then, above 0.
+	sentSince int
+	ownShare  float64
 }
 
 // overloaded reports whether the server recently reported a long queue and is slow. A
 // long queue alone does not count if answers arrive well before the target latency.
 func (st *serverState) overloaded(now time.Time, targetLatency time.Duration) bool {
-	return st.hasRecentReport(now) && st.waiting >= st.slots && float64(st.responseTime) >= slowFraction*float64(targetLatency)
+	return st.slots > 0 && st.waitingAt(now) >= float64(st.slots) && float64(st.responseTime) >= slowFraction*float64(targetLatency)
+}
+
+// waitingAt estimates how many requests wait at the server from its latest report. If some
+// waited then, the other instances are taken to have sent as many requests since, in
+// proportion, as this one.
+func (st *serverState) waitingAt(now time.Time) float64 {
+	waiting := float64(st.waiting)
+	if age := now.Sub(st.reportedAt); age >= reportLifetime && st.serviceTime > 0 {
+		waiting -= float64(st.slots) * float64(age) / float64(st.serviceTime)
+	}
+	if st.waiting > 0 {
+		waiting += float64(st.sentSince) / st.ownShare
+	}
+	return waiting
 }
 
 // idle reports whether the server recently reported an empty queue.
@@ -137,6 +156,8 @@
 	mu        sync.Mutex
 	servers   map[string]*serverState
 	createdAt time.Time
+	// candidates is the memory for the candidates of one choice.
+	candidates []candidate
 }
 
 // New returns a balancer without observations.
@@ -154,18 +175,14 @@
 func (b *Balancer) Choose(now time.Time, servers []*registry.Server, q Query) (Choice, tamarackrun.Reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	candidates := b.rankServers(servers, q)
-	if len(candidates) == 0 {
+	b.listCandidates(servers, q)
+	if len(b.candidates) == 0 {
 		return Choice{}, tamarackrun.NoHealthyServer
 	}
-	ejected := 0
-	for _, c := range candidates {
-		if st := b.servers[c.server.Name]; st != nil && st.health.Ejected() {
-			ejected++
-		}
-	}
 	refused, reason := Choice{}, tamarackrun.QueueFull
-	for i, c := range candidates {
+	for i := range b.candidates {
+		b.moveBest(i)
+		c := b.candidates[i]
 		st := b.stateOf(c.server)
 		if st.outstanding >= maxOutstanding || now.Before(st.backoffUntil) {
 			continue
@@ -174,14 +191,14 @@
 			overload := Choice{Server: c.server, Rank: i, Overload: &LoadReport{st.waiting, st.slots, now.Sub(st.reportedAt), st.responseTime}}
 			// The second server may not have the object's data and then needs several
 			// times as long, so it gets the request only if its queue is empty.
-			if q.Object != "" && (i > 0 || len(candidates) == 1 || !b.stateOf(candidates[1].server).idle(now)) {
+			if q.Object != "" && (i > 0 || len(b.candidates) == 1 || !b.second().idle(now)) {
 				return overload, tamarackrun.ServerBusy
 			}
 			refused, reason = overload, tamarackrun.ServerBusy
 			continue
 		}
 		admitted, probe := st.health.Admit(now.Sub(b.createdAt), true)
-		if !admitted && ejected < len(candidates) {
+		if !admitted && !b.allEjected() {
 			continue
 		}
 		if (c.server.Cold(now) || now.Before(st.coldUntil)) && !b.AdmitCold(now, c.server) {
@@ -191,17 +208,47 @@
 			continue
 		}
 		st.outstanding++
+		st.sentSince++
 		return Choice{Server: c.server, Rank: i, Outstanding: st.outstanding - 1, Probe: probe}, ""
 	}
 	return refused, reason
 }
 
-// rankServers returns the allowed servers, best first.
-func (b *Balancer) rankServers(servers []*registry.Server, q Query) []candidate {
-	candidates := make([]candidate, 0, len(servers))
-	remoteWeight := 0.0
+// moveBest moves the best of the candidates from the position on to that position. The first
+// ones are usually enough, so the candidates are not sorted.
+func (b *Balancer) moveBest(position int) {
+	best := position
+	for i := position + 1; i < len(b.candidates); i++ {
+		if b.candidates[i].score < b.candidates[best].score {
+			best = i
+		}
+	}
+	b.candidates[position], b.candidates[best] = b.candidates[best], b.candidates[position]
+}
+
+// second returns the state of the second best candidate, while the best one is at the first
+// position.
+func (b *Balancer) second() *serverState {
+	b.moveBest(1)
+	return b.stateOf(b.candidates[1].server)
+}
+
+// allEjected reports whether all candidates are ejected.
+func (b *Balancer) allEjected() bool {
+	for _, c := range b.candidates {
+		if st := b.servers[c.server.Name]; st == nil || !st.health.Ejected() {
+			return false
+		}
+	}
+	return true
+}
+
+// listCandidates sets b.candidates to the allowed servers, in any order.
+func (b *Balancer) listCandidates(servers []*registry.Server, q Query) {
+	b.candidates = b.candidates[:0]
+	remoteWeight, objectHash := 0.0, uint64(0)
 	if q.Object != "" {
-		remoteWeight = remoteWeightFor(servers, q)
+		remoteWeight, objectHash = remoteWeightFor(servers, q), rendezvous.Hash(q.Object)
 	}
 	for _, server := range servers {
 		if !allows(q.AllowedRegions, server.Region) || slices.Contains(q.Tried, server.Name) {
@@ -213,15 +260,13 @@
 			weight, penalty = remoteWeight, remotePenalty
 		}
 		if q.Object != "" {
-			c.score = weightedScore(q.Object, server.Name, weight)
+			c.score = weightedScore(objectHash, server.Hash, weight)
 		} else {
 			// Without the jitter, the same idle server would always come first.
 			c.score = b.loadOf(server) + rand.Float64()*tieJitter + penalty
 		}
-		candidates = append(candidates, c)
+		b.candidates = append(b.candidates, c)
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
-	return candidates
 }
 
 // remoteWeightFor returns the weight of servers in other regions. The weight is above
@@ -229,11 +274,13 @@
 // would use more than localCapacityFraction of them. It depends neither on load nor on
 // earlier attempts, so that an object keeps its ranking of servers.
 func remoteWeightFor(servers []*registry.Server, q Query) float64 {
-	regions := map[string]bool{}
+	var regions []string
 	local, all := 0.0, 0.0
 	for _, server := range servers {
 		if allows(q.AllowedRegions, server.Region) {
-			regions[server.Region] = true
+			if !slices.Contains(regions, server.Region) {
+				regions = append(regions, server.Region)
+			}
 			all++
 			if server.Region == q.Region {
 				local++
@@ -249,10 +296,11 @@
 	return min(1, max(minRemoteWeight, balanced))
 }
 
-// weightedScore returns a server's score in weighted rendezvous hashing. A server has
+// weightedScore returns a server's score in weighted rendezvous hashing, from the hashes of the
+// object and the server. A server has
 // the lowest score, which is the best, with a probability proportional to its weight.
-func weightedScore(object, server string, weight float64) float64 {
-	uniform := (float64(rendezvous.Score(object, server)) + 1) / (math.MaxUint64 + 1)
+func weightedScore(object, server uint64, weight float64) float64 {
+	uniform := (float64(rendezvous.Mix(object, server)) + 1) / (math.MaxUint64 + 1)
 	return -math.Log(uniform) / weight
 }
 
@@ -317,13 +365,24 @@
 }
 
 // ReportLoad records the load that a server reported in an answer, and the answer's
-// response time.
+// response time, which is 0 if the server did not run the request.
 func (b *Balancer) ReportLoad(now time.Time, server string, waiting, slots int, responseTime time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if st := b.servers[server]; st != nil {
-		st.waiting, st.slots, st.reportedAt = waiting, slots, now
+		st.waiting, st.slots, st.reportedAt, st.sentSince = waiting, slots, now, 0
+		st.ownShare = min(1, float64(st.outstanding+1)/float64(max(1, waiting+slots)))
+		if responseTime == 0 {
+			// A refusal comes at once, however long the queue is.
+			return
+		}
 		st.responseTime += time.Duration(responseTimeWeight * float64(responseTime-st.responseTime))
+		// The request has waited behind about as many others as wait now.
+		service := float64(responseTime) / (1 + float64(waiting)/float64(max(1, slots)))
+		if st.serviceTime == 0 {
+			st.serviceTime = time.Duration(service)
+		}
+		st.serviceTime += time.Duration(responseTimeWeight * (service - float64(st.serviceTime)))
 	}
 }
 
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -87,7 +87,15 @@
 			f.history.Record(event.RetryDenied, req.caller.ID, "reason", string(a.outcome.Reason), "service", req.service)
 			break
 		}
-		if a.add(choice.Server.Name, f.send(ctx, req, choice)) {
+		previous, result := a.answer, f.send(ctx, req, choice)
+		final := a.add(choice.Server.Name, result)
+		switch {
+		case result.Outcome != tamarackrun.Done:
+			f.backendClient.Release(result)
+		case previous != nil:
+			f.backendClient.Release(*previous)
+		}
+		if final {
 			break
 		}
 	}
@@ -95,7 +103,7 @@
 		return f.serverAnswer(*a.answer)
 	}
 	if a.outcome.Kind == tamarackrun.NotRun {
-		f.limiter.Return(time.Now(), req.organisation.Name)
+		f.returnToken(req)
 	}
 	return f.outcomeAnswer(req, a.outcome, f.retryAfter(req))
 }
@@ -129,7 +137,11 @@
 	connectFailed := result.Outcome.Reason == tamarackrun.ConnectFailed || result.Fields.Misdirected
 	ejected, reinstated := f.balancer.Done(time.Now(), choice, healthResult(result), connectFailed, len(f.registry.ServersOf(req.service)))
 	if l := result.Fields.Load; l != nil {
-		f.balancer.ReportLoad(time.Now(), choice.Server.Name, l.Waiting, l.Slots, time.Since(now))
+		responseTime := time.Since(now)
+		if result.Outcome != tamarackrun.Done {
+			responseTime = 0
+		}
+		f.balancer.ReportLoad(time.Now(), choice.Server.Name, l.Waiting, l.Slots, responseTime)
 	}
 	if ejected {
 		f.history.Record(event.ServerEjected, req.caller.ID, "server", choice.Server.Name)
@@ -147,7 +159,9 @@
 	switch {
 	case result.Outcome == tamarackrun.Done && result.Status < http.StatusInternalServerError:
 		return health.Success
-	case result.Outcome == tamarackrun.Done, result.Outcome.Kind == tamarackrun.Unknown && result.Outcome.Reason != tamarackrun.AnswerCancelled,
+	case result.Outcome.Reason == tamarackrun.AnswerCancelled, result.Outcome.Reason == tamarackrun.AnswersFull:
+		return health.Inconclusive
+	case result.Outcome == tamarackrun.Done, result.Outcome.Kind == tamarackrun.Unknown,
 		result.Outcome.Reason == tamarackrun.ConnectFailed:
 		return health.Failure
 	}
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -20,10 +20,12 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/coldstart"
+	"tamarackrun/internal/coordination/directory"
 	"tamarackrun/internal/coordination/follow"
 	"tamarackrun/internal/coordination/loan"
 	"tamarackrun/internal/coordination/membership"
 	"tamarackrun/internal/coordination/quota"
+	"tamarackrun/internal/coordination/source"
 	"tamarackrun/internal/coordination/steer"
 	"tamarackrun/internal/coordination/verify"
 	"tamarackrun/internal/coordination/waiting"
@@ -33,10 +35,12 @@
 	"tamarackrun/internal/state/configuration"
 	"tamarackrun/internal/state/history"
 	"tamarackrun/internal/state/metrics"
+	"tamarackrun/internal/state/records"
 	"tamarackrun/internal/state/registry"
 	"tamarackrun/internal/state/sla"
 	"tamarackrun/internal/transport/datagram"
 	"tamarackrun/internal/transport/exchange"
+	"tamarackrun/internal/transport/peer"
 	"tamarackrun/internal/transport/pipeline"
 )
 
@@ -49,6 +53,9 @@
 	// withdrawInterval is the time between two searches for the records of
 	// instances that will not return.
 	withdrawInterval = time.Minute
+	// bodiesFraction is the part of the machine's memory for the bodies of requests,
+	// and the part for the bodies of answers.
+	bodiesFraction = 0.125
 )
 
 // Front is an entry instance that runs on the users' platform.
@@ -78,9 +85,19 @@
 	balancer      *steer.Balancer
 	coldLimiter   *coldstart.Limiter
 	verifier      *verify.Verifier
+	source        *source.Source
+	mesh          *peer.Mesh
+	// known holds what the instance knows of each collection, for the instances that read
+	// the store through this one.
+	known map[tamarackrun.Collection]*records.Collection
 	// followers holds the follower of each collection.
 	followers    map[tamarackrun.Collection]*follow.Follower
 	retryBudgets retryBudgets
+	// requestRate is the rate at which callers' requests arrive.
+	requestRate movingRate
+	// selectors holds the choice of instances for callers of each region.
+	selectorsMutex sync.Mutex
+	selectors      map[string]*directory.Selector
 
 	// snapshot is the configuration in force; nil until the first one is known.
 	// Its version only grows.
@@ -93,8 +110,9 @@
 	// leaving reports whether look-ups no longer return the instance, and
 	// refusingRequests whether new requests are refused.
 	leaving, refusingRequests atomic.Bool
-	// announced reports whether the instance's own record was written once.
-	announced atomic.Bool
+	// instancesRead is closed when the other instances are known for the first time, and
+	// recordWritten when the first write of the instance's own record has ended.
+	instancesRead, recordWritten chan struct{}
 	// announceAgain receives a value when the instance's record must be written again.
 	announceAgain chan struct{}
 }
@@ -108,6 +126,10 @@
 		balancer:      steer.New(),
 		coldLimiter:   &coldstart.Limiter{},
 		announceAgain: make(chan struct{}, 1),
+		instancesRead: make(chan struct{}),
+		recordWritten: make(chan struct{}),
+		known:         map[tamarackrun.Collection]*records.Collection{},
+		selectors:     map[string]*directory.Selector{},
 	}
 	f.terms.Store(&t)
 	f.limiter.SetBound(t.RateWindow, t.RateOverage, t.RateSlack)
@@ -135,16 +157,19 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group sync.WaitGroup
-	start := func(task func(context.Context)) { group.Go(func() { task(background) }) }
-	for _, follower := range f.followers {
-		start(follower.Run)
+	start := func(name string, task func(context.Context)) {
+		group.Go(func() { f.keepRunning(background, name, task) })
 	}
-	start(func(ctx context.Context) { f.FollowSettings(ctx, f.reload, f.reject) })
-	start(f.announce)
-	start(f.withdrawGone)
-	start(f.members.Run)
-	start(f.verifier.Run)
-	start(f.sweep)
+	for collection, follower := range f.followers {
+		start("follow "+collection.String(), func(ctx context.Context) { f.follow(ctx, collection, follower) })
+	}
+	start("source", f.source.Run)
+	start("settings", func(ctx context.Context) { f.FollowSettings(ctx, f.reload, f.reject) })
+	start("announce", f.announce)
+	start("withdraw", f.withdrawGone)
+	start("reports", f.members.Run)
+	start("verify", f.verifier.Run)
+	start("sweep", f.sweep)
 	f.history.Record(event.Started, "", "failureDomain", f.Identity.FailureDomain, "region", f.Identity.Region)
 	<-ctx.Done()
 	f.shutdown()
@@ -169,6 +194,9 @@
 	dials := meter.Scope.Counter("server_connections")
 	client.HeaderCodec, client.OnDial = f.HeaderCodec, func() { dials.Inc(1) }
 	f.backendClient = client
+	if f.Identity.MemoryBytes > 0 {
+		client.Bodies.Limit = int64(bodiesFraction * float64(f.Identity.MemoryBytes))
+	}
 	f.registry.Recorder, f.registry.Regions, f.registry.ColdTime = f.history, f.Identity.Regions, f.coldTime
 	f.coldLimiter.Name = f.Identity.Name
 	f.balancer.AdmitCold, f.balancer.ColdTime = f.admitCold, f.coldTime
@@ -177,6 +205,15 @@
 		return cleanup, err
 	}
 	cleanups = append(cleanups, closeSocket)
+	socket.OnSend = f.countMessage
+	f.Store = &countingStore{f.Store, meter.Scope}
+	mesh, closeMesh, err := peer.New(f.Identity.ReportAddress)
+	if err != nil {
+		return cleanup, err
+	}
+	cleanups = append(cleanups, closeMesh)
+	f.mesh, mesh.Handler = mesh, f
+	go f.runListener(mesh.Run)
 	f.openFollowers()
 	f.openMembership(socket)
 	callers, closeCallers, err := pipeline.New(f.Identity.CallerAddress)
@@ -185,6 +222,9 @@
 	}
 	cleanups = append(cleanups, closeCallers)
 	callers.Handler = f
+	if f.Identity.MemoryBytes > 0 {
+		callers.Bodies.Limit = int64(bodiesFraction * float64(f.Identity.MemoryBytes))
+	}
 	f.callerServer = callers
 	go f.runListener(callers.Run)
 	for address, handler := range map[string]http.Handler{
@@ -206,22 +246,24 @@
 	f.members.Verifier, f.members.DetectionBound = f.verifier, f.terms.Load().DetectionBound
 	f.members.Recorder, f.members.Send = f.history, socket.Send
 	f.members.Demands = func() map[string]float64 { return f.limiter.ReportDemand(time.Now()) }
+	f.members.RequestRate = func() float64 { return f.requestRate.value(time.Now()) }
 	f.members.OnRecordMissing = f.requestAnnounce
 	var latest membership.Reachability
-	f.members.OnReport = func(reachability membership.Reachability, totalDemand map[string]float64) {
+	f.members.OnReport = func(reachability membership.Reachability, totalDemand func(organisation string) float64) {
 		if reachability != latest {
 			f.history.Record(event.PartChanged, "", "members", strconv.Itoa(reachability.Members),
 				"silent", strconv.Itoa(reachability.Silent), "cutOff", strconv.FormatBool(reachability.CutOff))
 			latest = reachability
 		}
 		f.limiter.SetFleetState(time.Now(), quota.FleetState{Members: reachability.Members, Silent: reachability.Silent,
-			CutOff: reachability.CutOff, TotalDemand: totalDemand})
+			CutOff: reachability.CutOff, TotalDemand: totalDemand, ReportHops: f.members.ReportHops(),
+			Regions: reachability.Regions, Holds: f.holds, HeldSince: f.members.HoldersChanged()})
 		f.retryBudgets.setMembers(reachability.Members, f.terms.Load())
 	}
 	f.members.SpareTokens = func() map[string]float64 { return f.limiter.SpareTokens(time.Now()) }
 	f.loans = loan.New()
 	f.loans.FindLender, f.loans.Send = f.members.ChooseLender, socket.Send
-	f.loans.TakeToken = func(organisation string) bool { return f.limiter.Lend(time.Now(), organisation) }
+	f.loans.TakeToken = f.lend
 	f.loans.ReturnToken = func(organisation string) { f.limiter.Return(time.Now(), organisation) }
 	socket.Receive = f.receive
 	go socket.Run()
@@ -229,13 +271,16 @@
 
 // receive handles a message of another instance.
 func (f *Front) receive(message *wire.InstanceMessage, from netip.AddrPort) {
+	defer f.recoverPanic("datagram", nil)
 	switch content := message.Content.(type) {
-	case *wire.InstanceMessage_Report:
-		f.members.Receive(content.Report)
 	case *wire.InstanceMessage_TokenRequest:
 		f.loans.HandleRequest(content.TokenRequest, from)
 	case *wire.InstanceMessage_TokenGrant:
 		f.loans.HandleGrant(content.TokenGrant)
+	case *wire.InstanceMessage_TokenReturn:
+		f.limiter.Return(time.Now(), content.TokenReturn.Organisation)
+	default:
+		f.members.Receive(message)
 	}
 }
 
@@ -278,9 +323,17 @@
 	return 0
 }
 
-// announce writes the instance's own record to the store, and again after a
-// failure or when the record is missing.
+// announce writes the instance's own record to the store, and again after a failure or when
+// the record is missing. A restarted instance finds its record in the store.
 func (f *Front) announce(ctx context.Context) {
+	if !f.Identity.FirstStart {
+		select {
+		case <-ctx.Done():
+		case <-f.announceAgain:
+		}
+	}
+	written := sync.OnceFunc(func() { close(f.recordWritten) })
+	defer written()
 	for ctx.Err() == nil {
 		err := f.Store.Announce(ctx, f.Identity.Name, f.ownRecord())
 		if err != nil {
@@ -288,7 +341,7 @@
 			waiting.Pause(ctx, announceRetryDelay)
 			continue
 		}
-		f.announced.Store(true)
+		written()
 		select {
 		case <-ctx.Done():
 		case <-f.announceAgain:
@@ -296,12 +349,8 @@
 	}
 }
 
-// requestAnnounce asks announce to write the instance's record again. It does
-// nothing before the first write, until which the record is missing anyway.
+// requestAnnounce asks announce to write the instance's record.
 func (f *Front) requestAnnounce() {
-	if !f.announced.Load() {
-		return
-	}
 	select {
 	case f.announceAgain <- struct{}{}:
 	default:
--- a/internal/program/front/serve.go
+++ b/internal/program/front/serve.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -78,17 +79,24 @@
 	organisation  configuration.Organisation
 	service       string
 	deadline      time.Time
-	// loan is the outcome of borrowing a rate limit token from other instances;
-	// empty if that was not necessary.
-	loan loan.Outcome
+	// loan is the outcome of asking other instances for a rate limit token; empty if that
+	// was not necessary. lender is the instance that granted the token of a concentrated
+	// limit, or not valid.
+	loan   loan.Outcome
+	lender netip.AddrPort
 	// overloaded holds the server whose load is the reason for the refusal, if
 	// any.
 	overloaded steer.Choice
 }
 
 // Serve answers a caller's request.
-func (f *Front) Serve(ctx context.Context, call pipeline.Call) pipeline.Answer {
-	req := &request{call: call, caller: f.HeaderCodec.DecodeRequest(call.Request.Header), configuration: f.snapshot.Load()}
+func (f *Front) Serve(ctx context.Context, call pipeline.Call) (answer pipeline.Answer) {
+	f.requestRate.add(call.Arrived)
+	req := &request{call: call, configuration: f.snapshot.Load()}
+	defer f.recoverPanic("request", func() {
+		answer = f.outcomeAnswer(req, tamarackrun.Uncertain(tamarackrun.InternalError), 0)
+	})
+	req.caller = f.HeaderCodec.DecodeRequest(call.Request.Header)
 	if reason, retryAfter := f.admit(ctx, req); reason != "" {
 		return f.outcomeAnswer(req, tamarackrun.Refused(reason), retryAfter)
 	}
@@ -98,7 +106,7 @@
 		timeout = min(timeout, req.caller.Timeout)
 	}
 	req.deadline = call.Arrived.Add(timeout)
-	answer := f.dispatch(ctx, req)
+	answer = f.dispatch(ctx, req)
 	f.scope.Tagged(map[string]string{"route": req.route.Name}).Timer("request_latency").Record(time.Since(call.Arrived))
 	return answer
 }
@@ -131,15 +139,7 @@
 		return tamarackrun.KeyUnknown, 0
 	}
 	req.organisation = c.Organisations[key.Organisation]
-	admitted, retryAfter := f.limiter.Admit(time.Now(), req.organisation)
-	if admitted {
-		return "", 0
-	}
-	req.loan = f.loans.Borrow(ctx, req.organisation.Name)
-	if req.loan != loan.Granted {
-		return tamarackrun.RateExceeded, min(maxRetryAfter, max(minRetryAfter, retryAfter))
-	}
-	return "", 0
+	return f.takeToken(ctx, req)
 }
 
 // pickService returns the service for a request. For a route that is split, it is
@@ -162,7 +162,8 @@
 // serverAnswer returns the server's answer unchanged.
 func (f *Front) serverAnswer(result exchange.Result) pipeline.Answer {
 	f.history.CountOutcome("request", tamarackrun.Done)
-	return pipeline.Answer{Status: result.Status, Header: result.Header, Body: result.Body}
+	return pipeline.Answer{Status: result.Status, Header: result.Header, Body: result.Body,
+		Release: func() { f.backendClient.Release(result) }}
 }
 
 // outcomeAnswer returns the answer to a request for which there is no answer of a
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -14,6 +14,7 @@
 	SettingsReloaded      tamarackrun.EventID = 1006
 	SettingsRejected      tamarackrun.EventID = 1007
 	NotReady              tamarackrun.EventID = 1008
+	PanicRecovered        tamarackrun.EventID = 1009
 	ConfigurationAccepted tamarackrun.EventID = 1101
 	ConfigurationRejected tamarackrun.EventID = 1102
 	StoreUnreachable      tamarackrun.EventID = 1103
@@ -32,6 +33,8 @@
 	InstanceKnown         tamarackrun.EventID = 1117
 	AnnounceFailed        tamarackrun.EventID = 1118
 	InstanceWithdrawn     tamarackrun.EventID = 1119
+	SourceChanged         tamarackrun.EventID = 1120
+	ReaderFailed          tamarackrun.EventID = 1121
 	PeerReachable         tamarackrun.EventID = 1201
 	PeerUnreachable       tamarackrun.EventID = 1202
 	PeerRefused           tamarackrun.EventID = 1203
@@ -93,6 +96,7 @@
 	{SettingsReloaded, "settingsReloaded", "info", "the settings file was read again"},
 	{SettingsRejected, "settingsRejected", "error", "the changed settings file can't be used; the previous settings stay in force"},
 	{NotReady, "notReady", "warn", "the instance can't serve callers yet"},
+	{PanicRecovered, "panicRecovered", "error", "an unexpected error ended one request, message or round of a background task; the process goes on"},
 	{ConfigurationAccepted, "configurationAccepted", "info", "a newer configuration is in force on this instance"},
 	{ConfigurationRejected, "configurationRejected", "error", "a stored configuration could not be read; the previous one stays in force"},
 	{StoreUnreachable, "storeUnreachable", "warn", "the platform's object store does not answer"},
@@ -111,6 +115,8 @@
 	{InstanceKnown, "instanceKnown", "info", "another instance announced itself in the store"},
 	{AnnounceFailed, "announceFailed", "warn", "the instance's own record could not be written to the store"},
 	{InstanceWithdrawn, "instanceWithdrawn", "info", "this instance tried to remove the record of an instance that was silent for a day from the store"},
+	{SourceChanged, "sourceChanged", "info", "the instance reads a collection of the store's records from another instance now, or from the store if none is named"},
+	{ReaderFailed, "readerFailed", "warn", "the instance that reads the store for its failure domain did not answer; this instance reads the store itself for a short time"},
 	{PeerReachable, "peerReachable", "info", "heartbeats with a peer succeed"},
 	{PeerUnreachable, "peerUnreachable", "warn", "a peer did not answer heartbeats"},
 	{PeerRefused, "peerRefused", "warn", "a connection of another process was refused because it did not prove that it is an instance of the fleet"},
