Wait for the reader after a restart of the whole fleet

After a kill of most of the fleet a reader needs more than 0.5 s for the pages of the servers' list; its members gave up and read them too, and the reader encoded the list once for each.

Change: a query for a whole collection waits up to 2 s, and the encoded list is kept for its revision.

--- a/internal/coordination/source/source.go
+++ b/internal/coordination/source/source.go
@@ -19,8 +19,9 @@
 const (
 	// pollInterval is how often a running watch checks whether the reader is still the same.
 	pollInterval = 100 * time.Millisecond
-	// readTimeout bounds a read from a reader, which may not know the collection yet.
-	readTimeout = time.Second
+	// readTimeout bounds a read from a reader, which may not know the collection yet and then
+	// waits until it does.
+	readTimeout = 3 * time.Second
 	// avoidTime is how long a reader that failed is not asked.
 	avoidTime = 2 * time.Second
 	// catchUpPause is the shortest time between two catch-ups of a collection.
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -90,6 +90,9 @@
 	// known holds what the instance knows of each collection, for the instances that read
 	// the store through this one.
 	known map[tamarackrun.Collection]*records.Collection
+	// encoded holds the latest message with the whole of each collection.
+	encodedMutex sync.Mutex
+	encoded      map[tamarackrun.Collection]*wire.RecordPage
 	// followers holds the follower of each collection.
 	followers    map[tamarackrun.Collection]*follow.Follower
 	retryBudgets retryBudgets
@@ -130,6 +133,7 @@
 		recordWritten: make(chan struct{}),
 		known:         map[tamarackrun.Collection]*records.Collection{},
 		selectors:     map[string]*directory.Selector{},
+		encoded:       map[tamarackrun.Collection]*wire.RecordPage{},
 	}
 	f.terms.Store(&t)
 	f.limiter.SetBound(t.RateWindow, t.RateOverage, t.RateSlack)
--- a/internal/program/front/reading.go
+++ b/internal/program/front/reading.go
@@ -14,9 +14,13 @@
 	// maxQueryWait bounds how long a query waits for a change, so that queries of instances
 	// that are gone end.
 	maxQueryWait = 30 * time.Second
-	// firstReadWait is how long a query waits until this instance knows a collection and
-	// reads it from the store. Instances don't change their reader at the same moment.
-	firstReadWait = 500 * time.Millisecond
+	// sourceWait is how long a query waits until this instance reads the collection from the
+	// store. Instances don't change their reader at the same moment.
+	sourceWait = 500 * time.Millisecond
+	// firstReadWait is how long a query for a whole collection waits until this instance has
+	// read it. After a restart of the whole fleet that takes a few pages of the store's list;
+	// without the wait each instance of the failure domain would read them too.
+	firstReadWait = 2 * time.Second
 	// sourcePoll is how often a query checks whether this instance reads the store.
 	sourcePoll = 50 * time.Millisecond
 	// queryMargin is how much longer than its wait a query may take.
@@ -83,7 +87,11 @@
 	if known == nil {
 		return nil, errors.New("unknown collection")
 	}
-	for deadline := time.Now().Add(firstReadWait); !f.source.ReadsStore(collection); time.Sleep(sourcePoll) {
+	wait := sourceWait
+	if query.Full {
+		wait = firstReadWait
+	}
+	for deadline := time.Now().Add(wait); !f.source.ReadsStore(collection); time.Sleep(sourcePoll) {
 		if time.Now().After(deadline) || ctx.Err() != nil {
 			return nil, errors.New("it does not read the store itself")
 		}
@@ -98,7 +106,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return recordpage.Encode(page)
+		return f.encodeWhole(collection, page)
 	}
 	page, err := known.Watch(ctx, query.After, min(maxQueryWait, time.Duration(query.WaitMillis)*time.Millisecond))
 	if err != nil {
@@ -106,3 +114,19 @@
 	}
 	return recordpage.Encode(page)
 }
+
+// encodeWhole returns the message for a whole collection. It keeps the latest one, which all
+// instances of the failure domain ask for after a restart of the fleet.
+func (f *Front) encodeWhole(collection tamarackrun.Collection, page tamarackrun.Page) (*wire.RecordPage, error) {
+	f.encodedMutex.Lock()
+	defer f.encodedMutex.Unlock()
+	if encoded := f.encoded[collection]; encoded != nil && encoded.Revision == page.Revision {
+		return encoded, nil
+	}
+	encoded, err := recordpage.Encode(page)
+	if err != nil {
+		return nil, err
+	}
+	f.encoded[collection] = encoded
+	return encoded, nil
+}
