--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: help build test race lint format model fuzz generate events demo bench soak soakshort capacity latency clean
+.PHONY: help build test race lint format model fuzz generate events demo bench soak soakshort capacity costs latency clean
 
 help: ## List the tasks.
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -52,8 +52,11 @@
 soakshort: build ## Run the recorded seeds of the soak for 14 s each.
 	./$(BIN)/measure soak --file docs/soak-seeds.txt --length 14s --jobs 3
 
-capacity: build ## Measure the cost of the code and write docs/CAPACITY.md.
-	./$(BIN)/measure capacity --write docs/CAPACITY.md
+capacity: build ## Write docs/CAPACITY.md from the sweep's journal entry ENTRY.
+	./$(BIN)/measure sweep --entry $(ENTRY) --write docs/CAPACITY.md
+
+costs: build ## Measure the functions of the product's own interface and write docs/costs.md.
+	./$(BIN)/measure capacity --write docs/costs.md
 
 latency: build ## Measure the latency that instances add to a request.
 	./$(BIN)/measure path
--- a/internal/program/measure/page.go
+++ b/internal/program/measure/page.go
@@ -10,7 +10,7 @@
 //go:embed capacity.md.tmpl
 var pageText string
 
-// Page is the data of the template of docs/CAPACITY.md.
+// Page is the data of the template of docs/costs.md.
 type Page struct {
 	Measured *Measurements
 	Inputs   []Input
