--- a/internal/coordination/rendezvous/rendezvous.go
+++ b/internal/coordination/rendezvous/rendezvous.go
@@ -12,7 +12,7 @@
 // the highest score or sort all candidates by their scores.
 func Score(key, candidate string) uint64 { return xxhash.Sum64String(key + "\x00" + candidate) }
 
-// Hash returns the hash of a name for Mix.
+// Hash returns the hash of a name for Mix, its xxHash.
 func Hash(name string) uint64 { return xxhash.Sum64String(name) }
 
 // Mix returns the score of a candidate for a key from their hashes. It allocates nothing, for
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -9,8 +9,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"tamarackrun"
-	"tamarackrun/internal/coordination/rendezvous"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/state/sla"
 )
@@ -20,7 +21,7 @@
 	Name string
 	tamarackrun.ServerRecord
 	Region string
-	// Hash is the hash of the name for rendezvous.Mix.
+	// Hash is the xxHash of the name, for rendezvous hashing.
 	Hash uint64
 	// Revision is the store's revision of the record.
 	Revision int64
@@ -141,7 +142,7 @@
 	}
 	delete(r.missing, record.Name)
 	s := &Server{Name: record.Name, ServerRecord: *record.Server, Region: r.Regions[record.Server.FailureDomain],
-		Hash: rendezvous.Hash(record.Name), Revision: record.Revision, ReceivedAt: now, ColdUntil: now.Add(record.Server.ColdFor)}
+		Hash: xxhash.Sum64String(record.Name), Revision: record.Revision, ReceivedAt: now, ColdUntil: now.Add(record.Server.ColdFor)}
 	if until := r.coldDomainsUntil[s.FailureDomain]; until.After(s.ColdUntil) {
 		s.ColdUntil = until
 	}
