Let a catch-up cancel a watch that is beginning

Cause: a catch-up that came between the decision where to read and the call to the reader set its flag too late for that watch and cancelled the one before. It took effect with the next one, or when the watch ended after up to 30 s.

Test: TestCatchUpWhileWatchBegins got the change only after the pause between two catch-ups, 2 s, before.

--- a/internal/coordination/source/source.go
+++ b/internal/coordination/source/source.go
@@ -174,9 +174,12 @@
 // Watch returns the changes of a collection after a revision as soon as there are any, or an
 // empty page after the time wait or when the reader changes.
 func (s *Source) Watch(ctx context.Context, collection tamarackrun.Collection, after int64, wait time.Duration) (tamarackrun.Page, error) {
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// A catch-up that is requested from here on cancels the watch.
 	s.mu.Lock()
 	catchUp := s.catchUp[collection]
-	s.catchUp[collection] = false
+	s.catchUp[collection], s.cancels[collection] = false, cancel
 	s.mu.Unlock()
 	address := s.reader(collection)
 	if address == "" || catchUp {
@@ -187,11 +190,6 @@
 		s.noteStore(ctx, collection, page, err)
 		return page, err
 	}
-	watchCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	s.mu.Lock()
-	s.cancels[collection] = cancel
-	s.mu.Unlock()
 	stop := s.cancelOnChange(watchCtx, cancel, address)
 	page, err := s.Dial(address).Watch(watchCtx, collection, after, wait)
 	stop()
--- a/internal/coordination/source/source_test.go
+++ b/internal/coordination/source/source_test.go
@@ -212,3 +212,31 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a catch-up that is requested between the decision where to read and the call to
+// the reader, and that takes effect only when that watch ends.
+func TestCatchUpWhileWatchBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		f.store.Apply(page(false, 11, record("b", 11)))
+		if _, err := f.Read(t.Context(), tamarackrun.Servers); err != nil {
+			t.Fatal(err)
+		}
+		reader := f.Reader
+		f.Source.Reader = func() string {
+			f.CatchUp(tamarackrun.Servers)
+			return reader()
+		}
+		began := time.Now()
+		var got tamarackrun.Page
+		for range 2 {
+			var err error
+			if got, err = f.Watch(t.Context(), tamarackrun.Servers, 10, time.Minute); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if diff := cmp.Diff(page(false, 11, record("b", 11)), got); diff != "" || time.Since(began) > time.Second {
+			t.Errorf("changes after %s (-want +got):\n%s", time.Since(began), diff)
+		}
+	})
+}
