--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -40,9 +40,8 @@
 	capacityTolerance = 0.6
 	startTolerance    = 0.25
 	// concentratedRate is the rate per instance, in requests per second, up to which an
-	// organisation's limit is held by one instance of each region. On many instances the
-	// limit would be split into fractions of tokens: 119 instances refused 8 in 100 requests
-	// inside their limits.
+	// organisation's limit is held by one instance of each region. Split over many
+	// instances, it would be fractions of tokens, and requests inside it would be refused.
 	concentratedRate = 0.5
 	// minCapacity is the least capacity of a bucket, in requests. With a capacity
 	// below 1 no request could ever be admitted.
