--- a/internal/coordination/source/source_test.go
+++ b/internal/coordination/source/source_test.go
@@ -223,7 +223,7 @@
 			t.Fatal(err)
 		}
 		reader := f.Reader
-		f.Source.Reader = func() string {
+		f.Reader = func() string {
 			f.CatchUp(tamarackrun.Servers)
 			return reader()
 		}
