Revert the frequent reports in the first seconds of a process

At 305 instances the busiest one sends 2.2 MB/s and serves again 4.5 s after the loss of a failure domain; before it was 1.5 MB/s and at once. While no instance knows another, each reports to all of its failure domain and all answer as relays, ten times a second.

What is wanted is a start in which only the first instances by hash answer; not built in this sitting.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -32,11 +32,6 @@
 	minInterval     = 250 * time.Millisecond
 	maxInterval     = 500 * time.Millisecond
 	intervalPerPeer = 25 * time.Millisecond
-	// A new process reports at startInterval for startTime. Until it hears the others, it
-	// uses only its fixed share of the limits, and after a loss of all power that holds for
-	// the whole fleet.
-	startInterval = 100 * time.Millisecond
-	startTime     = 3 * time.Second
 	// heardFraction and aliveFraction are the fractions of DetectionBound for which
 	// the sender of a report counts as heard and as alive.
 	heardFraction = 0.6
@@ -211,10 +206,6 @@
 	// byHash holds the peers by the hashes of their names.
 	byHash   map[uint64]*peer
 	sequence uint64
-	// started is when the process started. demands and spareTokens are those of the latest
-	// report, and demandsAt is when they were read.
-	started, demandsAt   time.Duration
-	demands, spareTokens map[uint64]float64
 	// ownHash is the hash of Name.
 	ownHash uint64
 	// early receives a value when the next report is due at once.
@@ -239,8 +230,6 @@
 		byHash:      map[uint64]*peer{},
 		ownHash:     xxhash.Sum64String(name),
 		early:       make(chan struct{}, 1),
-		started:     clock.Now(),
-		demandsAt:   clock.Now() - removeAfter,
 		incarnation: 1 + rand.Int64N(math.MaxInt64-1),
 	}
 	m.members.Store(&[]Member{})
@@ -350,12 +339,8 @@
 func (m *Membership) Run(ctx context.Context) {
 	for {
 		m.mu.Lock()
-		pause := m.reportInterval()
-		if m.Clock.Now()-m.started < startTime {
-			pause = startInterval
-		}
+		timer := time.NewTimer(m.reportInterval())
 		m.mu.Unlock()
-		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -49,7 +49,7 @@
 // OnReport.
 func (m *Membership) sendReport() {
 	var s ownState
-	s.demands, s.spareTokens = m.readDemands()
+	s.demands, s.spareTokens = hashKeys(m.Demands(), minReportedDemand), hashKeys(m.SpareTokens(), 1)
 	s.revisions, s.verifiedAge = m.Verifier.OwnReport(time.Now())
 	m.mu.Lock()
 	now := m.Clock.Now()
@@ -77,22 +77,6 @@
 	m.OnReport(reachability, func(organisation string) float64 { return s.total[xxhash.Sum64String(organisation)] })
 }
 
-// readDemands returns the demands and spare tokens for a report. They are read once in an
-// interval: the limits count reads to know when the others have heard of a demand, and early
-// reports must not shorten that time.
-func (m *Membership) readDemands() (demands, spareTokens map[uint64]float64) {
-	m.mu.Lock()
-	now := m.Clock.Now()
-	isDue := now-m.demandsAt >= m.reportInterval()*9/10
-	m.mu.Unlock()
-	if !isDue {
-		return m.demands, m.spareTokens
-	}
-	// Only the goroutine of Run sends reports, so nothing else changes these fields.
-	m.demands, m.spareTokens, m.demandsAt = hashKeys(m.Demands(), minReportedDemand), hashKeys(m.SpareTokens(), 1), now
-	return m.demands, m.spareTokens
-}
-
 // servesAsRelay reports whether an instance of another failure domain has sent its digest to
 // this one, because it knows no relay of this failure domain. The caller holds m.mu.
 func (m *Membership) servesAsRelay(now time.Duration) bool {
