Ask the holder of another region only within the limit

Cause: the holder itself asked another region for each request of an organisation above its limit, which held the refusal for a round trip between regions. The time to return assumed three regions.

Change: as other instances do, the holder asks only while the fleet's demand is below the limit; the regions come from the settings. Follower.LastCallFailed, which nothing called any more, is gone, and WatchFailed is StoreFailed.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -44,16 +44,12 @@
 	// failure and for the very first page.
 	Apply func(page tamarackrun.Page, reconnected bool)
 
-	lastCallFailed  atomic.Bool
 	resyncRequested atomic.Bool
 	// cancelWatch cancels the running watch. It is nil while no watch runs: a read
 	// is never cancelled, because it would have to start again.
 	cancelWatch atomic.Pointer[context.CancelFunc]
 }
 
-// LastCallFailed reports whether the latest call to the store failed.
-func (f *Follower) LastCallFailed() bool { return f.lastCallFailed.Load() }
-
 // Resync makes the follower read the whole collection again. It cancels the
 // running watch.
 func (f *Follower) Resync() {
@@ -95,7 +91,6 @@
 				f.Recorder.Record(event.StoreUnreachable, "", "collection", f.Collection.String(), "error", err.Error())
 			}
 			failing = true
-			f.lastCallFailed.Store(true)
 			waiting.Pause(ctx, jitter(backoff))
 			backoff = min(2*backoff, f.MaxBackoff)
 		default:
@@ -103,7 +98,6 @@
 				f.Recorder.Record(event.StoreReachable, "", "collection", f.Collection.String())
 			}
 			f.Apply(page, failing)
-			f.lastCallFailed.Store(false)
 			revision, complete, failing, backoff = page.Revision, complete || page.Full, false, minBackoff
 			if f.Paced == nil || f.Paced() {
 				waiting.Pause(ctx, f.MinInterval-time.Since(began))
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -89,7 +89,7 @@
 	m := New(instanceName(i), f.recordOf(i), f.clock)
 	m.DetectionBound = 4 * time.Second
 	m.Recorder = recorder.Discard{}
-	m.Verifier = &verify.Verifier{WatchFailed: func() bool { return false }}
+	m.Verifier = &verify.Verifier{StoreFailed: func() bool { return false }}
 	m.Demands = func() map[string]float64 { return f.demands[i] }
 	m.OnReport = func(reachability Reachability, totalDemand func(string) float64) {
 		f.reachability[i], f.totalDemand[i] = reachability, map[string]float64{"o": totalDemand("o")}
--- a/internal/coordination/verify/verify.go
+++ b/internal/coordination/verify/verify.go
@@ -72,8 +72,9 @@
 	Store tamarackrun.RecordReader
 	// Rank returns the instance's position in the order of turns, from 0.
 	Rank func() int
-	// WatchFailed reports whether the latest call of the instance's watch failed.
-	WatchFailed func() bool
+	// StoreFailed reports whether the latest call of the instance's followers to the store
+	// failed.
+	StoreFailed func() bool
 	// Resync makes the instance read a collection again.
 	Resync func(collection tamarackrun.Collection)
 	// ReadsStore reports whether the instance watches the collection in the store itself;
@@ -153,7 +154,7 @@
 }
 
 // StoreUnreachable reports whether the store does not answer this instance.
-func (v *Verifier) StoreUnreachable() bool { return v.lastReadFailed.Load() || v.WatchFailed() }
+func (v *Verifier) StoreUnreachable() bool { return v.lastReadFailed.Load() || v.StoreFailed() }
 
 // OwnReport returns what this instance reports: the highest revisions that it has applied or
 // heard of, since reports pass through relays, and the age of the latest read by any
@@ -210,7 +211,7 @@
 		for _, c := range v.overdue(time.Now()) {
 			v.Resync(c)
 		}
-		if v.isTurn(time.Now()) && !v.WatchFailed() && !v.readStore(ctx) {
+		if v.isTurn(time.Now()) && !v.StoreFailed() && !v.readStore(ctx) {
 			// The followers notice when the store answers again.
 			waiting.Pause(ctx, retryPause)
 		}
--- a/internal/coordination/verify/verify_test.go
+++ b/internal/coordination/verify/verify_test.go
@@ -55,7 +55,7 @@
 			PropagationBound:  propagationBound,
 			HeartbeatInterval: 1500 * time.Millisecond,
 			Rank:              func() int { return f.rank(i) },
-			WatchFailed:       func() bool { return slices.Contains(f.storeless, i) },
+			StoreFailed:       func() bool { return slices.Contains(f.storeless, i) },
 			Resync:            func(c tamarackrun.Collection) { resyncs[c]++ },
 			ApplyEvacuations:  func(tamarackrun.Page) {},
 		})
--- a/internal/program/front/records.go
+++ b/internal/program/front/records.go
@@ -47,7 +47,7 @@
 	f.verifier = &verify.Verifier{Store: f.Store, PropagationBound: bound, HeartbeatInterval: t.ServerHeartbeat,
 		Rank:             func() int { return f.members.Rank() },
 		ApplyEvacuations: f.applyEvacuations,
-		WatchFailed:      f.storeUnreachable,
+		StoreFailed:      f.source.StoreUnreachable,
 		ReadsStore:       f.source.ReadsStore,
 		Resync:           f.resync}
 	f.registry.StoreStable = f.verifier.StoreStable
@@ -95,9 +95,6 @@
 	}
 }
 
-// storeUnreachable reports whether the latest call to the store failed.
-func (f *Front) storeUnreachable() bool { return f.source.StoreUnreachable() }
-
 // resync reads a collection again, of which the instance has missed a change. If another
 // instance reads it, the missing changes are asked for first.
 func (f *Front) resync(c tamarackrun.Collection) {
--- a/internal/program/front/tokens.go
+++ b/internal/program/front/tokens.go
@@ -35,7 +35,7 @@
 		return "", 0
 	}
 	if f.limiter.Concentrated(req.organisation) {
-		if f.askOtherRegion(ctx, req) {
+		if f.limiter.WithinLimit(req.organisation) && f.askOtherRegion(ctx, req) {
 			return "", 0
 		}
 	} else if req.loan = f.loans.Borrow(ctx, req.organisation.Name); req.loan == loan.Granted {
@@ -55,13 +55,17 @@
 	if (req.loan == loan.Unanswered || f.limiter.WithinLimit(req.organisation)) && f.askOtherRegion(ctx, req) {
 		return "", 0
 	}
-	return tamarackrun.RateExceeded, min(maxRetryAfter, max(minRetryAfter, tokenInterval(req)))
+	return tamarackrun.RateExceeded, min(maxRetryAfter, max(minRetryAfter, f.tokenInterval(req)))
 }
 
-// tokenInterval returns the time in which the organisation's limit grows by one token in one
-// of three regions.
-func tokenInterval(req *request) time.Duration {
-	return time.Duration(3 / req.organisation.Rate * float64(time.Second))
+// tokenInterval returns the time in which a region's part of the organisation's limit grows by
+// one token.
+func (f *Front) tokenInterval(req *request) time.Duration {
+	regions := map[string]bool{}
+	for _, region := range f.Identity.Regions {
+		regions[region] = true
+	}
+	return time.Duration(float64(len(regions)) / req.organisation.Rate * float64(time.Second))
 }
 
 // askOtherRegion asks the holder of another region for a token.
