Compute a report's inputs once and drop an unused field

Cause: mergeMembers worked out the recent age, which walks the peers, for each member of a table; a digest listed and sorted the failure domain twice more than it needs; a refused or admitted request looked up its holder twice. peer.name was read nowhere.

Change: each is computed once and passed on. No change of behaviour.

Ruled out for now: caching whether reports pass through relays, and holders by prepared hashes, which would move every limit to another holder.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -118,7 +118,6 @@
 // peer holds what the instance knows of another one. Times are on the instance's own
 // clock; the age that a relay has stated is subtracted.
 type peer struct {
-	name    string
 	record  tamarackrun.InstanceRecord
 	address netip.AddrPort
 	// hash is the hash of the name.
@@ -316,7 +315,7 @@
 		}
 		p := m.peers[r.Name]
 		if p == nil {
-			p = &peer{name: r.Name, hash: xxhash.Sum64String(r.Name), lastReport: now - removeAfter, lastMutual: now - removeAfter,
+			p = &peer{hash: xxhash.Sum64String(r.Name), lastReport: now - removeAfter, lastMutual: now - removeAfter,
 				recordSeen: now}
 			p.report.at, p.domain.at, p.fleet.at = now-removeAfter, now-removeAfter, now-removeAfter
 			m.peers[r.Name], m.byHash[p.hash] = p, p
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -80,6 +80,8 @@
 // caller holds m.mu.
 func (m *Membership) mergeMembers(now time.Duration, t *wire.MemberTable, lenders *wire.LenderTable, mutual time.Duration) {
 	fromOtherDomain := len(t.GetContactAges()) == 0
+	// Peers that report to this instance have told it their tokens themselves.
+	reportsFrom := now - m.recentAge()
 	count := min(len(t.GetNames()), len(t.GetAges()), len(t.GetFlags()))
 	for i := range count {
 		p := m.byHash[t.Names[i]]
@@ -104,7 +106,7 @@
 			contact = min(contact, now-time.Duration(t.ContactAges[i])*time.Millisecond)
 		}
 		p.lastMutual = max(p.lastMutual, contact)
-		if p.report.at < now-m.recentAge() {
+		if p.report.at < reportsFrom {
 			p.spareTokens = nil
 		}
 	}
@@ -113,7 +115,7 @@
 			continue
 		}
 		p := m.byHash[t.Names[lenders.Members[i]]]
-		if p == nil || p.report.at >= now-m.recentAge() {
+		if p == nil || p.report.at >= reportsFrom {
 			continue
 		}
 		if p.spareTokens == nil {
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -104,14 +104,15 @@
 	for _, p := range counted {
 		addTo(domainDemands, p.report.demands)
 	}
-	for i, p := range m.peersOf(m.OwnRecord.FailureDomain) {
-		if now-p.report.at < m.recentAge() {
+	domainPeers, recent := m.peersOf(m.OwnRecord.FailureDomain), m.recentAge()
+	for i, p := range domainPeers {
+		if now-p.report.at < recent {
 			spares = append(spares, memberTokens{i + 1, p.report.spareTokens})
 		}
 	}
 	// Members that report to another relay are in the table too: after all relays of
 	// another failure domain have died, its instances learn from it where to report.
-	domainMembers := m.memberTable(now, m.peersOf(m.OwnRecord.FailureDomain))
+	domainMembers := m.memberTable(now, domainPeers)
 	domainMembers.ContactAges = nil
 	digest := func(withLenders bool) *wire.InstanceMessage {
 		d := &wire.DomainDigest{Relay: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Members: domainMembers,
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -297,8 +297,8 @@
 }
 
 // weightedScore returns a server's score in weighted rendezvous hashing, from the hashes of the
-// object and the server. A server has
-// the lowest score, which is the best, with a probability proportional to its weight.
+// object and the server. A server has the lowest score, which is the best, with a probability
+// proportional to its weight.
 func weightedScore(object, server uint64, weight float64) float64 {
 	uniform := (float64(rendezvous.Mix(object, server)) + 1) / (math.MaxUint64 + 1)
 	return -math.Log(uniform) / weight
--- a/internal/program/front/tokens.go
+++ b/internal/program/front/tokens.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"tamarackrun"
@@ -26,8 +27,8 @@
 // refusal, or none, and how long the caller should wait before it tries again.
 func (f *Front) takeToken(ctx context.Context, req *request) (tamarackrun.Reason, time.Duration) {
 	if f.limiter.Concentrated(req.organisation) {
-		if _, self, ok := f.members.Holder(req.organisation.Name, f.Identity.Region); ok && !self {
-			return f.askHolders(ctx, req)
+		if holder, self, ok := f.members.Holder(req.organisation.Name, f.Identity.Region); ok && !self {
+			return f.askHolders(ctx, req, holder)
 		}
 	}
 	admitted, retryAfter := f.limiter.Admit(time.Now(), req.organisation)
@@ -46,8 +47,7 @@
 
 // askHolders asks the holder of the region for a token, and that of another region if the
 // first does not answer or the organisation is within its limit.
-func (f *Front) askHolders(ctx context.Context, req *request) (tamarackrun.Reason, time.Duration) {
-	holder, _, _ := f.members.Holder(req.organisation.Name, f.Identity.Region)
+func (f *Front) askHolders(ctx context.Context, req *request, holder netip.AddrPort) (tamarackrun.Reason, time.Duration) {
 	if req.loan = f.loans.Ask(ctx, holder, req.organisation.Name, nearHolderTimeout); req.loan == loan.Granted {
 		req.lender = holder
 		return "", 0
