Read through another failure domain when the store turns one away

What callers saw: a back end that had just turned cold got 14 to 20 requests in a second, 13.6 are allowed (FAILBACK).

Cause: an instance that the store turns away, and that has no neighbour in its failure domain which reaches it, learns nothing any more, although its peers know every change: the reader is chosen within the failure domain only. Class of fault: decisions on stale records while a peer in reach has newer ones.

Change: if no instance of a failure domain reaches the store, its instances read through the reader of another one, of their region first, spread by hash. A store that is silent is noticed only at a time-out of 2 s, so a read that takes over 0.4 s is also sent to that reader. A watch ends when the reader changes. An instance is the reader again as soon as any call of its own is answered.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -211,8 +211,8 @@
 	early chan struct{}
 	// members is the latest list, which includes this instance.
 	members atomic.Pointer[[]Member]
-	// reader is the address that Reader returns.
-	reader atomic.Pointer[string]
+	// reader and remoteReader are the addresses that Reader and RemoteReader return.
+	reader, remoteReader atomic.Pointer[string]
 	// holderCandidates is the hash of the names of the region's instances that may hold
 	// limits, and holdersChanged when it changed last.
 	holderCandidates uint64
@@ -233,6 +233,7 @@
 	}
 	m.members.Store(&[]Member{})
 	m.reader.Store(new(string))
+	m.remoteReader.Store(new(string))
 	m.holdersChanged.Store(new(time.Time))
 	return m
 }
--- a/internal/coordination/membership/relays.go
+++ b/internal/coordination/membership/relays.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"tamarackrun/internal/coordination/rendezvous"
 )
 
 const (
@@ -109,13 +111,18 @@
 	return relays
 }
 
-// Reader returns the report address of the instance that reads the platform's store for the
-// failure domain of this one, or "" if this instance does.
+// Reader returns the report address of the instance that reads the platform's store for this
+// one, or "" if this instance reads it itself.
 func (m *Membership) Reader() string { return *m.reader.Load() }
 
+// RemoteReader returns the report address of the reader of another failure domain, or "" if
+// none is known to reach the store.
+func (m *Membership) RemoteReader() string { return *m.remoteReader.Load() }
+
 // chooseReader sets the reader: the first instance of the failure domain, in the order of
-// relays, that is alive and reaches the store. If none reaches it, it is the first that is
-// alive, so that only one keeps asking the store. The caller holds m.mu.
+// relays, that is alive and reaches the store. If none reaches it, it is the remote reader. If
+// there is none of those either, it is the first that is alive, so that only one keeps asking
+// the store. The caller holds m.mu.
 func (m *Membership) chooseReader(now time.Duration) {
 	type candidate struct {
 		hash    uint64
@@ -139,9 +146,47 @@
 		}
 		return cmp.Compare(a.hash, b.hash)
 	})
+	remote := m.chooseRemoteReader(now)
+	m.remoteReader.Store(&remote)
+	if !reader.reaches && remote != "" {
+		reader.address = remote
+	}
 	m.reader.Store(&reader.address)
 }
 
+// chooseRemoteReader returns the report address of the reader of another failure domain, of
+// this region if there is one, or "". It is not the same for all instances, so that the readers
+// share the instances of a failure domain that is cut off from the store. The caller holds m.mu.
+func (m *Membership) chooseRemoteReader(now time.Duration) string {
+	readers := map[string]*peer{}
+	for _, p := range m.peers {
+		if p.record.FailureDomain == m.OwnRecord.FailureDomain || !p.known || now-p.lastReport >= m.recentAge() || p.leaving || p.storeUnreachable {
+			continue
+		}
+		if r := readers[p.record.FailureDomain]; r == nil || p.hash < r.hash {
+			readers[p.record.FailureDomain] = p
+		}
+	}
+	var best *peer
+	for _, p := range readers {
+		if best == nil || m.prefersReader(p, best) {
+			best = p
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.record.ReportAddress
+}
+
+// prefersReader reports whether the first peer is the better remote reader.
+func (m *Membership) prefersReader(first, second *peer) bool {
+	if near := first.record.Region == m.OwnRecord.Region; near != (second.record.Region == m.OwnRecord.Region) {
+		return near
+	}
+	return rendezvous.Mix(m.ownHash, first.hash) > rendezvous.Mix(m.ownHash, second.hash)
+}
+
 // noteAsked records that the instance reports to the relays, and avoids those that have not
 // answered in time. The caller holds m.mu.
 func (m *Membership) noteAsked(relays []*peer, now time.Duration) {
--- a/internal/coordination/source/source.go
+++ b/internal/coordination/source/source.go
@@ -29,6 +29,9 @@
 	// probeInterval is the average time between two calls to a store that does not answer,
 	// while another instance reads it.
 	probeInterval = 2 * time.Second
+	// hedgeDelay is how long the store may take to answer a read before another instance is
+	// asked too. A slow store answers within 0.25 s and a round trip of 0.11 s.
+	hedgeDelay = 400 * time.Millisecond
 	// collectionCount is the number of values of tamarackrun.Collection.
 	collectionCount = 4
 )
@@ -42,9 +45,14 @@
 
 	// Store is the platform's store.
 	Store tamarackrun.RecordReader
-	// Reader returns the address of the reader of the failure domain, or "" if this
-	// instance reads the store itself.
+	// Reader returns the address of the reader of this instance, or "" if this instance reads
+	// the store itself.
 	Reader func() string
+	// RemoteReader returns the address of a reader of another failure domain, or "". It is
+	// asked when the store does not answer this instance in time. It may be nil.
+	RemoteReader func() string
+	// OnAnswer is called when the store has answered this instance. It may be nil.
+	OnAnswer func()
 	// Dial returns the records of the reader at an address.
 	Dial     func(address string) tamarackrun.RecordReader
 	Recorder tamarackrun.Recorder
@@ -82,43 +90,51 @@
 	return s.latest[collection] == "" && s.revisions[collection] > 0
 }
 
-// noteStore records the result of a call to the store.
-func (s *Source) noteStore(ctx context.Context, collection tamarackrun.Collection, page tamarackrun.Page, err error) {
+// noteStore records whether a call to the store succeeded. A call that this instance has
+// cancelled shows nothing.
+func (s *Source) noteStore(ctx context.Context, err error) {
 	if err != nil && ctx.Err() != nil {
 		return
 	}
-	s.mu.Lock()
 	// A store that has dropped its history does answer.
-	s.storeUnreachable = err != nil && !errors.Is(err, tamarackrun.ErrHistoryGone)
+	unreachable := err != nil && !errors.Is(err, tamarackrun.ErrHistoryGone)
+	s.mu.Lock()
+	s.storeUnreachable = unreachable
 	s.mu.Unlock()
-	if err == nil {
-		s.accept(collection, page)
+	if !unreachable && s.OnAnswer != nil {
+		s.OnAnswer()
 	}
 }
 
-// Run asks the store again at times while it is unreachable and another instance reads it,
-// until the context ends. Until the store answers, the instance is no reader.
-func (s *Source) Run(ctx context.Context) {
+// Run asks the store again at times while another instance reads it and unreachable returns
+// true, until the context ends. Until the store answers, the instance is no reader.
+func (s *Source) Run(ctx context.Context, unreachable func() bool) {
 	for ctx.Err() == nil {
 		waiting.Pause(ctx, probeInterval/2+rand.N(probeInterval))
-		if s.StoreUnreachable() && s.Reader() != "" {
+		if unreachable() && s.Reader() != "" {
 			probeCtx, cancel := context.WithTimeout(ctx, readTimeout)
-			page, err := s.Store.Read(probeCtx, tamarackrun.Evacuations)
+			_, err := s.Store.Read(probeCtx, tamarackrun.Evacuations)
 			cancel()
-			page.Revision = 0
-			s.noteStore(ctx, tamarackrun.Evacuations, page, err)
+			s.noteStore(ctx, err)
 		}
 	}
 }
 
-// reader returns the address of the reader to ask for the collection, or "" for the store.
-func (s *Source) reader(collection tamarackrun.Collection) string {
-	address := s.Reader()
+// usable returns the address of a reader, or "" if it failed recently.
+func (s *Source) usable(address string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if time.Now().Before(s.avoidUntil[address]) {
-		address = ""
+		return ""
 	}
+	return address
+}
+
+// reader returns the address of the reader to ask for the collection, or "" for the store.
+func (s *Source) reader(collection tamarackrun.Collection) string {
+	address := s.usable(s.Reader())
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.latest[collection] != address {
 		s.latest[collection] = address
 		s.Recorder.Record(event.SourceChanged, "", "collection", collection.String(), "reader", address)
@@ -166,9 +182,56 @@
 		}
 		s.avoid(address, collection, err)
 	}
-	page, err := s.Store.Read(ctx, collection)
-	s.noteStore(ctx, collection, page, err)
-	return page, err
+	return s.readHedged(ctx, collection)
+}
+
+// readHedged returns all records of a collection from the store, or from a reader of another
+// failure domain if the store does not answer in time and that reader knows as much as this
+// instance. A store that is silent towards this instance only would hold up the read until it
+// times out.
+func (s *Source) readHedged(ctx context.Context, collection tamarackrun.Collection) (tamarackrun.Page, error) {
+	type result struct {
+		page    tamarackrun.Page
+		err     error
+		address string
+	}
+	fromStore, fromReader := make(chan result, 1), make(chan result, 1)
+	go func() {
+		page, err := s.Store.Read(ctx, collection)
+		s.noteStore(ctx, err)
+		fromStore <- result{page, err, ""}
+	}()
+	readerCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	hedge := time.NewTimer(hedgeDelay)
+	defer hedge.Stop()
+	for {
+		select {
+		case r := <-fromStore:
+			if r.err == nil {
+				s.accept(collection, r.page)
+			}
+			return r.page, r.err
+		case r := <-fromReader:
+			if r.err == nil && !s.accept(collection, r.page) {
+				r.err = errOld
+			}
+			if r.err == nil {
+				return r.page, nil
+			}
+			s.avoid(r.address, collection, r.err)
+		case <-hedge.C:
+			if s.RemoteReader == nil {
+				continue
+			}
+			if address := s.usable(s.RemoteReader()); address != "" {
+				go func() {
+					page, err := s.Dial(address).Read(readerCtx, collection)
+					fromReader <- result{page, err, address}
+				}()
+			}
+		}
+	}
 }
 
 // Watch returns the changes of a collection after a revision as soon as there are any, or an
@@ -182,23 +245,30 @@
 	s.catchUp[collection], s.cancels[collection] = false, cancel
 	s.mu.Unlock()
 	address := s.reader(collection)
-	if address == "" || catchUp {
-		if catchUp && address != "" {
-			wait = 0
-		}
-		page, err := s.Store.Watch(ctx, collection, after, wait)
-		s.noteStore(ctx, collection, page, err)
-		return page, err
+	from := s.Store
+	fromStore := address == "" || catchUp
+	if !fromStore {
+		from = s.Dial(address)
+	} else if address != "" {
+		wait = 0
 	}
 	stop := s.cancelOnChange(watchCtx, cancel, address)
-	page, err := s.Dial(address).Watch(watchCtx, collection, after, wait)
+	page, err := from.Watch(watchCtx, collection, after, wait)
 	stop()
+	if fromStore {
+		s.noteStore(watchCtx, err)
+	}
 	switch {
 	case ctx.Err() != nil:
 		return tamarackrun.Page{}, ctx.Err()
 	case watchCtx.Err() != nil:
 		// The reader has changed, or the collection is read from the store next.
 		return tamarackrun.Page{Revision: after}, nil
+	case fromStore && err == nil:
+		s.accept(collection, page)
+		return page, nil
+	case fromStore:
+		return page, err
 	case err == nil && page.Revision < after:
 		err = errOld
 	}
@@ -236,7 +306,7 @@
 		for {
 			select {
 			case <-ticker.C:
-				if s.Reader() != address {
+				if s.usable(s.Reader()) != address {
 					cancel()
 					return
 				}
--- a/internal/coordination/source/source_test.go
+++ b/internal/coordination/source/source_test.go
@@ -193,7 +193,7 @@
 			t.Errorf("read from the reader: %v, unreachable %v", err, f.StoreUnreachable())
 		}
 		ctx, cancel := context.WithCancel(t.Context())
-		go f.Run(ctx)
+		go f.Run(ctx, f.StoreUnreachable)
 		time.Sleep(10 * probeInterval)
 		if !f.StoreUnreachable() {
 			t.Error("the store counts as reachable")
@@ -240,3 +240,43 @@
 		}
 	})
 }
+
+// delayedStore answers reads after a delay.
+type delayedStore struct {
+	tamarackrun.RecordReader
+	delay time.Duration
+}
+
+func (s delayedStore) Read(ctx context.Context, c tamarackrun.Collection) (tamarackrun.Page, error) {
+	select {
+	case <-time.After(s.delay):
+		return s.RecordReader.Read(ctx, c)
+	case <-ctx.Done():
+		return tamarackrun.Page{}, ctx.Err()
+	}
+}
+
+// Guards against an instance that waits for a store that is silent towards it while other
+// instances know the change, and against a load on readers whenever the store is slow.
+func TestSilentStoreIsHedged(t *testing.T) {
+	for _, c := range []struct {
+		delay, longest time.Duration
+		asked          int
+	}{{hedgeDelay / 2, hedgeDelay / 2, 0}, {time.Minute, hedgeDelay, 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture()
+			f.setReader("")
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			f.Store, f.RemoteReader = delayedStore{f.store, c.delay}, func() string { return "two" }
+			began := time.Now()
+			got, err := f.Read(ctx, tamarackrun.Servers)
+			if diff := cmp.Diff(page(true, 10, record("a", 1)), got); diff != "" || err != nil || time.Since(began) > c.longest {
+				t.Errorf("page after %s (-want +got):\n%s%v", time.Since(began), diff, err)
+			}
+			if f.readers["two"].calls != c.asked {
+				t.Errorf("the reader was asked %d times, want %d", f.readers["two"].calls, c.asked)
+			}
+		})
+	}
+}
--- a/internal/coordination/verify/verify.go
+++ b/internal/coordination/verify/verify.go
@@ -86,7 +86,8 @@
 	// HeartbeatInterval the interval at which servers renew their records.
 	PropagationBound, HeartbeatInterval time.Duration
 
-	// lastReadFailed is true if this instance's latest read failed.
+	// lastReadFailed is true if this instance's latest read failed and the store has answered
+	// no other call since.
 	lastReadFailed atomic.Bool
 
 	mu sync.Mutex
@@ -153,6 +154,9 @@
 	v.lastRead = began
 }
 
+// StoreAnswered records that the store has answered another call of this instance.
+func (v *Verifier) StoreAnswered() { v.lastReadFailed.Store(false) }
+
 // StoreUnreachable reports whether the store does not answer this instance.
 func (v *Verifier) StoreUnreachable() bool { return v.lastReadFailed.Load() || v.StoreFailed() }
 
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -167,7 +167,7 @@
 	for collection, follower := range f.followers {
 		start("follow "+collection.String(), func(ctx context.Context) { f.follow(ctx, collection, follower) })
 	}
-	start("source", f.source.Run)
+	start("source", func(ctx context.Context) { f.source.Run(ctx, f.verifier.StoreUnreachable) })
 	start("settings", func(ctx context.Context) { f.FollowSettings(ctx, f.reload, f.reject) })
 	start("announce", f.announce)
 	start("withdraw", f.withdrawGone)
--- a/internal/program/front/records.go
+++ b/internal/program/front/records.go
@@ -42,6 +42,7 @@
 func (f *Front) openFollowers() {
 	t := f.terms.Load()
 	f.source = &source.Source{Store: f.Store, Recorder: f.history, Reader: func() string { return f.members.Reader() },
+		RemoteReader: func() string { return f.members.RemoteReader() }, OnAnswer: func() { f.verifier.StoreAnswered() },
 		Dial: func(address string) tamarackrun.RecordReader { return &remoteReader{front: f, address: address} }}
 	bound := min(t.DrainBound, t.ApplyBound, t.EvacuateBound)
 	f.verifier = &verify.Verifier{Store: f.Store, PropagationBound: bound, HeartbeatInterval: t.ServerHeartbeat,
