Count requests to a server from before it was known to be cold

Cause: the limiter of cold servers counted only requests that it admitted itself. An instance learns up to a heartbeat later that a server has turned cold; it then added its whole share to what it had sent in the second before. Class of fault: a limit whose window starts when the limiter is told of it, and not when the limited time begins.

Change: requests to servers that count as warm are counted too, so that the share is what is left of the window.

Test, red while the count is not taken: TestRequestsBeforeColdCount.

--- a/internal/coordination/coldstart/coldstart.go
+++ b/internal/coordination/coldstart/coldstart.go
@@ -34,6 +34,30 @@
 	sent map[string][]time.Time
 }
 
+// Count counts a request to a server that is not known to be cold. An instance learns some
+// time after a server has turned cold that it has, and the requests of that time are part of
+// the limit.
+func (l *Limiter) Count(now time.Time, server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[server] = append(l.recent(now, server), now)
+}
+
+// recent returns the times of the requests sent in the window before now. The caller holds
+// l.mu.
+func (l *Limiter) recent(now time.Time, server string) []time.Time {
+	if l.sent == nil {
+		l.sent = map[string][]time.Time{}
+	}
+	recent := l.sent[server]
+	expired := 0
+	for expired < len(recent) && now.Sub(recent[expired]) >= window {
+		expired++
+	}
+	// Moving the others to the front keeps the memory of the slice.
+	return recent[:copy(recent, recent[expired:])]
+}
+
 // Admit reports whether a request may be sent to a cold server now, and counts it
 // if so. limit is the number of requests that the server may get in a second from
 // all instances, and instances holds the names of all of them.
@@ -44,13 +68,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.sent == nil {
-		l.sent = map[string][]time.Time{}
-	}
-	recent := l.sent[server]
-	for len(recent) > 0 && now.Sub(recent[0]) >= window {
-		recent = recent[1:]
-	}
+	recent := l.recent(now, server)
 	if len(recent) >= share {
 		l.sent[server] = recent
 		return false
--- a/internal/coordination/coldstart/coldstart_test.go
+++ b/internal/coordination/coldstart/coldstart_test.go
@@ -46,3 +46,22 @@
 		}
 	})
 }
+
+// Guards against a flood of a server that has turned cold: each instance added its whole share
+// to the requests that it had sent before it knew.
+func TestRequestsBeforeColdCount(t *testing.T) {
+	l, names, now := &Limiter{Name: "a"}, []string{"a", "b"}, time.Unix(1000, 0)
+	const limit = 20
+	share := l.share("server", limit*usedFraction, names)
+	for range share - 1 {
+		l.Count(now, "server")
+	}
+	now = now.Add(window / 2)
+	if !l.Admit(now, "server", limit, names) || l.Admit(now, "server", limit, names) {
+		t.Error("the share does not include the requests that were sent before")
+	}
+	now = now.Add(window / 2)
+	if !l.Admit(now, "server", limit, names) {
+		t.Error("requests before the window count")
+	}
+}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -152,6 +152,8 @@
 type Balancer struct {
 	// AdmitCold reports whether a cold server may get a request now.
 	AdmitCold func(now time.Time, server *registry.Server) bool
+	// CountWarm is called with each choice of a server that is not known to be cold.
+	CountWarm func(now time.Time, server *registry.Server)
 	// ColdTime returns how long servers of a service are cold after their start.
 	ColdTime func(service string) time.Duration
 
@@ -210,6 +212,9 @@
 			}
 			continue
 		}
+		if coldFor == 0 {
+			b.CountWarm(now, c.server)
+		}
 		st.outstanding++
 		st.sentSince++
 		return Choice{Server: c.server, Rank: i, Outstanding: st.outstanding - 1, Probe: probe, ColdFor: coldFor}, ""
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -16,6 +16,7 @@
 func newBalancer() *Balancer {
 	b := New()
 	b.AdmitCold = func(time.Time, *registry.Server) bool { return false }
+	b.CountWarm = func(time.Time, *registry.Server) {}
 	b.ColdTime = func(string) time.Duration { return 3 * time.Second }
 	return b
 }
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -204,6 +204,7 @@
 	f.registry.Recorder, f.registry.Regions, f.registry.ColdTime = f.history, f.Identity.Regions, f.coldTime
 	f.coldLimiter.Name = f.Identity.Name
 	f.balancer.AdmitCold, f.balancer.ColdTime = f.admitCold, f.coldTime
+	f.balancer.CountWarm = func(now time.Time, server *registry.Server) { f.coldLimiter.Count(now, server.Name) }
 	socket, closeSocket, err := datagram.New(f.Identity.ReportAddress)
 	if err != nil {
 		return cleanup, err
