Divide limits by the whole fleet from the first read of its records

Cause: between its first read of the instances' records and its next report, up to 0.25 s later, a new process listed only itself as a member, and was ready. It took the whole limit of a cold server for its part, and the whole rate and retry budget of each organisation and service; after a restart of the fleet all instances do so at the same time. The log of any start has partChanged with members 1 before instanceKnown. Class of fault: a default that grants the most while nothing is known.

Change: the members are listed as soon as the records are read, a report follows at once, the parts of limits are computed only from then on, and the instance is ready only after that.

Test, red before: TestInstancesAreMembersOnceRead (1 member instead of 4).

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -187,7 +187,8 @@
 	// Verifier supplies the revisions that this instance reports and receives those
 	// that others report.
 	Verifier *verify.Verifier
-	// OnReport is called after each report that this instance sends. totalDemand returns
+	// OnReport is called after each report that this instance sends once it has read the
+	// records of the instances; before, it would know only itself. totalDemand returns
 	// the demand of an organisation summed over all instances that are not silent.
 	OnReport func(reachability Reachability, totalDemand func(organisation string) float64)
 	// OnRecordMissing is called when the store does not hold this instance's record.
@@ -200,8 +201,10 @@
 	// starts again at zero, and the time of day may jump.
 	incarnation int64
 
-	mu    sync.Mutex
-	peers map[string]*peer
+	mu sync.Mutex
+	// recordsRead is true once the records of the instances have been read.
+	recordsRead bool
+	peers       map[string]*peer
 	// byHash holds the peers by the hashes of their names.
 	byHash   map[uint64]*peer
 	sequence uint64
@@ -259,8 +262,8 @@
 	}
 }
 
-// Members returns all instances, sorted by name, as of the latest report that this
-// instance sent. The slice is shared and must not be changed.
+// Members returns all instances, sorted by name, as of the latest report that this instance
+// sent or the latest records that it read. The slice is shared and must not be changed.
 func (m *Membership) Members() []Member { return *m.members.Load() }
 
 // Rank returns the position of the instance among those that were heard recently
@@ -324,7 +327,12 @@
 		}
 		p.record, p.address = *r.Instance, address
 	}
-	m.chooseReader(now)
+	if !m.recordsRead {
+		m.recordsRead = true
+		m.reportSoon()
+	}
+	// A limit that is divided by the members must not wait for the next report.
+	m.publish(now)
 }
 
 // remove forgets a peer. The caller holds m.mu.
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -326,3 +326,29 @@
 		t.Errorf("the silent instance %s was chosen as lender", a)
 	}
 }
+
+// Guards against a new process that takes itself for the only instance between its read of the
+// records and its next report, and the whole of each limit for its own. After a restart of the
+// fleet all instances do so at the same time.
+func TestInstancesAreMembersOnceRead(t *testing.T) {
+	f := newFleet(4)
+	m := f.newMembership(0)
+	m.sendReport()
+	if diff := cmp.Diff(Reachability{}, f.reachability[0]); diff != "" {
+		t.Errorf("reachability before the records are read (-want +got):\n%s", diff)
+	}
+	f.members[0] = m
+	var records []tamarackrun.Record
+	for i := range f.members {
+		record := f.recordOf(i)
+		records = append(records, tamarackrun.Record{Name: instanceName(i), Instance: &record})
+	}
+	m.Apply(tamarackrun.Page{Records: records, Full: true})
+	if got := len(m.Members()); got != 4 {
+		t.Errorf("%d members after the records were read, want 4", got)
+	}
+	m.sendReport()
+	if got := f.reachability[0].Members; got != 4 {
+		t.Errorf("limits are divided by %d, want 4", got)
+	}
+}
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -46,7 +46,7 @@
 func (s *ownState) ageMillis() uint32 { return uint32(s.verifiedAge.Milliseconds()) }
 
 // sendReport sends one report and, as a relay, the digests, publishes the members and calls
-// OnReport.
+// OnReport unless the records of the instances are still unknown.
 func (m *Membership) sendReport() {
 	var s ownState
 	s.demands, s.spareTokens = hashKeys(m.Demands(), minReportedDemand), hashKeys(m.SpareTokens(), 1)
@@ -66,7 +66,7 @@
 	if isRelay || len(reporters) > 0 || m.servesAsRelay(now) {
 		messages = append(messages, m.digests(now, reporters, s)...)
 	}
-	reachability := m.reachability(now)
+	reachability, recordsRead := m.reachability(now), m.recordsRead
 	m.publish(now)
 	m.mu.Unlock()
 	for _, message := range messages {
@@ -74,6 +74,9 @@
 		// this instance as heard.
 		_ = m.Send(message.content, message.addresses...)
 	}
+	if !recordsRead {
+		return
+	}
 	m.OnReport(reachability, func(organisation string) float64 { return s.total[xxhash.Sum64String(organisation)] })
 }
 
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -108,8 +108,9 @@
 	// configurationSince is when the snapshot came into force, in milliseconds
 	// since 1970.
 	configurationSince atomic.Int64
-	// serversKnown and instancesKnown report whether the collections were read.
-	serversKnown, instancesKnown atomic.Bool
+	// serversKnown and instancesKnown report whether the collections were read, and partKnown
+	// whether this instance has since computed its part of the limits.
+	serversKnown, instancesKnown, partKnown atomic.Bool
 	// leaving reports whether look-ups no longer return the instance, and
 	// refusingRequests whether new requests are refused.
 	leaving, refusingRequests atomic.Bool
@@ -264,6 +265,9 @@
 			CutOff: reachability.CutOff, TotalDemand: totalDemand, ReportHops: f.members.ReportHops(),
 			Regions: reachability.Regions, Holds: f.holds, HeldSince: f.members.HoldersChanged()})
 		f.retryBudgets.setMembers(reachability.Members, f.terms.Load())
+		if !f.partKnown.Swap(true) {
+			f.updateReady()
+		}
 	}
 	f.members.SpareTokens = func() map[string]float64 { return f.limiter.SpareTokens(time.Now()) }
 	f.loans = loan.New()
--- a/internal/program/front/records.go
+++ b/internal/program/front/records.go
@@ -116,7 +116,6 @@
 	if !f.instancesKnown.Swap(true) {
 		close(f.instancesRead)
 	}
-	f.updateReady()
 }
 
 // applyServers applies a page of server records.
@@ -145,10 +144,10 @@
 	f.updateReady()
 }
 
-// updateReady marks the instance as ready once it has a configuration and has
-// read the servers and the instances.
+// updateReady marks the instance as ready once it has a configuration, has read the servers and
+// knows its part of the limits.
 func (f *Front) updateReady() {
-	ready := f.snapshot.Load() != nil && f.serversKnown.Load() && f.instancesKnown.Load()
+	ready := f.snapshot.Load() != nil && f.serversKnown.Load() && f.partKnown.Load()
 	if ready && !f.members.IsReady() {
 		f.history.Record(event.Ready, "", "version", strconv.FormatInt(f.configurationVersion(), 10))
 	}
