Wait for the evacuations before an instance is ready

A restarted instance was ready once it knew the configuration, the servers and the instances. If its first read of the evacuations failed, it sent requests to the servers of an evacuated failure domain, which turn cold before the evacuation ends, until its next try up to a second later.

Change: the evacuations are one more condition of being ready.

--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -108,9 +108,9 @@
 	// configurationSince is when the snapshot came into force, in milliseconds
 	// since 1970.
 	configurationSince atomic.Int64
-	// serversKnown and instancesKnown report whether the collections were read, and partKnown
-	// whether this instance has since computed its part of the limits.
-	serversKnown, instancesKnown, partKnown atomic.Bool
+	// serversKnown, evacuationsKnown and instancesKnown report whether the collections were
+	// read, and partKnown whether this instance has since computed its part of the limits.
+	serversKnown, evacuationsKnown, instancesKnown, partKnown atomic.Bool
 	// leaving reports whether look-ups no longer return the instance, and
 	// refusingRequests whether new requests are refused.
 	leaving, refusingRequests atomic.Bool
--- a/internal/program/front/records.go
+++ b/internal/program/front/records.go
@@ -108,6 +108,9 @@
 // applyEvacuations applies a page of evacuations.
 func (f *Front) applyEvacuations(page tamarackrun.Page) {
 	f.registry.ApplyEvacuations(time.Now(), page)
+	if page.Full && !f.evacuationsKnown.Swap(true) {
+		f.updateReady()
+	}
 }
 
 // applyInstances applies a page of instance records.
@@ -145,9 +148,9 @@
 }
 
 // updateReady marks the instance as ready once it has a configuration, has read the servers and
-// knows its part of the limits.
+// the evacuations, and knows its part of the limits.
 func (f *Front) updateReady() {
-	ready := f.snapshot.Load() != nil && f.serversKnown.Load() && f.partKnown.Load()
+	ready := f.snapshot.Load() != nil && f.serversKnown.Load() && f.evacuationsKnown.Load() && f.partKnown.Load()
 	if ready && !f.members.IsReady() {
 		f.history.Record(event.Ready, "", "version", strconv.FormatInt(f.configurationVersion(), 10))
 	}
