Ask servers whether they are cold while records can't be confirmed

Its answers to health probes say how long it stays cold; nothing read them. Class of fault: decisions on stale records.

Change: an instance that has heard for longer than the bound on changes of no one who has read the store probes each server to which it has sent more than an even part of the cold limit since the last probe. A server that says that it is cold gets the instance's part only, of which what was sent before counts. In contact no probe is sent.

Ruled out: half of the limit as a fixed cap of a cut-off instance; it would refuse requests in every cut, whether or not a server is cold.

--- a/fleet.go
+++ b/fleet.go
@@ -173,6 +173,16 @@
 	Load *Load
 }
 
+// HealthFields are the values in a server's answer to a health probe.
+type HealthFields struct {
+	// Server is the name of the server that answered.
+	Server string
+	// ColdFor is how long the server stays cold.
+	ColdFor time.Duration
+	// OK is false if the answer does not say how long.
+	OK bool
+}
+
 // HeaderCodec reads and writes the headers and status codes by which callers,
 // the system and backend servers exchange information about a request.
 type HeaderCodec interface {
@@ -184,6 +194,8 @@
 	// DecodeAnswer returns the server's fields in the status and header of its
 	// answer.
 	DecodeAnswer(status int, header http.Header) AnswerFields
+	// DecodeHealth returns the server's fields in the header of its answer to a health probe.
+	DecodeHealth(header http.Header) HealthFields
 	// EncodeOutcome returns the answer to a request for which there is no
 	// answer of a backend server. retryAfter is how long the caller of a
 	// request that did not run should wait before it tries again.
--- a/internal/coordination/coldstart/coldstart.go
+++ b/internal/coordination/coldstart/coldstart.go
@@ -43,6 +43,25 @@
 	l.sent[server] = append(l.recent(now, server), now)
 }
 
+// SentSince returns the number of requests that this instance sent to a server after the given
+// time, and in the window before now.
+func (l *Limiter) SentSince(now time.Time, server string, since time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.sent[server]) == 0 {
+		return 0
+	}
+	recent := l.recent(now, server)
+	l.sent[server] = recent
+	count := 0
+	for _, at := range recent {
+		if at.After(since) {
+			count++
+		}
+	}
+	return count
+}
+
 // recent returns the times of the requests sent in the window before now. The caller holds
 // l.mu.
 func (l *Limiter) recent(now time.Time, server string) []time.Time {
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -101,7 +101,7 @@
 	backoffUntil time.Time
 	backoff      time.Duration
 	// coldUntil is the time until which the server counts as cold after a failed
-	// connection, because its process may have restarted.
+	// connection, because its process may have restarted, or because it said so.
 	coldUntil time.Time
 	// service and startMillis are from the server's latest record.
 	service     string
@@ -372,6 +372,15 @@
 	return st.health.Observe(at, result, b.mayEject(c.Server.Service, serverCount)), false
 }
 
+// MarkCold records that a server is cold until the given time.
+func (b *Balancer) MarkCold(server *registry.Server, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if st := b.stateOf(server); until.After(st.coldUntil) {
+		st.coldUntil = until
+	}
+}
+
 // ReportLoad records the load that a server reported in an answer, and the answer's
 // response time, which is 0 if the server did not run the request.
 func (b *Balancer) ReportLoad(now time.Time, server string, waiting, slots int, responseTime time.Duration) {
--- a/internal/coordination/verify/verify.go
+++ b/internal/coordination/verify/verify.go
@@ -142,6 +142,14 @@
 	return now.Sub(v.lastRead) < v.outageAfter() && now.Sub(v.recoveredAt) >= sla.LapsedRecordGrace
 }
 
+// Stale reports whether no instance that this one hears has read the store for longer than
+// changes may take to be in force.
+func (v *Verifier) Stale(now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return now.Sub(v.lastRead) > v.PropagationBound
+}
+
 // noteRead records a successful read, by any instance, that began at the given
 // time. The caller holds v.mu.
 func (v *Verifier) noteRead(now, began time.Time) {
--- /dev/null
+++ b/internal/program/front/cold.go
@@ -0,0 +1,72 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"tamarackrun/internal/coordination/probe"
+	"tamarackrun/internal/state/registry"
+	"tamarackrun/internal/transport/exchange"
+)
+
+// coldLimit returns the number of requests that a server may get in a second from all
+// instances while it is cold. limited is false if the service has no such limit.
+func (f *Front) coldLimit(service string) (limit float64, limited bool) {
+	c, t := f.snapshot.Load(), f.terms.Load()
+	if c == nil || c.Services[service].ColdRate <= 0 {
+		return 0, false
+	}
+	return c.Services[service].ColdRate*t.ColdOverage + t.ColdSlack, true
+}
+
+// admitCold reports whether a cold server may get another request.
+func (f *Front) admitCold(now time.Time, server *registry.Server) bool {
+	limit, limited := f.coldLimit(server.Service)
+	if !limited {
+		return f.snapshot.Load() != nil
+	}
+	var instances []string
+	for _, m := range f.members.Members() {
+		instances = append(instances, m.Name)
+	}
+	return f.coldLimiter.Admit(now, server.Name, limit, instances)
+}
+
+// newProber returns the prober of servers that may have turned cold unnoticed.
+func (f *Front) newProber() *probe.Prober {
+	return &probe.Prober{Stale: f.verifier.Stale, Servers: f.limitedServers, Exposed: f.exposed, Ask: f.askServer,
+		MarkCold: f.balancer.MarkCold, Recorder: f.history}
+}
+
+// limitedServers returns the usable servers whose requests are limited while they are cold.
+func (f *Front) limitedServers() []*registry.Server {
+	var servers []*registry.Server
+	for _, service := range f.registry.Services() {
+		if _, limited := f.coldLimit(service); limited {
+			servers = append(servers, f.registry.ServersOf(service)...)
+		}
+	}
+	return servers
+}
+
+// exposed reports whether this instance has sent a server more requests after the given time
+// than an even part of those that it may get in a second while it is cold.
+func (f *Front) exposed(now time.Time, server *registry.Server, since time.Time) bool {
+	limit, _ := f.coldLimit(server.Service)
+	return float64(f.coldLimiter.SentSince(now, server.Name, since)) > limit/float64(max(1, len(f.members.Members())))
+}
+
+// askServer sends a health probe to a server and returns how long the server stays cold.
+func (f *Front) askServer(ctx context.Context, server *registry.Server) (coldFor time.Duration, ok bool) {
+	c := f.snapshot.Load()
+	if c == nil || c.Services[server.Service].HealthPath == "" {
+		return 0, false
+	}
+	result := f.backendClient.Do(ctx, server.Address, exchange.Request{Method: http.MethodGet, Target: c.Services[server.Service].HealthPath,
+		Host: server.Address, Header: http.Header{}, Idempotent: true, Probe: true})
+	defer f.backendClient.Release(result)
+	fields := f.HeaderCodec.DecodeHealth(result.Header)
+	f.scope.Counter("health_probes").Inc(1)
+	return fields.ColdFor, fields.OK && fields.Server == server.Name
+}
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -174,6 +174,7 @@
 	start("withdraw", f.withdrawGone)
 	start("reports", f.members.Run)
 	start("verify", f.verifier.Run)
+	start("probe", f.newProber().Run)
 	start("sweep", f.sweep)
 	f.history.Record(event.Started, "", "failureDomain", f.Identity.FailureDomain, "region", f.Identity.Region)
 	<-ctx.Done()
@@ -407,20 +408,3 @@
 	}
 	return c.Services[service].ColdTime
 }
-
-// admitCold reports whether a cold server may get another request.
-func (f *Front) admitCold(now time.Time, server *registry.Server) bool {
-	c, t := f.snapshot.Load(), f.terms.Load()
-	if c == nil {
-		return false
-	}
-	rate := c.Services[server.Service].ColdRate
-	if rate <= 0 {
-		return true
-	}
-	var instances []string
-	for _, m := range f.members.Members() {
-		instances = append(instances, m.Name)
-	}
-	return f.coldLimiter.Admit(now, server.Name, rate*t.ColdOverage+t.ColdSlack, instances)
-}
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -36,6 +36,7 @@
 	SourceChanged         tamarackrun.EventID = 1120
 	ReaderFailed          tamarackrun.EventID = 1121
 	ChangeOverdue         tamarackrun.EventID = 1122
+	ServerCold            tamarackrun.EventID = 1123
 	PeerReachable         tamarackrun.EventID = 1201
 	PeerUnreachable       tamarackrun.EventID = 1202
 	PeerRefused           tamarackrun.EventID = 1203
@@ -118,7 +119,8 @@
 	{InstanceWithdrawn, "instanceWithdrawn", "info", "this instance tried to remove the record of an instance that was silent for a day from the store"},
 	{SourceChanged, "sourceChanged", "info", "the instance reads a collection of the store's records from another instance now, or from the store if none is named"},
 	{ReaderFailed, "readerFailed", "warn", "the instance that reads the store for its failure domain did not answer; this instance reads the store itself for a short time"},
-	{ChangeOverdue, "changeOverdue", "warn", "other instances know a change of a collection that this instance has not received in time; it reads the collection again"},
+	{ChangeOverdue, "changeOverdue", "warn", "the store has a change of a collection that this instance has not received in time; it reads the collection again"},
+	{ServerCold, "serverCold", "info", "a backend server answered a health probe that it is cold; it is asked while the records can't be confirmed"},
 	{PeerReachable, "peerReachable", "info", "heartbeats with a peer succeed"},
 	{PeerUnreachable, "peerUnreachable", "warn", "a peer did not answer heartbeats"},
 	{PeerRefused, "peerRefused", "warn", "a connection of another process was refused because it did not prove that it is an instance of the fleet"},
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -87,6 +88,9 @@
 // is shared and must not be changed.
 func (r *Registry) ServersOf(service string) []*Server { return r.view.Load().services[service] }
 
+// Services returns the names of the services that have usable servers.
+func (r *Registry) Services() []string { return slices.Collect(maps.Keys(r.view.Load().services)) }
+
 // Usable reports whether the server may get requests.
 func (r *Registry) Usable(name string) bool { return r.view.Load().names[name] }
 
--- a/internal/transport/exchange/connection.go
+++ b/internal/transport/exchange/connection.go
@@ -105,7 +105,7 @@
 			c.bodies.Release(reserved)
 			continue
 		}
-		result := c.resultOf(response, body, fields)
+		result := c.resultOf(r, response, body, fields)
 		result.reserved = reserved
 		return result
 	}
@@ -114,13 +114,13 @@
 }
 
 // resultOf checks a complete answer to the request and returns the result.
-func (c *connection) resultOf(response *http.Response, body []byte, fields tamarackrun.AnswerFields) Result {
+func (c *connection) resultOf(r Request, response *http.Response, body []byte, fields tamarackrun.AnswerFields) Result {
 	c.setUsableUntil(response)
 	result := Result{Outcome: tamarackrun.Done, Status: response.StatusCode, Header: response.Header, Body: body, Fields: fields, Sent: true}
 	switch {
 	case fields.NotRun && response.StatusCode/100 != 2:
 		result.Outcome = tamarackrun.Refused(tamarackrun.ServerShed)
-	case response.StatusCode/100 == 2 && (!fields.Signed || fields.ID == ""):
+	case !r.Probe && response.StatusCode/100 == 2 && (!fields.Signed || fields.ID == ""):
 		c.broken = true
 		return Result{Outcome: tamarackrun.Uncertain(tamarackrun.AnswerTruncated), Sent: true, Err: errUnsigned}
 	}
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -64,6 +64,8 @@
 	// Idempotent reports whether the request may run more than once. Such a request
 	// may be sent on any idle connection.
 	Idempotent bool
+	// Probe marks a health probe, whose answer has neither a signature nor an id.
+	Probe bool
 }
 
 // Result is the result of sending a request. Status, Header and Body are set if and
