--- a/fleet.go
+++ b/fleet.go
@@ -171,6 +171,9 @@
 	Misdirected bool
 	// Load is nil if the server reports none.
 	Load *Load
+	// RateLimit is the number of requests per second that the server takes from all instances
+	// together, as long as its answers name a limit; nil if this one names none.
+	RateLimit *float64
 }
 
 // HealthFields are the values in a server's answer to a health probe.
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -188,6 +188,9 @@
 	if l := result.Fields.Load; l != nil {
 		fields = append(fields, "serverLoad", strconv.Itoa(l.Running)+","+strconv.Itoa(l.Waiting)+","+strconv.Itoa(l.Slots))
 	}
+	if limit := result.Fields.RateLimit; limit != nil {
+		fields = append(fields, "serverLimit", formatRate(*limit))
+	}
 	f.history.Record(event.AttemptEnded, req.caller.ID, fields...)
 	f.history.CountOutcome("attempt", result.Outcome)
 }
