Let a new process ask servers whether they are cold

Cause: the record of a server that has turned cold is up to a heartbeat old, and an older process learns it from the end of an evacuation or from a failed connection. A process that starts meanwhile has seen neither. If most of the fleet restarts as an evacuation ends, all send the usual requests. Class of fault: decisions on stale records.

Change: for two heartbeats after its start, an instance probes the servers to which it sends more than an even part of the cold limit, as one that is cut off does.

--- a/internal/program/front/cold.go
+++ b/internal/program/front/cold.go
@@ -10,6 +10,10 @@
 	"tamarackrun/internal/transport/exchange"
 )
 
+// newProcessHeartbeats is the number of heartbeats of servers for which a process is new. One may
+// pass until a server that has turned cold writes its record, and the record takes time to arrive.
+const newProcessHeartbeats = 2
+
 // coldLimit returns the number of requests that a server may get in a second from all
 // instances while it is cold. limited is false if the service has no such limit.
 func (f *Front) coldLimit(service string) (limit float64, limited bool) {
@@ -35,10 +39,17 @@
 
 // newProber returns the prober of servers that may have turned cold unnoticed.
 func (f *Front) newProber() *probe.Prober {
-	return &probe.Prober{Stale: f.verifier.Stale, Servers: f.limitedServers, Exposed: f.exposed, Ask: f.askServer,
+	return &probe.Prober{Stale: f.recordsMayBeStale, Servers: f.limitedServers, Exposed: f.exposed, Ask: f.askServer,
 		MarkCold: f.balancer.MarkCold, Recorder: f.history}
 }
 
+// recordsMayBeStale reports whether servers may have turned cold without this instance's
+// knowledge: the store can't be read, or the process is so new that the records that it has read
+// may be from before. An older process has seen the evacuations and failed connections since.
+func (f *Front) recordsMayBeStale(now time.Time) bool {
+	return f.verifier.Stale(now) || now.Sub(f.started) < newProcessHeartbeats*f.terms.Load().ServerHeartbeat
+}
+
 // limitedServers returns the usable servers whose requests are limited while they are cold.
 func (f *Front) limitedServers() []*registry.Server {
 	var servers []*registry.Server
