Let the soak end evacuations with cold servers and name rate limits

Why the soak did not find the two matters: its servers were cold after a start only, when their records say so at once, and none named a limit. Evacuations now end as on the users' platform: the servers turn cold a second before, and their records say so up to a heartbeat later. A new kind lets a server name a limit, and a check sums up what it gets from connected instances that have passed on such an answer (LIMIT). The tests show that the check fires and that its excuse holds, and that a server that turned cold later does not count before.

--- a/internal/standin/soak/backend.go
+++ b/internal/standin/soak/backend.go
@@ -26,13 +26,15 @@
 	// restarting is held by a disturbance that stops and starts the server.
 	restarting sync.Mutex
 
-	mu      sync.Mutex
-	server  *standin.Server
-	http    *http.Server
-	starts  int
-	name    string
-	service string
-	domain  string
+	mu     sync.Mutex
+	server *standin.Server
+	http   *http.Server
+	starts int
+	// startedAt is when the server started.
+	startedAt time.Time
+	name      string
+	service   string
+	domain    string
 }
 
 // start starts the server with a new id and writes its record to the store. The
@@ -56,15 +58,38 @@
 	b.http = &http.Server{Handler: b.server, ReadHeaderTimeout: 5 * time.Second}
 	server := b.http
 	b.onStart(b.server.ID(), b.domain)
+	b.startedAt = time.Now()
 	if cold > 0 {
-		b.onColdStart(b.server.ID(), time.Now())
+		b.server.SetColdUntil(b.startedAt.Add(cold))
+		b.onColdStart(b.server.ID(), b.startedAt)
 	}
 	go func() { _ = server.Serve(listener) }()
 	b.link.retarget(listener.Addr().String())
-	b.store.PutServer(b.server, false, cold, time.Now())
+	b.store.PutServer(b.server, false, cold, b.startedAt)
 	return nil
 }
 
+// turnCold makes the running server cold. Its record says so only after the delay.
+func (b *backend) turnCold(cold, delay time.Duration) {
+	b.mu.Lock()
+	server, started, until := b.server, b.startedAt, time.Now().Add(cold)
+	server.SetColdUntil(until)
+	b.onColdStart(server.ID(), time.Now())
+	b.mu.Unlock()
+	time.Sleep(delay)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.server == server {
+		b.store.PutServer(server, false, max(0, time.Until(until)), started)
+	}
+}
+
+func (b *backend) setRateLimit(limit float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.server.SetRateLimit(limit)
+}
+
 // mustStart starts the server again and reports a failure.
 func (b *backend) mustStart(cold time.Duration) {
 	if err := b.start(cold); err != nil {
@@ -102,7 +127,7 @@
 func (b *backend) announceLeave() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.store.PutServer(b.server, true, 0, time.Now())
+	b.store.PutServer(b.server, true, 0, b.startedAt)
 }
 
 // setBehaviour makes the server misbehave; nil ends that.
--- a/internal/standin/soak/checks.go
+++ b/internal/standin/soak/checks.go
@@ -19,6 +19,12 @@
 	// from the users' rules. From lateThreshold late requests on, at most half of
 	// them may be without an answer after lateSlack.
 	allowedLost, allowedOverAttempts, lateThreshold = 3, 3, 8
+	// A server that names a rate limit gets at most limitFactor times the limit, plus
+	// limitSlack requests, in limitWindow. Instances count from toldDelay after they have
+	// passed on its answer.
+	limitFactor, limitSlack = 1.5, 5
+	limitWindow             = 4 * time.Second
+	toldDelay               = 500 * time.Millisecond
 	// minServedAtEnd is the fraction of the requests that must be served in the
 	// recovery time.
 	minServedAtEnd = 0.25
@@ -50,6 +56,7 @@
 	h.checkDrains(calls)
 	h.checkDesiredStates(calls)
 	h.checkCold(calls)
+	h.checkLimits(calls)
 	h.checkRates(calls)
 	h.checkRetries(calls)
 	r := report{seed: seed, requests: len(calls), disturbances: h.disturbances.list}
@@ -200,7 +207,7 @@
 	arrivals := map[string][]span{}
 	for _, c := range calls {
 		for _, v := range c.executions {
-			if at, ok := h.coldSince[v.server]; ok && v.at.Before(at.Add(coldTime)) {
+			if at, ok := h.coldSince[v.server]; ok && v.at.After(at) && v.at.Before(at.Add(coldTime)) {
 				arrivals[v.server] = append(arrivals[v.server], span{c.sent, v.at})
 			}
 		}
@@ -213,6 +220,34 @@
 	}
 }
 
+// checkLimits checks the number of requests that a server gets while it names a rate limit
+// (LIMIT), from connected instances that have passed on such an answer a while before.
+func (h *harness) checkLimits(calls []*call) {
+	for _, l := range h.limits {
+		told := map[int]time.Time{}
+		for _, c := range calls {
+			if n := len(c.executions); n > 0 && c.status == 200 && c.executions[n-1].server == l.server && c.executions[0].at.After(l.from) {
+				if at, ok := told[c.instance]; !ok || c.ended.Before(at) {
+					told[c.instance] = c.ended
+				}
+			}
+		}
+		var spans []span
+		for _, c := range calls {
+			at, ok := told[c.instance]
+			for _, v := range c.executions {
+				if v.server == l.server && v.at.After(l.from.Add(bounds.DetectionBound)) && v.at.Before(l.to) &&
+					ok && c.sent.After(at.Add(toldDelay)) && h.disturbances.connected(c.instance, v.at, v.at) {
+					spans = append(spans, span{v.at, v.at})
+				}
+			}
+		}
+		if n, most := maxWithin(spans, limitWindow), limitFactor*l.limit*limitWindow.Seconds()+limitSlack; float64(n) > most {
+			h.history.addViolationLocked("LIMIT", "%s got %d requests in %v with a limit of %.1f, %.1f are allowed", l.server, n, limitWindow, l.limit, most)
+		}
+	}
+}
+
 // checkRates checks the number of requests of the organisation limited that ran
 // within the rate window (QUOTA).
 func (h *harness) checkRates(calls []*call) {
--- a/internal/standin/soak/harness.go
+++ b/internal/standin/soak/harness.go
@@ -70,6 +70,13 @@
 	from, to time.Time
 }
 
+// namedLimit is a time in which a server names a rate limit, in requests per second.
+type namedLimit struct {
+	server   string
+	limit    float64
+	from, to time.Time
+}
+
 // harness runs one seed: a store, backend servers, instances, callers and
 // disturbances, and the history of what they saw.
 type harness struct {
@@ -93,6 +100,7 @@
 	leftAt, coldSince map[string]time.Time
 	domainOf          map[string]string
 	evacuations       []*evacuation
+	limits            []*namedLimit
 	// speedup divides the pauses of the callers.
 	speedup  int
 	cleanups []func()
--- a/internal/standin/soak/kinds.go
+++ b/internal/standin/soak/kinds.go
@@ -25,6 +25,8 @@
 	// minDuration and maxDuration bound the duration of a disturbance.
 	minDuration = 300 * time.Millisecond
 	maxDuration = 4 * time.Second
+	// serverHeartbeat is the longest time until a server's record says that it is cold.
+	serverHeartbeat = 1500 * time.Millisecond
 )
 
 // disturb schedules the disturbances of a seed, which may overlap.
@@ -98,14 +100,17 @@
 		}
 	}),
 	drainKind, drainKind, restartKind("reuse", false, reuse),
-	evacuate, changeConfiguration, changeConfiguration, burst,
+	evacuate, evacuate, changeConfiguration, changeConfiguration, burst, limitKind, limitKind,
 }
 
 // drainKind is the planned stop of a server.
 var drainKind = restartKind("drain", true, drain)
 
+// limitKind is a server that names a rate limit.
+var limitKind = restartKind("named limit", true, nameLimit)
+
 // plannedKinds are the kinds that operators carry out on purpose.
-var plannedKinds = []kind{rollingRestart, rollingRestart, hangup, drainKind, drainKind, evacuate, changeConfiguration, burst}
+var plannedKinds = []kind{rollingRestart, rollingRestart, hangup, drainKind, drainKind, evacuate, changeConfiguration, burst, limitKind}
 
 // instanceKind returns a kind that disturbs a random instance with f.
 func instanceKind(name string, f func(ctx context.Context, in *instance, duration time.Duration)) kind {
@@ -273,8 +278,22 @@
 	}
 }
 
+// nameLimit makes a server name a rate limit for longer than the time after which it must be
+// kept.
+func nameLimit(ctx context.Context, h *harness, b *backend, r *rand.Rand, duration time.Duration) {
+	l := &namedLimit{server: b.id(), limit: 1 + 9*r.Float64()}
+	b.setRateLimit(l.limit)
+	l.from = time.Now()
+	sleep(ctx, bounds.DetectionBound+duration)
+	l.to = time.Now()
+	b.setRateLimit(0)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.limits = append(h.limits, l)
+}
+
 // evacuate evacuates one of the failure domains a1 and a2, unless it is being
-// evacuated already.
+// evacuated already. Its servers turn cold a second before the end.
 func evacuate(ctx context.Context, h *harness, r *rand.Rand, duration time.Duration) {
 	e := &evacuation{domain: []string{"a1", "a2"}[r.IntN(2)]}
 	if !h.beginEvacuation(e) {
@@ -284,11 +303,23 @@
 	}
 	d := h.disturbances.begin(disturbance{name: "evacuation", target: e.domain, scope: atServer, planned: true})
 	defer h.disturbances.end(d)
-	sleep(ctx, duration+bounds.EvacuateBound)
+	sleep(ctx, duration+bounds.EvacuateBound-time.Second)
+	var records sync.WaitGroup
+	for _, b := range h.backends {
+		delay := time.Duration(r.Int64N(int64(serverHeartbeat)))
+		if b.domain == e.domain && b.restarting.TryLock() {
+			records.Go(func() {
+				defer b.restarting.Unlock()
+				b.turnCold(coldTime, delay)
+			})
+		}
+	}
+	sleep(ctx, time.Second)
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	e.to = time.Now()
 	h.store.EndEvacuation(e.domain)
+	h.mu.Unlock()
+	records.Wait()
 }
 
 // changeConfiguration writes up to five desired states in quick succession.
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -132,6 +132,32 @@
 				h.add(readCall, time.Duration(i)*100*time.Millisecond, "books-1")
 			}
 		}, nil},
+		"a server that turned cold later": {func(h *harness) {
+			h.coldSince["books-1"] = at(time.Second)
+			for i := range 15 {
+				h.add(readCall, time.Duration(i)*50*time.Millisecond, "books-1")
+			}
+		}, nil},
+		"a server beyond the limit that it names": {func(h *harness) {
+			h.limits = []*namedLimit{{"books-1", 2, at(-5 * time.Second), at(time.Minute)}}
+			h.add(readCall, -3*time.Second, "books-1")
+			for i := range 18 {
+				h.add(readCall, time.Duration(i)*200*time.Millisecond, "books-1")
+			}
+		}, []string{"LIMIT"}},
+		"a server within the limit that it names": {func(h *harness) {
+			h.limits = []*namedLimit{{"books-1", 2, at(-5 * time.Second), at(time.Minute)}}
+			h.add(readCall, -3*time.Second, "books-1")
+			for i := range 18 {
+				h.add(readCall, time.Duration(i)*300*time.Millisecond, "books-1")
+			}
+		}, nil},
+		"an instance that has not been told the limit": {func(h *harness) {
+			h.limits = []*namedLimit{{"books-1", 2, at(-5 * time.Second), at(time.Minute)}}
+			for i := range 18 {
+				h.add(readCall, time.Duration(i)*20*time.Millisecond, "books-1")
+			}
+		}, nil},
 		"an organisation beyond its limit": {func(h *harness) {
 			c := readCall
 			c.organisation = limited
