Use no whole limit while other instances may be starting

Cause: instances that start at the same moment read the records of the instances before the others have written theirs.

Change: an instance that has read no record of another one counts as cut off for 1.5 s and uses its fixed part.

Test, red without it: TestInstanceThatStartsAloneUsesNoWholeLimit.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -46,6 +46,10 @@
 	// removed. Until then it may merely be cut off and still use its share of the
 	// limits: at times the users' regions are partitioned for an hour.
 	removeAfter = 24 * time.Hour
+	// aloneTime is how long an instance that has read no record of another one may be unaware
+	// of those that start at the same time. The records of instances are read again after a
+	// second.
+	aloneTime = 1500 * time.Millisecond
 )
 
 // Member holds the record of one instance and the state from its latest report.
@@ -73,7 +77,8 @@
 	// Silent the number of those from which no report arrived for DetectionBound.
 	Members, Silent int
 	// CutOff is true if the instance has two-way contact with at most half of the
-	// members, itself included, so that the others may count it as silent.
+	// members, itself included, so that the others may count it as silent, or if it has
+	// just started and knows no others.
 	CutOff bool
 	// Regions is the number of regions with live instances.
 	Regions int
@@ -202,9 +207,10 @@
 	incarnation int64
 
 	mu sync.Mutex
-	// recordsRead is true once the records of the instances have been read.
-	recordsRead bool
-	peers       map[string]*peer
+	// recordsReadAt is when the records of the instances were first read, or 0 if they have not
+	// been.
+	recordsReadAt time.Duration
+	peers         map[string]*peer
 	// byHash holds the peers by the hashes of their names.
 	byHash   map[uint64]*peer
 	sequence uint64
@@ -327,8 +333,8 @@
 		}
 		p.record, p.address = *r.Instance, address
 	}
-	if !m.recordsRead {
-		m.recordsRead = true
+	if m.recordsReadAt == 0 {
+		m.recordsReadAt = now
 		m.reportSoon()
 	}
 	// A limit that is divided by the members must not wait for the next report.
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -352,3 +352,19 @@
 		t.Errorf("limits are divided by %d, want 4", got)
 	}
 }
+
+// Guards against instances that start at the same moment and each use the whole of a limit,
+// because each reads the records before the others have written theirs (QUOTA in the soak).
+func TestInstanceThatStartsAloneUsesNoWholeLimit(t *testing.T) {
+	f := newFleet(1)
+	m := f.members[0]
+	m.sendReport()
+	if diff := cmp.Diff(Reachability{Members: 1, CutOff: true, Regions: 1}, f.reachability[0]); diff != "" {
+		t.Errorf("at the start (-want +got):\n%s", diff)
+	}
+	f.clock.now += aloneTime
+	m.sendReport()
+	if diff := cmp.Diff(Reachability{Members: 1, Regions: 1}, f.reachability[0]); diff != "" {
+		t.Errorf("after %s (-want +got):\n%s", aloneTime, diff)
+	}
+}
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -181,7 +181,8 @@
 			silent++
 		}
 	}
-	return Reachability{Members: members, Silent: silent, CutOff: 2*mutual <= members, Regions: len(regions)}
+	alone := members == 1 && now-m.recordsReadAt < aloneTime
+	return Reachability{Members: members, Silent: silent, CutOff: alone || 2*mutual <= members, Regions: len(regions)}
 }
 
 // readTable returns the values of a table. Rows without a value are ignored.
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -66,7 +66,7 @@
 	if isRelay || len(reporters) > 0 || m.servesAsRelay(now) {
 		messages = append(messages, m.digests(now, reporters, s)...)
 	}
-	reachability, recordsRead := m.reachability(now), m.recordsRead
+	reachability, recordsRead := m.reachability(now), m.recordsReadAt != 0
 	m.publish(now)
 	m.mu.Unlock()
 	for _, message := range messages {
