Ignore a health answer of a server's previous process

Found when reading the change: the answer to a health probe was recorded with the record that the probe began with. If the server had restarted meanwhile, the state of the new process was replaced by that of the old one, and with it what failed connections had shown.

Change: the mark is dropped unless the state is of the same process. Test: TestMarkedServerIsCold, red before in its first check, since the mark of the previous process replaced the state.

--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -388,11 +388,12 @@
 	return st.health.Observe(at, result, b.mayEject(c.Server.Service, serverCount)), false
 }
 
-// MarkCold records that a server is cold until the given time.
+// MarkCold records that a server is cold until the given time. It does nothing if a new process
+// has taken the server's place meanwhile.
 func (b *Balancer) MarkCold(server *registry.Server, until time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if st := b.stateOf(server); until.After(st.coldUntil) {
+	if st := b.servers[server.Name]; st != nil && st.startMillis == server.StartMillis && until.After(st.coldUntil) {
 		st.coldUntil = until
 	}
 }
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -292,3 +292,23 @@
 		t.Error("a server whose limit has ended is not chosen")
 	}
 }
+
+// Guards against a server that gets requests as if it were warm after it has said that it is
+// cold, and against a late answer of its previous process.
+func TestMarkedServerIsCold(t *testing.T) {
+	b, now, list, q := newBalancer(), time.Now(), servers(1), Query{Region: "a"}
+	b.Choose(now, list, q)
+	previous := *list[0]
+	previous.StartMillis--
+	b.MarkCold(&previous, now.Add(time.Second))
+	if _, reason := b.Choose(now, list, q); reason != "" {
+		t.Errorf("reason %q after an answer of the previous process", reason)
+	}
+	b.MarkCold(list[0], now.Add(time.Second))
+	if _, reason := b.Choose(now, list, q); reason != tamarackrun.QueueFull {
+		t.Errorf("reason %q for a cold server without a share, want %q", reason, tamarackrun.QueueFull)
+	}
+	if _, reason := b.Choose(now.Add(time.Second), list, q); reason != "" {
+		t.Errorf("reason %q once the server is warm", reason)
+	}
+}
