--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -297,13 +297,19 @@
 // cold, and against a late answer of its previous process.
 func TestMarkedServerIsCold(t *testing.T) {
 	b, now, list, q := newBalancer(), time.Now(), servers(1), Query{Region: "a"}
-	b.Choose(now, list, q)
+	c, _ := b.Choose(now, list, q)
 	previous := *list[0]
 	previous.StartMillis--
 	b.MarkCold(&previous, now.Add(time.Second))
 	if _, reason := b.Choose(now, list, q); reason != "" {
 		t.Errorf("reason %q after an answer of the previous process", reason)
 	}
+	b.Done(now, c, health.Failure, true, 1)
+	b.MarkCold(&previous, now.Add(time.Second))
+	if _, reason := b.Choose(now.Add(initialBackoff/2), list, q); reason != tamarackrun.QueueFull {
+		t.Error("an answer of the previous process ends the pause after a failed connection")
+	}
+	now = now.Add(initialBackoff + b.ColdTime(""))
 	b.MarkCold(list[0], now.Add(time.Second))
 	if _, reason := b.Choose(now, list, q); reason != tamarackrun.QueueFull {
 		t.Errorf("reason %q for a cold server without a share, want %q", reason, tamarackrun.QueueFull)
