--- a/internal/coordination/probe/probe_test.go
+++ b/internal/coordination/probe/probe_test.go
@@ -76,6 +76,8 @@
 		}
 		mu.Unlock()
 		cancel()
+		// The latest probe may still be running.
+		time.Sleep(roundTrip)
 		synctest.Wait()
 	})
 }
