--- a/internal/coordination/probe/probe.go
+++ b/internal/coordination/probe/probe.go
@@ -1,5 +1,6 @@
 // Package probe asks backend servers whether they are cold, while an instance can't learn it
-// from their records: it has lost the platform's store and every instance that reaches it.
+// from their records: it has lost the platform's store and every instance that reaches it, or
+// has just started.
 package probe
 
 import (
--- a/internal/coordination/serverlimit/serverlimit.go
+++ b/internal/coordination/serverlimit/serverlimit.go
@@ -56,6 +56,7 @@
 	if l.rank(server, members) >= maxSenders(limit) {
 		return false, window
 	}
+	// A server has no burst: the bound's tolerance gives each part its token.
 	return l.parts.Admit(now, configuration.Organisation{Name: namePrefix + server, Rate: limit})
 }
 
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -120,7 +120,7 @@
 	{SourceChanged, "sourceChanged", "info", "the instance reads a collection of the store's records from another instance now, or from the store if none is named"},
 	{ReaderFailed, "readerFailed", "warn", "the instance that reads the store for its failure domain did not answer; this instance reads the store itself for a short time"},
 	{ChangeOverdue, "changeOverdue", "warn", "the store has a change of a collection that this instance has not received in time; it reads the collection again"},
-	{ServerCold, "serverCold", "info", "a backend server answered a health probe that it is cold; it is asked while the records can't be confirmed"},
+	{ServerCold, "serverCold", "info", "a backend server answered a health probe that it is cold; it is asked while its record may be out of date"},
 	{PeerReachable, "peerReachable", "info", "heartbeats with a peer succeed"},
 	{PeerUnreachable, "peerUnreachable", "warn", "a peer did not answer heartbeats"},
 	{PeerRefused, "peerRefused", "warn", "a connection of another process was refused because it did not prove that it is an instance of the fleet"},
