Recover panics of reads and probes on goroutines of their own

Found when reading the change: since reads are hedged, the store's answer is decoded on a goroutine that nothing recovers, and so is the answer to a health probe. A malformed one would end the process and with it all running requests; before, the follower's task recovered.

Change: a panic of a read is recorded and returned as its error; one of a probe is recorded.

Test: TestPanicOfReadIsAnError; without the recovery it ends the test process with "panic: malformed record".

--- a/internal/coordination/source/source.go
+++ b/internal/coordination/source/source.go
@@ -7,7 +7,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -32,6 +34,8 @@
 	// hedgeDelay is how long the store may take to answer a read before another instance is
 	// asked too. A slow store answers within 0.25 s and a round trip of 0.11 s.
 	hedgeDelay = 400 * time.Millisecond
+	// maxStackLog bounds the stack trace in the event of a panic, in bytes.
+	maxStackLog = 2 << 10
 	// collectionCount is the number of values of tamarackrun.Collection.
 	collectionCount = 4
 )
@@ -197,7 +201,7 @@
 	}
 	fromStore, fromReader := make(chan result, 1), make(chan result, 1)
 	go func() {
-		page, err := s.Store.Read(ctx, collection)
+		page, err := s.readProtected(ctx, s.Store, collection)
 		s.noteStore(ctx, err)
 		fromStore <- result{page, err, ""}
 	}()
@@ -226,7 +230,7 @@
 			}
 			if address := s.usable(s.RemoteReader()); address != "" {
 				go func() {
-					page, err := s.Dial(address).Read(readerCtx, collection)
+					page, err := s.readProtected(readerCtx, s.Dial(address), collection)
 					fromReader <- result{page, err, address}
 				}()
 			}
@@ -234,6 +238,20 @@
 	}
 }
 
+// readProtected reads a collection and returns a panic as an error. A panic on a goroutine of its
+// own would end the process.
+func (s *Source) readProtected(ctx context.Context, from tamarackrun.RecordReader, collection tamarackrun.Collection) (page tamarackrun.Page, err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			stack := debug.Stack()
+			s.Recorder.Record(event.PanicRecovered, "", "task", "read "+collection.String(), "error", fmt.Sprint(value),
+				"stack", string(stack[:min(len(stack), maxStackLog)]))
+			err = fmt.Errorf("the read of the records panicked: %v", value)
+		}
+	}()
+	return from.Read(ctx, collection)
+}
+
 // Watch returns the changes of a collection after a revision as soon as there are any, or an
 // empty page after the time wait or when the reader changes.
 func (s *Source) Watch(ctx context.Context, collection tamarackrun.Collection, after int64, wait time.Duration) (tamarackrun.Page, error) {
--- a/internal/coordination/source/source_test.go
+++ b/internal/coordination/source/source_test.go
@@ -280,3 +280,20 @@
 		})
 	}
 }
+
+// panickingStore panics on each read.
+type panickingStore struct{ tamarackrun.RecordReader }
+
+func (panickingStore) Read(context.Context, tamarackrun.Collection) (tamarackrun.Page, error) {
+	panic("malformed record")
+}
+
+// Guards against a record that ends the process, because reads run on goroutines of their own.
+func TestPanicOfReadIsAnError(t *testing.T) {
+	f := newFixture()
+	f.setReader("")
+	f.Store = panickingStore{}
+	if _, err := f.Read(t.Context(), tamarackrun.Servers); err == nil || !f.StoreUnreachable() {
+		t.Errorf("read: %v, unreachable %v", err, f.StoreUnreachable())
+	}
+}
--- a/internal/program/front/cold.go
+++ b/internal/program/front/cold.go
@@ -70,6 +70,7 @@
 
 // askServer sends a health probe to a server and returns how long the server stays cold.
 func (f *Front) askServer(ctx context.Context, server *registry.Server) (coldFor time.Duration, ok bool) {
+	defer f.recoverPanic("health probe", nil)
 	c := f.snapshot.Load()
 	if c == nil || c.Services[server.Service].HealthPath == "" {
 		return 0, false
