Count recent requests to a server without changing the list

SentSince dropped the expired times from the list before it counted the others. It only counts now; Count, Admit and DropIdle keep the list short. No change of behaviour.

--- a/internal/coordination/coldstart/coldstart.go
+++ b/internal/coordination/coldstart/coldstart.go
@@ -48,14 +48,9 @@
 func (l *Limiter) SentSince(now time.Time, server string, since time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.sent[server]) == 0 {
-		return 0
-	}
-	recent := l.recent(now, server)
-	l.sent[server] = recent
 	count := 0
-	for _, at := range recent {
-		if at.After(since) {
+	for _, at := range l.sent[server] {
+		if at.After(since) && now.Sub(at) < window {
 			count++
 		}
 	}
