Record panics in one function

The read of the records, which recovers panics since it runs on a goroutine of its own, repeated the event and the bound on its stack from the front's recovery. Both call event.RecordPanic now. No change of behaviour, but for one more frame in the recorded stack.

--- a/internal/coordination/source/source.go
+++ b/internal/coordination/source/source.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -34,8 +33,6 @@
 	// hedgeDelay is how long the store may take to answer a read before another instance is
 	// asked too. A slow store answers within 0.25 s and a round trip of 0.11 s.
 	hedgeDelay = 400 * time.Millisecond
-	// maxStackLog bounds the stack trace in the event of a panic, in bytes.
-	maxStackLog = 2 << 10
 	// collectionCount is the number of values of tamarackrun.Collection.
 	collectionCount = 4
 )
@@ -243,9 +240,7 @@
 func (s *Source) readProtected(ctx context.Context, from tamarackrun.RecordReader, collection tamarackrun.Collection) (page tamarackrun.Page, err error) {
 	defer func() {
 		if value := recover(); value != nil {
-			stack := debug.Stack()
-			s.Recorder.Record(event.PanicRecovered, "", "task", "read "+collection.String(), "error", fmt.Sprint(value),
-				"stack", string(stack[:min(len(stack), maxStackLog)]))
+			event.RecordPanic(s.Recorder, "read "+collection.String(), value)
 			err = fmt.Errorf("the read of the records panicked: %v", value)
 		}
 	}()
--- a/internal/program/front/recovery.go
+++ b/internal/program/front/recovery.go
@@ -2,21 +2,14 @@
 
 import (
 	"context"
-	"fmt"
-	"runtime/debug"
 	"time"
 
 	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/event"
 )
 
-const (
-	// maxStackLog bounds the stack trace in the event of a panic, in bytes.
-	maxStackLog = 2 << 10
-	// restartPause is the pause before a background task is started again after a
-	// panic.
-	restartPause = time.Second
-)
+// restartPause is the pause before a background task is started again after a panic.
+const restartPause = time.Second
 
 // recoverPanic records the panic of the calling goroutine, if there is one, and calls
 // handle. It must be deferred. Without it, one malformed message or record would end the
@@ -26,9 +19,7 @@
 	if value == nil {
 		return
 	}
-	stack := debug.Stack()
-	f.history.Record(event.PanicRecovered, "", "task", task, "error", fmt.Sprint(value),
-		"stack", string(stack[:min(len(stack), maxStackLog)]))
+	event.RecordPanic(f.history, task, value)
 	if handle != nil {
 		handle()
 	}
