Log the region of the server of each attempt and count its queue

Whether requests run or wait in another region could only be found by joining attemptEnded with the failure domains of serverKnown. attemptEnded now has serverRegion, and two counters give the mean reported queue by service and region, which distinguishes queues in a small region from choices that move.

--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -142,6 +142,9 @@
 			responseTime = 0
 		}
 		f.balancer.ReportLoad(time.Now(), choice.Server.Name, l.Waiting, l.Slots, responseTime)
+		queues := f.scope.Tagged(map[string]string{"service": req.service, "region": choice.Server.Region})
+		queues.Counter("server_load_reports").Inc(1)
+		queues.Counter("server_waiting_requests").Inc(int64(l.Waiting))
 	}
 	if result.Outcome == tamarackrun.Done || result.Fields.NotRun && !result.Fields.Misdirected {
 		f.balancer.ReportLimit(choice.Server.Name, result.Fields.RateLimit)
@@ -174,7 +177,7 @@
 // logAttempt records the event for one dispatch of a request to a server.
 func (f *Front) logAttempt(req *request, choice steer.Choice, result exchange.Result, sent time.Time) {
 	fields := []string{"route", req.route.Name, "service", req.service, "organisation", req.organisation.Name, "server", choice.Server.Name,
-		"rank", strconv.Itoa(choice.Rank), "outstanding", strconv.Itoa(choice.Outstanding),
+		"serverRegion", choice.Server.Region, "rank", strconv.Itoa(choice.Rank), "outstanding", strconv.Itoa(choice.Outstanding),
 		"recordAge", time.Since(choice.Server.ReceivedAt).Round(time.Millisecond).String(),
 		"configuration", strconv.FormatInt(req.configuration.Version, 10),
 		"waited", sent.Sub(req.call.Arrived).Round(time.Millisecond).String(), "took", time.Since(sent).Round(time.Millisecond).String(),
