Take the demand that is bound to a region out of its room

Cause: the weights of rendezvous hashing count servers only. A region that sends most of its own requests away still got a fifth of its even part from each other region, and organisations that may run only there (8 in 100 of the requests) came on top. When traffic ends, only those queues are left, and the region in which requests run swings (SHIFT).

The weights now count room: servers without what the reported demand of organisations bound to the region needs. A region whose room is below an even part gets gradually fewer requests from others. Ruled out by the logs: choices that swing (rank is 0 throughout) and second tries (some 20 of 60 requests at most).

TestRegionWithConfinedRequestsHasNoQueues fails on the weights before: requests of the other regions wait 304 ms on average there, 150 allowed, and 37 wait in other regions when traffic ends, 20 allowed.

--- a/internal/coordination/steer/overload_test.go
+++ b/internal/coordination/steer/overload_test.go
@@ -58,7 +58,9 @@
 	servers   map[string]*simulatedServer
 	list      []*registry.Server
 	serviceMs float64
-	now       time.Duration
+	// confined is the fraction of the requests that may run only in the first region.
+	confined float64
+	now      time.Duration
 	random    *rand.Rand
 	running   completions
 	// started is called when a request starts to run.
@@ -73,17 +75,25 @@
 
 // newSimulation returns a fleet with instances and servers spread evenly over three regions.
 func newSimulation(instances, servers, slots int, serviceMs float64) *simulation {
+	return newUnevenSimulation(instances, slots, serviceMs, servers/3, servers/3, servers/3)
+}
+
+// newUnevenSimulation returns a fleet with instances spread evenly over three regions, which have
+// the given numbers of servers.
+func newUnevenSimulation(instances, slots int, serviceMs float64, servers ...int) *simulation {
 	s := &simulation{regions: []string{"a", "b", "c"}, servers: map[string]*simulatedServer{}, serviceMs: serviceMs,
 		random: rand.New(rand.NewPCG(5, 6)), started: func(time.Duration, *simulatedRequest) {}}
 	for range instances {
 		s.balancers = append(s.balancers, newBalancer())
 	}
-	for i := range servers {
-		name := fmt.Sprint("server-", i)
-		server := &registry.Server{Name: name, Hash: rendezvous.Hash(name), Region: s.regions[i%3],
-			ServerRecord: tamarackrun.ServerRecord{Slots: slots}}
-		s.servers[name] = &simulatedServer{Server: server}
-		s.list = append(s.list, server)
+	for i, region := range s.regions {
+		for k := range servers[i] {
+			name := fmt.Sprint("server-", i+3*k)
+			server := &registry.Server{Name: name, Hash: rendezvous.Hash(name), Region: region,
+				ServerRecord: tamarackrun.ServerRecord{Slots: slots}}
+			s.servers[name] = &simulatedServer{Server: server}
+			s.list = append(s.list, server)
+		}
 	}
 	return s
 }
@@ -110,6 +120,9 @@
 		}
 		instance := s.random.IntN(len(s.balancers))
 		q := Query{Object: fmt.Sprint(s.random.IntN(600)), Region: s.regionOf(instance), TargetLatency: aim}
+		if s.random.Float64() < s.confined {
+			q.AllowedRegions = [][]string{s.regions[:1]}
+		}
 		if choice, reason := s.balancers[instance].Choose(simulationStart.Add(s.now), s.list, q); reason == "" {
 			s.send(&simulatedRequest{instance, choice, s.servers[choice.Server.Name], s.now})
 		}
@@ -207,3 +220,49 @@
 	}
 	return total
 }
+
+// Pattern: one region has a tenth of the servers, and organisations with a twelfth of all requests
+// may run only there. Guards against queues in that region while the servers of the others are
+// idle: when traffic ends, only those queues are left, and the region in which requests run swings
+// (SHIFT on hollowmere-run-grown, a day without trouble with seeds 21, 25 and 31).
+func TestRegionWithConfinedRequestsHasNoQueues(t *testing.T) {
+	const slots, serviceMs = 9, 700.0
+	const few, many = 12, 54
+	s := newUnevenSimulation(18, slots, serviceMs, few, many, many)
+	s.confined = 1.0 / 12
+	for _, b := range s.balancers {
+		b.SetConfined(simulationStart, map[string]float64{"a": s.confined, "b": 0, "c": 0})
+	}
+	capacity := (few + many + many) * slots / serviceMs * 1000
+	// waits holds the waits of the requests by the region of the instance and of the server.
+	waits := map[[2]string][]time.Duration{}
+	s.started = func(now time.Duration, r *simulatedRequest) {
+		pair := [2]string{s.regionOf(r.instance), r.server.Region}
+		waits[pair] = append(waits[pair], now-r.sent)
+	}
+	const aim = 1500 * time.Millisecond
+	s.run(20*time.Second, 0.6*capacity, aim)
+	counts := map[[2]string]int{}
+	for pair, list := range waits {
+		counts[pair] = len(list)
+		total := time.Duration(0)
+		for _, wait := range list {
+			total += wait
+		}
+		if mean := total / time.Duration(len(list)); mean > aim/10 {
+			t.Errorf("requests from %s wait %s on average in %s, want at most %s", pair[0], mean, pair[1], aim/10)
+		}
+	}
+	t.Logf("requests by region of the instance and of the server: %v", counts)
+	clear(waits)
+	s.run(30*time.Second, 0, aim)
+	left := 0
+	for pair, list := range waits {
+		if pair[0] != pair[1] {
+			left += len(list)
+		}
+	}
+	if left > 20 {
+		t.Errorf("%d requests wait in other regions when traffic ends, want at most 20", left)
+	}
+}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -17,14 +17,6 @@
 )
 
 const (
-	// minRemoteWeight is the least weight in rendezvous hashing of a server in
-	// another region, relative to 1 for a server in the instance's own region. A
-	// small region gives remote servers more weight, so that it is not overloaded.
-	minRemoteWeight = 0.2
-	// localCapacityFraction is the fraction of a region's capacity that requests from
-	// the region itself may use if all regions have the same demand. The rest is for
-	// requests from other regions.
-	localCapacityFraction = 0.75
 	// remotePenalty is added to the load of servers in other regions when a server
 	// for a request without an object is chosen, as a fraction of the slots.
 	remotePenalty = 0.25
@@ -169,8 +161,14 @@
 	mu        sync.Mutex
 	servers   map[string]*serverState
 	createdAt time.Time
-	// candidates is the memory for the candidates of one choice.
+	// candidates and weights are the memory for the candidates of one choice and the weights
+	// of their regions.
 	candidates []candidate
+	weights    []regionWeight
+	// confined holds the fraction of the fleet's requests that may run only in each region,
+	// from 0 to 1, as averaged up to confinedAt; nil until it is known.
+	confined   map[string]float64
+	confinedAt time.Time
 }
 
 // New returns a balancer without observations.
@@ -270,54 +268,27 @@
 // listCandidates sets b.candidates to the allowed servers, in any order.
 func (b *Balancer) listCandidates(servers []*registry.Server, q Query) {
 	b.candidates = b.candidates[:0]
-	remoteWeight, objectHash := 0.0, uint64(0)
+	objectHash := uint64(0)
 	if q.Object != "" {
-		remoteWeight, objectHash = remoteWeightFor(servers, q), rendezvous.Hash(q.Object)
+		objectHash = rendezvous.Hash(q.Object)
+		b.setWeights(servers, q)
 	}
 	for _, server := range servers {
 		if !allows(q.AllowedRegions, server.Region) || slices.Contains(q.Tried, server.Name) {
 			continue
 		}
 		c := candidate{server: server}
-		weight, penalty := 1.0, 0.0
-		if server.Region != q.Region {
-			weight, penalty = remoteWeight, remotePenalty
-		}
 		if q.Object != "" {
-			c.score = weightedScore(objectHash, server.Hash, weight)
+			c.score = weightedScore(objectHash, server.Hash, b.weightOf(server.Region).weight)
 		} else {
 			// Without the jitter, the same idle server would always come first.
-			c.score = b.loadOf(server) + rand.Float64()*tieJitter + penalty
-		}
-		b.candidates = append(b.candidates, c)
-	}
-}
-
-// remoteWeightFor returns the weight of servers in other regions. The weight is above
-// minRemoteWeight if the instance's own region has so few servers that its requests
-// would use more than localCapacityFraction of them. It depends neither on load nor on
-// earlier attempts, so that an object keeps its ranking of servers.
-func remoteWeightFor(servers []*registry.Server, q Query) float64 {
-	var regions []string
-	local, all := 0.0, 0.0
-	for _, server := range servers {
-		if allows(q.AllowedRegions, server.Region) {
-			if !slices.Contains(regions, server.Region) {
-				regions = append(regions, server.Region)
-			}
-			all++
-			if server.Region == q.Region {
-				local++
+			c.score = b.loadOf(server) + rand.Float64()*tieJitter
+			if server.Region != q.Region {
+				c.score += remotePenalty
 			}
 		}
+		b.candidates = append(b.candidates, c)
 	}
-	if local == 0 || local == all {
-		return minRemoteWeight
-	}
-	// With the remote weight w, the fraction local / (local + w (all - local)) of the
-	// requests stays in the region.
-	balanced := (all/(localCapacityFraction*float64(len(regions))) - local) / (all - local)
-	return min(1, max(minRemoteWeight, balanced))
 }
 
 // weightedScore returns a server's score in weighted rendezvous hashing, from the hashes of the
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -276,6 +276,7 @@
 			Regions: reachability.Regions, Holds: f.holds, HeldSince: f.members.HoldersChanged()}
 		f.limiter.SetFleetState(time.Now(), state)
 		f.serverLimiter.SetFleetState(time.Now(), state)
+		f.noteConfined(totalDemand)
 		f.retryBudgets.setMembers(reachability.Members, f.terms.Load())
 		if !f.partKnown.Swap(true) {
 			f.updateReady()
