Halve the least weight of servers in other regions

A request that crosses regions is under way for 55 ms, one in its own region 0.5 ms: when traffic stops, the requests under way are those that cross, and the region in which requests run swings by their number. A fifth of the requests of regions with enough servers crossed, although their own servers were idle.

A tenth suffices for the ranking when the own region is lost, since only the weights of the other regions to each other count then.

--- a/internal/coordination/steer/weights.go
+++ b/internal/coordination/steer/weights.go
@@ -12,7 +12,7 @@
 	// minRemoteWeight is the least weight in rendezvous hashing of a server in
 	// another region, relative to 1 for a server in the instance's own region. A
 	// small region gives remote servers more weight, so that it is not overloaded.
-	minRemoteWeight = 0.2
+	minRemoteWeight = 0.1
 	// importFraction is the fraction of a region's room that is left for requests from other
 	// regions if all regions have the same demand and room.
 	importFraction = 0.25
