Compare the store's era before its revisions

Cause: nine places compare revisions as if they only grew. A watch from a revision that the store had given out again went on in another history. The class: an order that holds in one history only, used across two.

A position, the store's era and a revision with one comparison, replaces the bare revisions, also in the messages between instances, so that no place can forget the era. A watch of another era ends like one whose history is gone, a full page of a later era replaces the records, and the verifier treats collections of an earlier era as behind: a watch that the HTTP client renews by itself shows nothing. The event storeRestored names both positions.

--- a/fleet.go
+++ b/fleet.go
@@ -60,8 +60,8 @@
 // name, or can't be used.
 type Record struct {
 	Name string
-	// Revision grows with each change of any record of the platform.
-	Revision int64
+	// Position is that of the record's latest change.
+	Position Position
 	// Removed reports whether the record was removed.
 	Removed bool
 	// Problem is the reason why the record can't be used; empty if it can.
@@ -79,16 +79,17 @@
 	// Full reports whether Records hold the whole collection and not only the
 	// changes.
 	Full bool
-	// Revision is the platform's revision up to which the page is complete.
-	Revision int64
+	// Position is the position up to which the page is complete.
+	Position Position
 	// Reconnected reports whether the instance that read the page had lost contact with
 	// the store before, so that records may have lapsed meanwhile.
 	Reconnected bool
 }
 
-// ErrHistoryGone is returned by a watch when the store no longer has the changes
-// since its revision. The collection must be read again.
-var ErrHistoryGone = errors.New("the platform's history does not reach back to the revision")
+// ErrHistoryGone is returned by a watch when the store does not have the changes
+// since its position, because it has dropped them or is in another era. A read returns it if
+// the era changes between its pages. The collection must be read again.
+var ErrHistoryGone = errors.New("the platform's history does not reach back to the position")
 
 // Identity holds the name, the location and the addresses of an instance.
 type Identity struct {
@@ -112,16 +113,17 @@
 type RecordReader interface {
 	// Read returns all records of a collection.
 	Read(ctx context.Context, collection Collection) (Page, error)
-	// Watch returns the changes after a revision as soon as there are any, or
+	// Watch returns the changes after a position as soon as there are any, or
 	// an empty page after about the time wait.
-	Watch(ctx context.Context, collection Collection, after int64, wait time.Duration) (Page, error)
+	Watch(ctx context.Context, collection Collection, after Position, wait time.Duration) (Page, error)
 }
 
 // RecordStore is the platform's store of configurations, backend servers,
 // evacuations and instances.
 type RecordStore interface {
 	RecordReader
-	// Decode returns the record of a collection from its encoding.
+	// Decode returns the record of a collection from its encoding, which does not hold the
+	// era of its position.
 	Decode(collection Collection, encoded []byte, removed bool) Record
 	// Announce writes the record of an instance.
 	Announce(ctx context.Context, name string, instance InstanceRecord) error
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -41,7 +42,7 @@
 	// before the instance counts as in contact again.
 	MaxBackoff time.Duration
 	// Apply is called with each page. reconnected is true for the first page after a
-	// failure and for the very first page.
+	// failure, after the store has come back from a copy, and for the very first page.
 	Apply func(page tamarackrun.Page, reconnected bool)
 
 	resyncRequested atomic.Bool
@@ -61,17 +62,17 @@
 
 // Run follows the collection until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	// revision is that of the latest page. complete is true once the whole
+	// position is that of the latest page. complete is true once the whole
 	// collection has been read. failing is true until a call succeeds, and again
 	// after one has failed.
-	revision, complete, failing := int64(0), false, true
+	position, complete, failing := tamarackrun.Position{}, false, true
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		began := time.Now()
 		if f.resyncRequested.Swap(false) {
 			complete = false
 		}
-		page, err := f.fetch(ctx, revision, complete, failing)
+		page, err := f.fetch(ctx, position, complete, failing)
 		switch {
 		case f.resyncRequested.Load() && complete && !failing:
 			// Resync cancelled the watch; what the watch returned is read again.
@@ -97,8 +98,14 @@
 			if failing {
 				f.Recorder.Record(event.StoreReachable, "", "collection", f.Collection.String())
 			}
-			f.Apply(page, failing)
-			revision, complete, failing, backoff = page.Revision, complete || page.Full, false, minBackoff
+			restored := position != tamarackrun.Position{} && page.Position.Era > position.Era
+			if restored {
+				f.Recorder.Record(event.StoreRestored, "", "collection", f.Collection.String(),
+					"era", strconv.FormatInt(page.Position.Era, 10), "revision", strconv.FormatInt(page.Position.Revision, 10),
+					"previousEra", strconv.FormatInt(position.Era, 10), "previousRevision", strconv.FormatInt(position.Revision, 10))
+			}
+			f.Apply(page, failing || restored)
+			position, complete, failing, backoff = page.Position, complete || page.Full, false, minBackoff
 			if f.Paced == nil || f.Paced() {
 				waiting.Pause(ctx, f.MinInterval-time.Since(began))
 			}
@@ -107,15 +114,15 @@
 }
 
 // fetch reads the whole collection unless that is done, and else watches for
-// changes after the revision.
-func (f *Follower) fetch(ctx context.Context, revision int64, complete, failing bool) (tamarackrun.Page, error) {
+// changes after the position.
+func (f *Follower) fetch(ctx context.Context, position tamarackrun.Position, complete, failing bool) (tamarackrun.Page, error) {
 	switch {
 	case !complete:
 		return f.Store.Read(ctx, f.Collection)
 	case failing:
 		// A watch that waits for a change would show only later that the store
 		// answers again.
-		return f.Store.Watch(ctx, f.Collection, revision, 0)
+		return f.Store.Watch(ctx, f.Collection, position, 0)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -124,7 +131,7 @@
 	if f.resyncRequested.Load() {
 		cancel()
 	}
-	return f.Store.Watch(ctx, f.Collection, revision, f.WatchTimeout)
+	return f.Store.Watch(ctx, f.Collection, position, f.WatchTimeout)
 }
 
 // jitter returns a random duration from 0.5 to 1.5 times d.
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -33,10 +33,10 @@
 		time.Sleep(failedCallTime)
 		return tamarackrun.Page{}, errors.New("i/o timeout")
 	}
-	return tamarackrun.Page{Full: true, Revision: 9}, nil
+	return tamarackrun.Page{Full: true, Position: tamarackrun.Position{Revision: 9}}, nil
 }
 
-func (s *outageStore) Watch(ctx context.Context, c tamarackrun.Collection, revision int64, timeout time.Duration) (tamarackrun.Page, error) {
+func (s *outageStore) Watch(ctx context.Context, c tamarackrun.Collection, position tamarackrun.Position, timeout time.Duration) (tamarackrun.Page, error) {
 	if page, err := s.Read(ctx, c); err != nil {
 		return page, err
 	}
@@ -45,7 +45,7 @@
 		return tamarackrun.Page{}, tamarackrun.ErrHistoryGone
 	}
 	time.Sleep(timeout)
-	return tamarackrun.Page{Revision: revision}, nil
+	return tamarackrun.Page{Position: position}, nil
 }
 
 func (s *outageStore) Announce(context.Context, string, tamarackrun.InstanceRecord) error { return nil }
@@ -93,10 +93,10 @@
 	timeouts []time.Duration
 }
 
-func (s *watchTimeoutStore) Watch(_ context.Context, _ tamarackrun.Collection, revision int64, timeout time.Duration) (tamarackrun.Page, error) {
+func (s *watchTimeoutStore) Watch(_ context.Context, _ tamarackrun.Collection, position tamarackrun.Position, timeout time.Duration) (tamarackrun.Page, error) {
 	s.timeouts = append(s.timeouts, timeout)
 	time.Sleep(timeout)
-	return tamarackrun.Page{Revision: revision}, nil
+	return tamarackrun.Page{Position: position}, nil
 }
 
 // Guards against watches that outlast WatchTimeout. A watch may miss a change
@@ -144,11 +144,11 @@
 	case <-ctx.Done():
 		return tamarackrun.Page{}, ctx.Err()
 	case <-time.After(roundTrip):
-		return tamarackrun.Page{Full: true, Revision: int64(s.reads)}, s.err()
+		return tamarackrun.Page{Full: true, Position: tamarackrun.Position{Revision: int64(s.reads)}}, s.err()
 	}
 }
 
-func (s *slowStore) Watch(ctx context.Context, c tamarackrun.Collection, revision int64, timeout time.Duration) (tamarackrun.Page, error) {
+func (s *slowStore) Watch(ctx context.Context, c tamarackrun.Collection, position tamarackrun.Position, timeout time.Duration) (tamarackrun.Page, error) {
 	if timeout == 0 {
 		return s.Read(ctx, c)
 	}
@@ -156,7 +156,7 @@
 	case <-ctx.Done():
 		return tamarackrun.Page{}, ctx.Err()
 	case <-time.After(timeout):
-		return tamarackrun.Page{Revision: revision}, s.err()
+		return tamarackrun.Page{Position: position}, s.err()
 	}
 }
 
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -189,7 +189,7 @@
 	// Send sends a message to each of the addresses and returns the number of
 	// addresses to which it could not be sent.
 	Send func(message *wire.InstanceMessage, addresses ...netip.AddrPort) int
-	// Verifier supplies the revisions that this instance reports and receives those
+	// Verifier supplies the positions that this instance reports and receives those
 	// that others report.
 	Verifier *verify.Verifier
 	// OnReport is called after each report that this instance sends once it has read the
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -39,7 +39,7 @@
 	if slices.Contains(r.HeardRelays, m.ownHash) {
 		p.lastMutual = now
 	}
-	m.mergeRevisions(r.Revisions, r.VerifiedAge)
+	m.mergePositions(r.Era, r.Revisions, r.VerifiedAge)
 }
 
 func (m *Membership) receiveDomainDigest(d *wire.DomainDigest) {
@@ -54,7 +54,7 @@
 		mutual = now
 	}
 	m.mergeMembers(now, d.Members, d.Lenders, mutual)
-	m.mergeRevisions(d.Revisions, d.VerifiedAge)
+	m.mergePositions(d.Era, d.Revisions, d.VerifiedAge)
 }
 
 func (m *Membership) receiveFleetDigest(d *wire.FleetDigest) {
@@ -71,7 +71,7 @@
 		mutual = now - time.Duration(d.Members.Ages[i])*time.Millisecond
 	}
 	m.mergeMembers(now, d.Members, d.Lenders, mutual)
-	m.mergeRevisions(d.Revisions, d.VerifiedAge)
+	m.mergePositions(d.Era, d.Revisions, d.VerifiedAge)
 }
 
 // mergeMembers updates the peers from a relay's member table. mutual is until when messages
@@ -125,11 +125,9 @@
 	}
 }
 
-// mergeRevisions passes on what another instance knows of the store.
-func (m *Membership) mergeRevisions(known []int64, verifiedAge uint32) {
-	var revisions verify.Revisions
-	copy(revisions[:], known)
-	m.Verifier.MergeReport(time.Now(), revisions, time.Duration(verifiedAge)*time.Millisecond)
+// mergePositions passes on what another instance knows of the store.
+func (m *Membership) mergePositions(era int64, revisions []int64, verifiedAge uint32) {
+	m.Verifier.MergeReport(time.Now(), verify.Join(era, revisions), time.Duration(verifiedAge)*time.Millisecond)
 }
 
 // totalDemand returns the demand of the fleet by the hash of the organisation, and the number
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -37,9 +37,10 @@
 	// total is the demand of the fleet, and covered the number of instances in it.
 	total   map[uint64]float64
 	covered int
-	// revisions holds the highest known revisions, and verifiedAge is the age of the latest
-	// read by any instance that showed the store's revision.
-	revisions   verify.Revisions
+	// revisions holds the highest known revisions in the era, and verifiedAge is the age of the
+	// latest read by any instance that showed the store's position.
+	era         int64
+	revisions   []int64
 	verifiedAge time.Duration
 }
 
@@ -50,14 +51,16 @@
 func (m *Membership) sendReport() {
 	var s ownState
 	s.demands, s.spareTokens = hashKeys(m.Demands(), minReportedDemand), hashKeys(m.SpareTokens(), 1)
-	s.revisions, s.verifiedAge = m.Verifier.OwnReport(time.Now())
+	var positions verify.Positions
+	positions, s.verifiedAge = m.Verifier.OwnReport(time.Now())
+	s.era, s.revisions = positions.Split()
 	m.mu.Lock()
 	now := m.Clock.Now()
 	m.sequence++
 	relays, isRelay := m.ownRelays(now)
 	m.noteAsked(relays, now)
 	report := &wire.InstanceReport{Name: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Ready: m.ready.Load(),
-		Leaving: m.leaving.Load(), StoreAway: m.Verifier.StoreUnreachable(), Revisions: s.revisions[:],
+		Leaving: m.leaving.Load(), StoreAway: m.Verifier.StoreUnreachable(), Era: s.era, Revisions: s.revisions,
 		VerifiedAge: s.ageMillis(), Demands: rateTable(s.demands), SpareTokens: rateTable(s.spareTokens),
 		HeardRelays: m.heardRelays(now), RequestRate: m.requestRate()}
 	messages := []outgoing{{&wire.InstanceMessage{Content: &wire.InstanceMessage_Report{Report: report}}, addressesOf(relays)}}
@@ -119,7 +122,7 @@
 	domainMembers.ContactAges = nil
 	digest := func(withLenders bool) *wire.InstanceMessage {
 		d := &wire.DomainDigest{Relay: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Members: domainMembers,
-			Demands: rateTable(domainDemands), HeardRelays: m.heardRelays(now), Revisions: s.revisions[:],
+			Demands: rateTable(domainDemands), HeardRelays: m.heardRelays(now), Era: s.era, Revisions: s.revisions,
 			VerifiedAge: s.ageMillis(), Covered: uint32(1 + len(counted))}
 		if withLenders {
 			d.Lenders = lenderTable(spares)
@@ -153,7 +156,7 @@
 		}
 	}
 	fleet := &wire.FleetDigest{Relay: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Members: m.memberTable(now, all),
-		Demands: rateTable(s.total), Covered: uint32(s.covered), Lenders: lenderTable(spares), Revisions: s.revisions[:],
+		Demands: rateTable(s.total), Covered: uint32(s.covered), Lenders: lenderTable(spares), Era: s.era, Revisions: s.revisions,
 		VerifiedAge: s.ageMillis()}
 	return append(messages, outgoing{&wire.InstanceMessage{Content: &wire.InstanceMessage_FleetDigest{FleetDigest: fleet}}, addressesOf(reporters)})
 }
--- a/internal/coordination/source/source.go
+++ b/internal/coordination/source/source.go
@@ -61,9 +61,9 @@
 	mu sync.Mutex
 	// latest is the address of the latest source of each collection, "" for the store.
 	latest [collectionCount]string
-	// revisions holds the highest revision of a page of each collection. No reader's page
-	// below it is accepted, so that nothing comes back that was removed.
-	revisions [collectionCount]int64
+	// positions holds the latest position of a page of each collection. No reader's page
+	// before it is accepted, so that nothing comes back that was removed.
+	positions [collectionCount]tamarackrun.Position
 	// avoidUntil holds the times until which readers are not asked, by address.
 	avoidUntil map[string]time.Time
 	// catchUp is true for the collections whose next watch asks the store. cancels holds the
@@ -88,7 +88,7 @@
 func (s *Source) ReadsStore(collection tamarackrun.Collection) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.latest[collection] == "" && s.revisions[collection] > 0
+	return s.latest[collection] == "" && s.positions[collection] != tamarackrun.Position{}
 }
 
 // noteStore records whether a call to the store succeeded. A call that this instance has
@@ -154,15 +154,15 @@
 	s.Recorder.Record(event.ReaderFailed, "", "collection", collection.String(), "reader", address, "error", err.Error())
 }
 
-// accept records the revision of a page. It reports whether the page is not older than an
+// accept records the position of a page. It reports whether the page is not older than an
 // earlier one.
 func (s *Source) accept(collection tamarackrun.Collection, page tamarackrun.Page) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if page.Revision < s.revisions[collection] {
+	if page.Position.Before(s.positions[collection]) {
 		return false
 	}
-	s.revisions[collection] = page.Revision
+	s.positions[collection] = page.Position
 	return true
 }
 
@@ -247,9 +247,9 @@
 	return from.Read(ctx, collection)
 }
 
-// Watch returns the changes of a collection after a revision as soon as there are any, or an
+// Watch returns the changes of a collection after a position as soon as there are any, or an
 // empty page after the time wait or when the reader changes.
-func (s *Source) Watch(ctx context.Context, collection tamarackrun.Collection, after int64, wait time.Duration) (tamarackrun.Page, error) {
+func (s *Source) Watch(ctx context.Context, collection tamarackrun.Collection, after tamarackrun.Position, wait time.Duration) (tamarackrun.Page, error) {
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// A catch-up that is requested from here on cancels the watch.
@@ -276,32 +276,32 @@
 		return tamarackrun.Page{}, ctx.Err()
 	case watchCtx.Err() != nil:
 		// The reader has changed, or the collection is read from the store next.
-		return tamarackrun.Page{Revision: after}, nil
+		return tamarackrun.Page{Position: after}, nil
 	case fromStore && err == nil:
 		s.accept(collection, page)
 		return page, nil
 	case fromStore:
 		return page, err
-	case err == nil && page.Revision < after:
+	case err == nil && page.Position.Before(after):
 		err = errOld
 	}
 	if err != nil {
 		s.avoid(address, collection, err)
-		return tamarackrun.Page{Revision: after}, nil
+		return tamarackrun.Page{Position: after}, nil
 	}
 	s.accept(collection, page)
 	return withoutOld(page, after), nil
 }
 
-// withoutOld returns the page without the records that a page up to the revision has
+// withoutOld returns the page without the records that a page up to the position has
 // contained. A reader's page may start earlier.
-func withoutOld(page tamarackrun.Page, after int64) tamarackrun.Page {
+func withoutOld(page tamarackrun.Page, after tamarackrun.Position) tamarackrun.Page {
 	if page.Full {
 		return page
 	}
 	records := make([]tamarackrun.Record, 0, len(page.Records))
 	for _, r := range page.Records {
-		if r.Removed || r.Revision > after {
+		if r.Removed || after.Before(r.Position) {
 			records = append(records, r)
 		}
 	}
--- a/internal/coordination/source/source_test.go
+++ b/internal/coordination/source/source_test.go
@@ -56,7 +56,7 @@
 	return c.Collection.Read(ctx)
 }
 
-func (c *copyOfStore) Watch(ctx context.Context, _ tamarackrun.Collection, after int64, wait time.Duration) (tamarackrun.Page, error) {
+func (c *copyOfStore) Watch(ctx context.Context, _ tamarackrun.Collection, after tamarackrun.Position, wait time.Duration) (tamarackrun.Page, error) {
 	if err := c.count(); err != nil {
 		return tamarackrun.Page{}, err
 	}
@@ -64,11 +64,11 @@
 }
 
 func record(name string, revision int64) tamarackrun.Record {
-	return tamarackrun.Record{Name: name, Revision: revision}
+	return tamarackrun.Record{Name: name, Position: tamarackrun.Position{Revision: revision}}
 }
 
 func page(isFull bool, revision int64, records ...tamarackrun.Record) tamarackrun.Page {
-	return tamarackrun.Page{Full: isFull, Revision: revision, Records: records}
+	return tamarackrun.Page{Full: isFull, Position: tamarackrun.Position{Revision: revision}, Records: records}
 }
 
 // fixture is a source with a store and two readers.
@@ -125,7 +125,7 @@
 func TestOlderReaderIsNotBelieved(t *testing.T) {
 	f := newFixture()
 	f.setReader("")
-	f.store.Apply(page(false, 12, tamarackrun.Record{Name: "a", Revision: 12, Removed: true}))
+	f.store.Apply(page(false, 12, tamarackrun.Record{Name: "a", Position: tamarackrun.Position{Revision: 12}, Removed: true}))
 	if _, err := f.Read(t.Context(), tamarackrun.Servers); err != nil {
 		t.Fatal(err)
 	}
@@ -138,11 +138,11 @@
 	f.readers["two"].Apply(page(false, 11, record("a", 11)))
 	f.readers["two"].Apply(page(false, 13, record("b", 13)))
 	f.setReader("two")
-	got, err = f.Watch(t.Context(), tamarackrun.Servers, 12, time.Second)
+	got, err = f.Watch(t.Context(), tamarackrun.Servers, tamarackrun.Position{Revision: 12}, time.Second)
 	if diff := cmp.Diff(page(false, 13, record("b", 13)), got); diff != "" || err != nil {
 		t.Errorf("changes (-want +got):\n%s%v", diff, err)
 	}
-	got = withoutOld(page(false, 13, record("a", 11), record("b", 13)), 12)
+	got = withoutOld(page(false, 13, record("a", 11), record("b", 13)), tamarackrun.Position{Revision: 12})
 	if diff := cmp.Diff(page(false, 13, record("b", 13)), got); diff != "" {
 		t.Errorf("page without old records (-want +got):\n%s", diff)
 	}
@@ -155,7 +155,7 @@
 		f := newFixture()
 		time.AfterFunc(time.Second, func() { f.setReader("two") })
 		began := time.Now()
-		got, err := f.Watch(t.Context(), tamarackrun.Servers, 10, time.Minute)
+		got, err := f.Watch(t.Context(), tamarackrun.Servers, tamarackrun.Position{Revision: 10}, time.Minute)
 		if diff := cmp.Diff(page(false, 10), got); diff != "" || err != nil || time.Since(began) > time.Second+pollInterval {
 			t.Errorf("page (-want +got):\n%s%v after %s", diff, err, time.Since(began))
 		}
@@ -168,10 +168,10 @@
 				t.Error("the instance catches up twice within catchUpPause")
 			}
 		})
-		if got, err = f.Watch(t.Context(), tamarackrun.Servers, 10, time.Minute); err != nil || got.Revision != 10 {
+		if got, err = f.Watch(t.Context(), tamarackrun.Servers, tamarackrun.Position{Revision: 10}, time.Minute); err != nil || got.Position.Revision != 10 {
 			t.Errorf("the cancelled watch returned %v, %v", got, err)
 		}
-		got, err = f.Watch(t.Context(), tamarackrun.Servers, 10, time.Minute)
+		got, err = f.Watch(t.Context(), tamarackrun.Servers, tamarackrun.Position{Revision: 10}, time.Minute)
 		if diff := cmp.Diff(page(false, 11, record("b", 11)), got); diff != "" || err != nil {
 			t.Errorf("changes from the store (-want +got):\n%s%v", diff, err)
 		}
@@ -231,7 +231,7 @@
 		var got tamarackrun.Page
 		for range 2 {
 			var err error
-			if got, err = f.Watch(t.Context(), tamarackrun.Servers, 10, time.Minute); err != nil {
+			if got, err = f.Watch(t.Context(), tamarackrun.Servers, tamarackrun.Position{Revision: 10}, time.Minute); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/internal/coordination/steer/overload_test.go
+++ b/internal/coordination/steer/overload_test.go
@@ -61,8 +61,8 @@
 	// confined is the fraction of the requests that may run only in the first region.
 	confined float64
 	now      time.Duration
-	random    *rand.Rand
-	running   completions
+	random   *rand.Rand
+	running  completions
 	// started is called when a request starts to run.
 	started func(now time.Duration, r *simulatedRequest)
 	// answers counts the answers, inTime those within the target latency, and shed the
--- a/internal/coordination/verify/verify.go
+++ b/internal/coordination/verify/verify.go
@@ -51,18 +51,34 @@
 	retryPause = time.Second
 )
 
-// Revisions holds the highest known revision of each collection.
-type Revisions [4]int64
+// Positions holds the latest known position of each collection.
+type Positions [4]tamarackrun.Position
 
-// highest returns the highest revision of all collections.
-func (r Revisions) highest() int64 {
-	highest := int64(0)
-	for _, v := range r {
-		highest = max(highest, v)
+// Join returns the positions of revisions in an era, in the order of tamarackrun.Collection.
+func Join(era int64, revisions []int64) Positions {
+	var p Positions
+	for c := range min(len(p), len(revisions)) {
+		p[c] = tamarackrun.Position{Era: era, Revision: revisions[c]}
 	}
-	return highest
+	return p
 }
 
+// Split returns the latest era and the revisions in it. A collection whose position is of an
+// earlier era has revision 0.
+func (p Positions) Split() (era int64, revisions []int64) {
+	era = p.latest().Era
+	for _, position := range p {
+		if position.Era != era {
+			position.Revision = 0
+		}
+		revisions = append(revisions, position.Revision)
+	}
+	return era, revisions
+}
+
+// latest returns the latest position of all collections.
+func (p Positions) latest() tamarackrun.Position { return tamarackrun.Latest(p[0], p[1:]...) }
+
 // Verifier takes the turns of one instance and detects the changes that its
 // watches missed. It is safe for concurrent use.
 type Verifier struct {
@@ -91,38 +107,52 @@
 	lastReadFailed atomic.Bool
 
 	mu sync.Mutex
-	// appliedRevisions holds the highest revision of an applied record of each
-	// collection, and fullReadRevisions the revision up to which each collection
-	// was read completely.
-	appliedRevisions, fullReadRevisions Revisions
+	// applied holds the latest position of an applied record of each collection, and
+	// fullRead the position up to which each collection was read completely.
+	applied, fullRead Positions
 	// recoveredAt is when a read succeeded after an outage of the store.
 	recoveredAt time.Time
 	// lastRead is when the latest successful read by any instance began.
 	lastRead time.Time
-	// resyncRevision is the store's revision at the latest read by this instance
-	// that led to a resync.
-	resyncRevision int64
-	// reportedRevisions holds the highest revisions that others have reported.
-	// resyncDue is when a collection is read again unless its watch delivers the change
-	// of resyncRevisions first; it is zero if no change is missing. resyncRevisions are
-	// earlier reported revisions than the highest ones, which may grow all the time.
-	reportedRevisions, resyncRevisions Revisions
-	resyncDue                          [4]time.Time
+	// readResync is the store's position at the latest read by this instance that led to a
+	// resync.
+	readResync tamarackrun.Position
+	// reported holds the latest positions that others have reported. resyncDue is when a
+	// collection is read again unless its watch delivers the change of awaited first; it is
+	// zero if no change is missing. awaited holds earlier reported positions than the latest
+	// ones, which may grow all the time.
+	reported, awaited Positions
+	resyncDue         [4]time.Time
 }
 
-// Applied records the revisions of a page that was applied.
+// Applied records the positions of a page that was applied.
 func (v *Verifier) Applied(collection tamarackrun.Collection, page tamarackrun.Page) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, r := range page.Records {
-		v.appliedRevisions[collection] = max(v.appliedRevisions[collection], r.Revision)
+		v.applied[collection] = tamarackrun.Latest(v.applied[collection], r.Position)
 	}
 	if page.Full {
 		// A full page does not show removals, so its records may have lower
-		// revisions than the collection.
-		v.fullReadRevisions[collection] = max(v.fullReadRevisions[collection], page.Revision)
+		// positions than the collection.
+		v.fullRead[collection] = tamarackrun.Latest(v.fullRead[collection], page.Position)
+	}
+	now := time.Now()
+	v.updateResync(now, collection)
+	v.noteEra(now, page.Position.Era)
+}
+
+// noteEra makes the instance read the collections again of which it knows only an earlier era. A
+// watch that was renewed without an error does not show that the store has come back from a copy.
+// The caller holds v.mu.
+func (v *Verifier) noteEra(now time.Time, era int64) {
+	for c, reported := range v.reported {
+		known := tamarackrun.Latest(v.applied[c], v.fullRead[c])
+		if known != (tamarackrun.Position{}) && known.Era < era {
+			v.reported[c] = tamarackrun.Latest(reported, tamarackrun.Position{Era: era})
+			v.updateResync(now, tamarackrun.Collection(c))
+		}
 	}
-	v.updateResync(time.Now(), collection)
 }
 
 // boundFraction returns the given fraction of PropagationBound.
@@ -168,45 +198,45 @@
 // StoreUnreachable reports whether the store does not answer this instance.
 func (v *Verifier) StoreUnreachable() bool { return v.lastReadFailed.Load() || v.StoreFailed() }
 
-// OwnReport returns what this instance reports: the highest revisions that it has applied or
+// OwnReport returns what this instance reports: the latest positions that it has applied or
 // heard of, since reports pass through relays, and the age of the latest read by any
 // instance.
-func (v *Verifier) OwnReport(now time.Time) (Revisions, time.Duration) {
+func (v *Verifier) OwnReport(now time.Time) (Positions, time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	known := v.appliedRevisions
-	for c, revision := range v.reportedRevisions {
-		known[c] = max(known[c], revision)
+	known := v.applied
+	for c, position := range v.reported {
+		known[c] = tamarackrun.Latest(known[c], position)
 	}
 	return known, min(now.Sub(v.lastRead), maxReportedAge)
 }
 
 // MergeReport processes the report of another instance. age is the age of the
 // latest read that the other instance knows of.
-func (v *Verifier) MergeReport(now time.Time, revisions Revisions, age time.Duration) {
+func (v *Verifier) MergeReport(now time.Time, positions Positions, age time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.noteRead(now, now.Add(-age))
-	for c, revision := range revisions {
-		v.reportedRevisions[c] = max(v.reportedRevisions[c], revision)
+	for c, position := range positions {
+		v.reported[c] = tamarackrun.Latest(v.reported[c], position)
 		v.updateResync(now, tamarackrun.Collection(c))
 	}
 }
 
 // updateResync sets when a collection is read again. The caller holds v.mu.
 func (v *Verifier) updateResync(now time.Time, c tamarackrun.Collection) {
-	known := max(v.appliedRevisions[c], v.fullReadRevisions[c])
-	if known >= v.resyncRevisions[c] {
+	known := tamarackrun.Latest(v.applied[c], v.fullRead[c])
+	if !known.Before(v.awaited[c]) {
 		v.resyncDue[c] = time.Time{}
 	}
-	if known >= v.reportedRevisions[c] || !v.resyncDue[c].IsZero() {
+	if !known.Before(v.reported[c]) || !v.resyncDue[c].IsZero() {
 		return
 	}
 	grace := watchGraceFraction
 	if v.ReadsStore != nil && !v.ReadsStore(c) {
 		grace = readerGraceFraction
 	}
-	v.resyncRevisions[c], v.resyncDue[c] = v.reportedRevisions[c], now.Add(v.boundFraction(grace))
+	v.awaited[c], v.resyncDue[c] = v.reported[c], now.Add(v.boundFraction(grace))
 }
 
 // Run resyncs overdue collections and reads the store in turn until the context
@@ -254,7 +284,7 @@
 }
 
 // readStore reads the evacuations, the collection that is empty most of the time,
-// to learn the store's revision. If it is above all known revisions, some watch has
+// to learn the store's position. If it is after all known positions, some watch has
 // missed a change, and the other collections are read again. It reports whether
 // the store answered.
 func (v *Verifier) readStore(ctx context.Context) bool {
@@ -269,9 +299,9 @@
 	v.ApplyEvacuations(page)
 	v.mu.Lock()
 	v.noteRead(time.Now(), began)
-	behind := page.Revision > max(v.appliedRevisions.highest(), v.fullReadRevisions.highest(), v.resyncRevision)
+	behind := tamarackrun.Latest(v.applied.latest(), v.fullRead.latest(), v.readResync).Before(page.Position)
 	if behind {
-		v.resyncRevision = page.Revision
+		v.readResync = page.Position
 	}
 	v.mu.Unlock()
 	v.Applied(tamarackrun.Evacuations, page)
--- a/internal/coordination/verify/verify_test.go
+++ b/internal/coordination/verify/verify_test.go
@@ -30,7 +30,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
-	return tamarackrun.Page{Full: true, Revision: s.revision}, s.err
+	return tamarackrun.Page{Full: true, Position: tamarackrun.Position{Revision: s.revision}}, s.err
 }
 
 // fleet holds verifiers that receive each other's reports.
@@ -104,7 +104,7 @@
 
 // pageWithRevision returns the arguments of Applied for a change of a collection.
 func pageWithRevision(c tamarackrun.Collection, revision int64) (tamarackrun.Collection, tamarackrun.Page) {
-	return c, tamarackrun.Page{Records: []tamarackrun.Record{{Name: "x", Revision: revision}}}
+	return c, tamarackrun.Page{Records: []tamarackrun.Record{{Name: "x", Position: tamarackrun.Position{Revision: revision}}}}
 }
 
 // Guards against reads of the store by all instances in each interval.
@@ -163,7 +163,7 @@
 		}
 		// The latest change is a removal, which a full page does not show: the
 		// highest revision of its records is lower than the page's.
-		f.verifiers[0].Applied(tamarackrun.Servers, tamarackrun.Page{Full: true, Revision: 9, Records: []tamarackrun.Record{{Revision: 5}}})
+		f.verifiers[0].Applied(tamarackrun.Servers, tamarackrun.Page{Full: true, Position: tamarackrun.Position{Revision: 9}, Records: []tamarackrun.Record{{Position: tamarackrun.Position{Revision: 5}}}})
 		f.verifiers[1].Applied(pageWithRevision(tamarackrun.Servers, 8))
 		f.verifiers[2].Applied(pageWithRevision(tamarackrun.Servers, 8))
 		f.run(t, 10*time.Second)
@@ -247,3 +247,44 @@
 		}
 	})
 }
+
+// Guards against instances that keep the records from before the store came back from a copy: the
+// revisions from before are higher, and a watch that is renewed without an error waits for the next
+// change.
+func TestLaterEraIsOverdue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3)
+		all := []tamarackrun.Collection{tamarackrun.Configurations, tamarackrun.Servers, tamarackrun.Instances}
+		inEra := func(era, revision int64) tamarackrun.Page {
+			return tamarackrun.Page{Full: true, Position: tamarackrun.Position{Era: era, Revision: revision}}
+		}
+		for _, v := range f.verifiers {
+			for _, c := range append(all, tamarackrun.Evacuations) {
+				v.Applied(c, inEra(0, 500))
+			}
+		}
+		f.verifiers[0].Applied(tamarackrun.Evacuations, inEra(1, 40))
+		f.run(t, propagationBound)
+		for i, resyncs := range f.resyncs {
+			for _, c := range all {
+				if resyncs[c] == 0 {
+					t.Errorf("instance %d does not read the %s again", i, c)
+				}
+			}
+		}
+		for _, v := range f.verifiers {
+			for _, c := range append(all, tamarackrun.Evacuations) {
+				v.Applied(c, inEra(1, 41))
+			}
+		}
+		for _, resyncs := range f.resyncs {
+			clear(resyncs)
+		}
+		f.run(t, 2*propagationBound)
+		for i, resyncs := range f.resyncs {
+			if len(resyncs) > 0 {
+				t.Errorf("instance %d, which is up to date, reads again: %v", i, resyncs)
+			}
+		}
+	})
+}
--- a/internal/program/front/reading.go
+++ b/internal/program/front/reading.go
@@ -38,11 +38,12 @@
 	return r.query(ctx, collection, &wire.RecordQuery{Collection: uint32(collection), Full: true})
 }
 
-// Watch returns the changes after a revision.
-func (r *remoteReader) Watch(ctx context.Context, collection tamarackrun.Collection, after int64, wait time.Duration) (tamarackrun.Page, error) {
+// Watch returns the changes after a position.
+func (r *remoteReader) Watch(ctx context.Context, collection tamarackrun.Collection, after tamarackrun.Position, wait time.Duration) (tamarackrun.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+queryMargin)
 	defer cancel()
-	return r.query(ctx, collection, &wire.RecordQuery{Collection: uint32(collection), After: after, WaitMillis: uint32(wait.Milliseconds())})
+	return r.query(ctx, collection, &wire.RecordQuery{Collection: uint32(collection), Era: after.Era, After: after.Revision,
+		WaitMillis: uint32(wait.Milliseconds())})
 }
 
 func (r *remoteReader) query(ctx context.Context, collection tamarackrun.Collection, query *wire.RecordQuery) (tamarackrun.Page, error) {
@@ -108,7 +109,8 @@
 		}
 		return f.encodeWhole(collection, page)
 	}
-	page, err := known.Watch(ctx, query.After, min(maxQueryWait, time.Duration(query.WaitMillis)*time.Millisecond))
+	after := tamarackrun.Position{Era: query.Era, Revision: query.After}
+	page, err := known.Watch(ctx, after, min(maxQueryWait, time.Duration(query.WaitMillis)*time.Millisecond))
 	if err != nil {
 		return nil, err
 	}
@@ -120,7 +122,7 @@
 func (f *Front) encodeWhole(collection tamarackrun.Collection, page tamarackrun.Page) (*wire.RecordPage, error) {
 	f.encodedMutex.Lock()
 	defer f.encodedMutex.Unlock()
-	if encoded := f.encoded[collection]; encoded != nil && encoded.Revision == page.Revision {
+	if encoded := f.encoded[collection]; encoded != nil && encoded.Era == page.Position.Era && encoded.Revision == page.Position.Revision {
 		return encoded, nil
 	}
 	encoded, err := recordpage.Encode(page)
--- a/internal/program/front/traffic.go
+++ b/internal/program/front/traffic.go
@@ -26,7 +26,7 @@
 	return s.RecordStore.Read(ctx, collection)
 }
 
-func (s *countingStore) Watch(ctx context.Context, collection tamarackrun.Collection, after int64, wait time.Duration) (tamarackrun.Page, error) {
+func (s *countingStore) Watch(ctx context.Context, collection tamarackrun.Collection, after tamarackrun.Position, wait time.Duration) (tamarackrun.Page, error) {
 	s.count("watch", collection.String())
 	return s.RecordStore.Watch(ctx, collection, after, wait)
 }
--- a/internal/protocol/recordpage/recordpage.go
+++ b/internal/protocol/recordpage/recordpage.go
@@ -29,7 +29,7 @@
 func Encode(page tamarackrun.Page) (*wire.RecordPage, error) {
 	stored := &wire.StoredRecords{}
 	for _, r := range page.Records {
-		s := &wire.StoredRecord{Name: r.Name, Revision: r.Revision, Removed: r.Removed}
+		s := &wire.StoredRecord{Name: r.Name, Revision: r.Position.Revision, Removed: r.Removed}
 		if !r.Removed {
 			s.Value = r.Encoded
 		}
@@ -49,7 +49,8 @@
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
-	return &wire.RecordPage{Full: page.Full, Revision: page.Revision, Reconnected: page.Reconnected, Records: b.Bytes()}, nil
+	return &wire.RecordPage{Full: page.Full, Era: page.Position.Era, Revision: page.Position.Revision,
+		Reconnected: page.Reconnected, Records: b.Bytes()}, nil
 }
 
 // Decode returns the page of a message. decode decodes a record from its encoding.
@@ -65,15 +66,15 @@
 	if err := proto.Unmarshal(content, stored); err != nil {
 		return tamarackrun.Page{}, err
 	}
-	page := tamarackrun.Page{Full: message.Full, Revision: message.Revision, Reconnected: message.Reconnected}
+	page := tamarackrun.Page{Full: message.Full, Position: tamarackrun.Position{Era: message.Era, Revision: message.Revision},
+		Reconnected: message.Reconnected}
 	for _, s := range stored.Records {
-		r := tamarackrun.Record{Name: s.Name, Revision: s.Revision, Removed: true}
+		r := tamarackrun.Record{Removed: true}
 		if !s.Removed {
 			r = decode(s.Value, false)
-			// The name and the revision come from the sender also if the record can't be
-			// decoded.
-			r.Name, r.Revision = s.Name, s.Revision
 		}
+		// The name and the revision come from the sender also if the record can't be decoded.
+		r.Name, r.Position = s.Name, tamarackrun.Position{Era: message.Era, Revision: s.Revision}
 		page.Records = append(page.Records, r)
 	}
 	return page, nil
--- a/internal/state/records/records.go
+++ b/internal/state/records/records.go
@@ -21,14 +21,14 @@
 	// complete is true once the whole collection was applied.
 	complete bool
 	records  map[string]tamarackrun.Record
-	// revision is that of the latest page; it only grows.
-	revision int64
-	// changes holds the latest pages in the order of their revisions, and changeCount the
-	// number of their records. A watch from a revision below firstRevision gets the
-	// whole collection.
-	changes       []tamarackrun.Page
-	changeCount   int
-	firstRevision int64
+	// position is that of the latest page; it only grows.
+	position tamarackrun.Position
+	// changes holds the latest pages in the order of their positions, and changeCount the
+	// number of their records. A watch from a position before first, or from an earlier era,
+	// gets the whole collection.
+	changes     []tamarackrun.Page
+	changeCount int
+	first       tamarackrun.Position
 	// changed is closed and replaced with each page.
 	changed chan struct{}
 }
@@ -39,23 +39,24 @@
 }
 
 // Apply adds a page. It ignores a page that is older than the latest one: the records of an
-// instance that was behind must not bring back what was removed since.
+// instance that was behind must not bring back what was removed since. It also ignores changes
+// of a later era, which say nothing about the other records.
 func (c *Collection) Apply(page tamarackrun.Page) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if page.Revision < c.revision {
+	if page.Position.Before(c.position) || !page.Full && page.Position.Era != c.position.Era {
 		return
 	}
 	if page.Full {
 		clear(c.records)
-		c.complete, c.changes, c.changeCount, c.firstRevision = true, nil, 0, page.Revision
+		c.complete, c.changes, c.changeCount, c.first = true, nil, 0, page.Position
 	}
 	if !c.complete {
 		return
 	}
 	for _, r := range page.Records {
 		switch old, ok := c.records[r.Name]; {
-		case ok && r.Revision < old.Revision:
+		case ok && r.Position.Before(old.Position):
 		case r.Removed:
 			delete(c.records, r.Name)
 		default:
@@ -66,12 +67,12 @@
 		c.changes = append(c.changes, page)
 		c.changeCount += len(page.Records)
 		for c.changeCount > maxChanges {
-			c.firstRevision = c.changes[0].Revision
+			c.first = c.changes[0].Position
 			c.changeCount -= len(c.changes[0].Records)
 			c.changes = c.changes[1:]
 		}
 	}
-	c.revision = page.Revision
+	c.position = page.Position
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
@@ -96,17 +97,17 @@
 
 // full returns a page with all records. The caller holds c.mu.
 func (c *Collection) full() tamarackrun.Page {
-	page := tamarackrun.Page{Full: true, Revision: c.revision}
+	page := tamarackrun.Page{Full: true, Position: c.position}
 	for _, r := range c.records {
 		page.Records = append(page.Records, r)
 	}
 	return page
 }
 
-// Watch returns the changes after a revision as soon as there are any, or an empty page with
-// that revision after the time wait. If the changes are not known, it returns the whole
+// Watch returns the changes after a position as soon as there are any, or an empty page with
+// that position after the time wait. If the changes are not known, it returns the whole
 // collection.
-func (c *Collection) Watch(ctx context.Context, after int64, wait time.Duration) (tamarackrun.Page, error) {
+func (c *Collection) Watch(ctx context.Context, after tamarackrun.Position, wait time.Duration) (tamarackrun.Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -120,25 +121,25 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return tamarackrun.Page{Revision: after}, nil
+			return tamarackrun.Page{Position: after}, nil
 		case <-ctx.Done():
 			return tamarackrun.Page{}, ctx.Err()
 		}
 	}
 }
 
-// since returns the changes after a revision, and whether there are any. The caller holds
+// since returns the changes after a position, and whether there are any. The caller holds
 // c.mu.
-func (c *Collection) since(after int64) (tamarackrun.Page, bool) {
-	if !c.complete || c.revision <= after {
+func (c *Collection) since(after tamarackrun.Position) (tamarackrun.Page, bool) {
+	if !c.complete || !after.Before(c.position) {
 		return tamarackrun.Page{}, false
 	}
-	if after < c.firstRevision {
+	if after.Before(c.first) {
 		return c.full(), true
 	}
-	page := tamarackrun.Page{Revision: c.revision}
+	page := tamarackrun.Page{Position: c.position}
 	for _, change := range c.changes {
-		if change.Revision <= after {
+		if !after.Before(change.Position) {
 			continue
 		}
 		page.Reconnected = page.Reconnected || change.Reconnected
--- a/internal/state/records/records_test.go
+++ b/internal/state/records/records_test.go
@@ -14,19 +14,19 @@
 )
 
 func record(name string, revision int64) tamarackrun.Record {
-	return tamarackrun.Record{Name: name, Revision: revision}
+	return tamarackrun.Record{Name: name, Position: tamarackrun.Position{Revision: revision}}
 }
 
 func removal(name string, revision int64) tamarackrun.Record {
-	return tamarackrun.Record{Name: name, Revision: revision, Removed: true}
+	return tamarackrun.Record{Name: name, Position: tamarackrun.Position{Revision: revision}, Removed: true}
 }
 
 func full(revision int64, records ...tamarackrun.Record) tamarackrun.Page {
-	return tamarackrun.Page{Full: true, Revision: revision, Records: records}
+	return tamarackrun.Page{Full: true, Position: tamarackrun.Position{Revision: revision}, Records: records}
 }
 
 func changes(revision int64, records ...tamarackrun.Record) tamarackrun.Page {
-	return tamarackrun.Page{Revision: revision, Records: records}
+	return tamarackrun.Page{Position: tamarackrun.Position{Revision: revision}, Records: records}
 }
 
 // sorted returns the page with its records in the order of their names.
@@ -68,7 +68,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			page, err := c.Watch(t.Context(), test.after, time.Millisecond)
+			page, err := c.Watch(t.Context(), tamarackrun.Position{Revision: test.after}, time.Millisecond)
 			if diff := gocmp.Diff(test.want, sorted(page)); diff != "" || err != nil {
 				t.Errorf("page (-want +got):\n%s%v", diff, err)
 			}
@@ -93,7 +93,7 @@
 		if diff := gocmp.Diff(full(10, record("a", 3)), page); diff != "" || err != nil {
 			t.Errorf("read (-want +got):\n%s%v", diff, err)
 		}
-		page, err = c.Watch(t.Context(), 10, time.Minute)
+		page, err = c.Watch(t.Context(), tamarackrun.Position{Revision: 10}, time.Minute)
 		if diff := gocmp.Diff(changes(11, record("b", 11)), page); diff != "" || err != nil {
 			t.Errorf("watch (-want +got):\n%s%v", diff, err)
 		}
@@ -102,8 +102,37 @@
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		time.AfterFunc(time.Second, cancel)
-		if _, err := c.Watch(ctx, 11, time.Minute); err == nil {
+		if _, err := c.Watch(ctx, tamarackrun.Position{Revision: 11}, time.Minute); err == nil {
 			t.Error("a watch whose context has ended returns no error")
 		}
 	})
 }
+
+// Guards against a reader that answers with nothing, or with records from before, after the store
+// has come back from a copy with lower revisions (CONFIG on hollowmere-run, day restored).
+func TestLaterEraReplacesRecords(t *testing.T) {
+	c := New()
+	c.Apply(full(500, record("a", 490), record("b", 500)))
+	inEra := func(era int64, page tamarackrun.Page) tamarackrun.Page {
+		page.Position.Era = era
+		for i := range page.Records {
+			page.Records[i].Position.Era = era
+		}
+		return page
+	}
+	c.Apply(inEra(1, changes(510, record("c", 510))))
+	restored := inEra(1, full(40, record("a", 30)))
+	c.Apply(restored)
+	c.Apply(full(600, record("b", 600)))
+	for _, after := range []tamarackrun.Position{{Revision: 500}, {Revision: 10}} {
+		page, err := c.Watch(t.Context(), after, time.Millisecond)
+		if diff := gocmp.Diff(restored, sorted(page)); diff != "" || err != nil {
+			t.Errorf("watch from %v (-want +got):\n%s%v", after, diff, err)
+		}
+	}
+	c.Apply(inEra(1, changes(41, record("d", 41))))
+	page, err := c.Watch(t.Context(), tamarackrun.Position{Era: 1, Revision: 40}, time.Millisecond)
+	if diff := gocmp.Diff(inEra(1, changes(41, record("d", 41))), page); diff != "" || err != nil {
+		t.Errorf("watch in the later era (-want +got):\n%s%v", diff, err)
+	}
+}
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -24,8 +24,8 @@
 	Region string
 	// Hash is the xxHash of the name, for rendezvous hashing.
 	Hash uint64
-	// Revision is the store's revision of the record.
-	Revision int64
+	// Position is the store's position of the record.
+	Position tamarackrun.Position
 	// ColdUntil is the time until which the server gets fewer requests because
 	// it started recently or its failure domain was evacuated.
 	ColdUntil time.Time
@@ -124,8 +124,8 @@
 // apply applies the record of one server.
 func (r *Registry) apply(now time.Time, record tamarackrun.Record) {
 	old := r.servers[record.Name]
-	if old != nil && record.Revision != 0 && record.Revision < old.Revision {
-		// The store's list and watch overlap, so an older revision may follow.
+	if old != nil && record.Position.Revision != 0 && record.Position.Before(old.Position) {
+		// The store's list and watch overlap, so an older position may follow.
 		return
 	}
 	if record.Problem != "" {
@@ -146,7 +146,7 @@
 	}
 	delete(r.missing, record.Name)
 	s := &Server{Name: record.Name, ServerRecord: *record.Server, Region: r.Regions[record.Server.FailureDomain],
-		Hash: xxhash.Sum64String(record.Name), Revision: record.Revision, ReceivedAt: now, ColdUntil: now.Add(record.Server.ColdFor)}
+		Hash: xxhash.Sum64String(record.Name), Position: record.Position, ReceivedAt: now, ColdUntil: now.Add(record.Server.ColdFor)}
 	if until := r.coldDomainsUntil[s.FailureDomain]; until.After(s.ColdUntil) {
 		s.ColdUntil = until
 	}
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -19,7 +19,7 @@
 }
 
 func server(name, domain string, revision int64) tamarackrun.Record {
-	return tamarackrun.Record{Name: name, Revision: revision, Server: &tamarackrun.ServerRecord{
+	return tamarackrun.Record{Name: name, Position: tamarackrun.Position{Revision: revision}, Server: &tamarackrun.ServerRecord{
 		Address: "127.0.0.1:1", Service: "s", FailureDomain: domain, Slots: 3}}
 }
 
@@ -80,7 +80,7 @@
 // servers that are dropped because their records lapsed during an outage of the store.
 func TestUsableServers(t *testing.T) {
 	one, two := server("one", "a1", 1), server("two", "b1", 2)
-	removed := tamarackrun.Record{Name: "two", Revision: 5, Removed: true}
+	removed := tamarackrun.Record{Name: "two", Position: tamarackrun.Position{Revision: 5}, Removed: true}
 	later := 10 * time.Second
 	tests := map[string][]step{
 		"a draining server gets nothing": {
@@ -112,7 +112,7 @@
 		},
 		"an unusable record drops only its server": {
 			{servers: fullPage(one, two), want: []string{"one", "two"}},
-			{servers: changesPage(tamarackrun.Record{Name: "two", Revision: 9, Problem: "no address"}), want: []string{"one"}},
+			{servers: changesPage(tamarackrun.Record{Name: "two", Position: tamarackrun.Position{Revision: 9}, Problem: "no address"}), want: []string{"one"}},
 		},
 		"an evacuated failure domain gets nothing until the evacuation ends": {
 			{servers: fullPage(one, two), want: []string{"one", "two"}},
@@ -149,7 +149,7 @@
 	r, now, stable := newTestRegistry(), time.Now(), false
 	r.StoreStable = func(time.Time) bool { return stable }
 	r.ApplyServers(now, *fullPage(server("one", "a1", 1), server("two", "b1", 2)), false)
-	r.ApplyServers(now, *changesPage(tamarackrun.Record{Name: "two", Revision: 3, Removed: true}), false)
+	r.ApplyServers(now, *changesPage(tamarackrun.Record{Name: "two", Position: tamarackrun.Position{Revision: 3}, Removed: true}), false)
 	r.Sweep(now.Add(time.Minute))
 	if diff := cmp.Diff([]string{"one", "two"}, usableNames(r)); diff != "" {
 		t.Errorf("during the outage (-want +got):\n%s", diff)
