Keep what servers and evacuations said before a restored store

A store that comes back from a copy brings back records of servers that have left since, and lacks evacuations that are in force: an instance would have sent requests to both until they are written again.

Servers count their own heartbeats. A record of the same process with a lower number than one of an earlier era is ignored, and so is one of a server that was dropped in the last minute. Evacuations that a new era lacks are kept for the grace of lapsed records, unless they are taken back. TestCopyBringsNothingBack fails before for each of the draining server, the server that is gone and the evacuation.

--- a/fleet.go
+++ b/fleet.go
@@ -43,6 +43,8 @@
 	// server's clock; 0 if the record does not say. A record with another value
 	// belongs to another process, even under the same name.
 	StartMillis int64
+	// Sequence grows with the records that the server's process writes.
+	Sequence int64
 }
 
 // InstanceRecord is the state that an instance publishes in the record store.
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -45,6 +45,17 @@
 	names, addresses map[string]bool
 }
 
+// goneMemory is how long a dropped server is remembered. A store that comes back from a copy is
+// seconds behind, and the record of a dead server lapses within three heartbeats.
+const goneMemory = time.Minute
+
+// goneServer identifies the last record of a server that was dropped.
+type goneServer struct {
+	startMillis, sequence int64
+	era                   int64
+	until                 time.Time
+}
+
 // Registry collects the records of servers and of evacuated failure domains.
 type Registry struct {
 	// The exported fields are set before the first call of ApplyServers or
@@ -65,8 +76,14 @@
 	missing map[string]bool
 	// problems holds the latest problem of each unusable record.
 	problems map[string]string
-	// evacuated holds the evacuated failure domains.
-	evacuated map[string]bool
+	// gone holds the servers that were dropped, for goneMemory.
+	gone map[string]goneServer
+	// evacuated holds the evacuated failure domains, and recorded those that have a record. They
+	// differ until evacuationsFinalFrom after the store has come back from a copy, in which the
+	// record of an evacuation may be missing. evacuationsAt is the position of the latest page.
+	evacuated, recorded  map[string]bool
+	evacuationsAt        tamarackrun.Position
+	evacuationsFinalFrom time.Time
 	// removalsFinalFrom is the time from which removals of records are final
 	// again after contact with the store was lost.
 	removalsFinalFrom time.Time
@@ -79,7 +96,7 @@
 // New returns an empty registry.
 func New() *Registry {
 	r := &Registry{servers: map[string]*Server{}, missing: map[string]bool{}, problems: map[string]string{},
-		evacuated: map[string]bool{}, coldDomainsUntil: map[string]time.Time{}}
+		gone: map[string]goneServer{}, evacuated: map[string]bool{}, recorded: map[string]bool{}, coldDomainsUntil: map[string]time.Time{}}
 	r.view.Store(&view{})
 	return r
 }
@@ -128,12 +145,15 @@
 		// The store's list and watch overlap, so an older position may follow.
 		return
 	}
+	if r.isFromCopy(record, old) {
+		return
+	}
 	if record.Problem != "" {
 		if r.problems[record.Name] != record.Problem {
 			r.problems[record.Name] = record.Problem
 			r.Recorder.Record(event.RecordUnusable, "", "server", record.Name, "problem", record.Problem)
 		}
-		r.drop(record.Name, "unusable record")
+		r.drop(now, record.Name, "unusable record")
 		return
 	}
 	delete(r.problems, record.Name)
@@ -158,6 +178,19 @@
 	}
 }
 
+// isFromCopy reports whether the record is an earlier one of a server's process than one that was
+// seen in an earlier era of the store. The store has come back from a copy that is older.
+func (r *Registry) isFromCopy(record tamarackrun.Record, old *Server) bool {
+	if record.Server == nil || record.Server.StartMillis == 0 {
+		return false
+	}
+	if old != nil {
+		return old.Position.Era < record.Position.Era && old.StartMillis == record.Server.StartMillis && record.Server.Sequence < old.Sequence
+	}
+	g, ok := r.gone[record.Name]
+	return ok && g.era < record.Position.Era && g.startMillis == record.Server.StartMillis && record.Server.Sequence <= g.sequence
+}
+
 // handleRemoval drops a server whose record was removed. If the removal is not
 // final, it only marks the server as missing, since records lapse during an outage
 // of the store and a live server writes its record again afterwards.
@@ -166,7 +199,7 @@
 		return
 	}
 	if r.removalsFinal(now) {
-		r.drop(name, "record removed")
+		r.drop(now, name, "record removed")
 		return
 	}
 	if !r.missing[name] {
@@ -181,46 +214,70 @@
 }
 
 // drop removes a server and records the reason.
-func (r *Registry) drop(name, reason string) {
+func (r *Registry) drop(now time.Time, name, reason string) {
 	delete(r.missing, name)
-	if r.servers[name] == nil {
+	s := r.servers[name]
+	if s == nil {
 		return
 	}
 	delete(r.servers, name)
+	r.gone[name] = goneServer{startMillis: s.StartMillis, sequence: s.Sequence, era: s.Position.Era, until: now.Add(goneMemory)}
 	r.Recorder.Record(event.ServerGone, "", "server", name, "reason", reason)
 }
 
 // ApplyEvacuations applies a page of evacuation records. The servers of an
-// evacuated failure domain get no requests.
+// evacuated failure domain get no requests. It ignores a page that is older than the latest one.
 func (r *Registry) ApplyEvacuations(now time.Time, page tamarackrun.Page) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	next := map[string]bool{}
-	if !page.Full {
-		for domain := range r.evacuated {
-			next[domain] = true
-		}
+	if page.Position.Before(r.evacuationsAt) {
+		return
+	}
+	if r.evacuationsAt != (tamarackrun.Position{}) && page.Position.Era > r.evacuationsAt.Era {
+		r.evacuationsFinalFrom = now.Add(sla.LapsedRecordGrace)
+	}
+	r.evacuationsAt = page.Position
+	if page.Full {
+		r.recorded = map[string]bool{}
 	}
 	for _, record := range page.Records {
 		if record.Removed {
-			delete(next, record.Name)
+			delete(r.recorded, record.Name)
+			r.endEvacuation(now, record.Name)
 		} else {
-			next[record.Name] = true
+			r.recorded[record.Name] = true
 		}
 	}
-	for domain := range next {
+	r.updateEvacuated(now)
+	r.publish(now)
+}
+
+// updateEvacuated begins and ends evacuations according to the records.
+func (r *Registry) updateEvacuated(now time.Time) {
+	for domain := range r.recorded {
 		if !r.evacuated[domain] {
+			r.evacuated[domain] = true
 			r.Recorder.Record(event.DomainEvacuated, "", "failureDomain", domain)
 		}
 	}
+	if now.Before(r.evacuationsFinalFrom) {
+		return
+	}
 	for domain := range r.evacuated {
-		if !next[domain] {
-			r.Recorder.Record(event.DomainReturned, "", "failureDomain", domain)
-			r.markDomainCold(now, domain)
+		if !r.recorded[domain] {
+			r.endEvacuation(now, domain)
 		}
 	}
-	r.evacuated = next
-	r.publish(now)
+}
+
+// endEvacuation ends the evacuation of a failure domain, if it is evacuated.
+func (r *Registry) endEvacuation(now time.Time, domain string) {
+	if !r.evacuated[domain] {
+		return
+	}
+	delete(r.evacuated, domain)
+	r.Recorder.Record(event.DomainReturned, "", "failureDomain", domain)
+	r.markDomainCold(now, domain)
 }
 
 // markDomainCold marks the servers of a failure domain as cold after its
@@ -242,18 +299,27 @@
 	r.coldDomainsUntil[domain] = now.Add(longest)
 }
 
-// Sweep drops the servers whose records are still missing when removals become
-// final.
+// Sweep drops the servers whose records are still missing when removals become final, and ends the
+// evacuations whose records a restored store does not have.
 func (r *Registry) Sweep(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.missing) == 0 || !r.removalsFinal(now) {
-		return
+	for name, g := range r.gone {
+		if now.After(g.until) {
+			delete(r.gone, name)
+		}
 	}
-	for name := range r.missing {
-		r.drop(name, "record missing after the store's return")
+	evacuations := len(r.evacuated)
+	r.updateEvacuated(now)
+	dropMissing := len(r.missing) > 0 && r.removalsFinal(now)
+	if dropMissing {
+		for name := range r.missing {
+			r.drop(now, name, "record missing after the store's return")
+		}
+	}
+	if dropMissing || len(r.evacuated) != evacuations {
+		r.publish(now)
 	}
-	r.publish(now)
 }
 
 // publish replaces the view that requests read.
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -8,6 +8,7 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/standin/recorder"
+	"tamarackrun/internal/state/sla"
 )
 
 func newTestRegistry() *Registry {
@@ -160,3 +161,70 @@
 		t.Errorf("after the outage (-want +got):\n%s", diff)
 	}
 }
+
+// written returns the record as the server's process that started at startMillis has written it
+// with the sequence number, at a position of the store.
+func written(r tamarackrun.Record, startMillis, sequence, era, revision int64) tamarackrun.Record {
+	changed := *r.Server
+	changed.StartMillis, changed.Sequence = startMillis, sequence
+	r.Server, r.Position = &changed, tamarackrun.Position{Era: era, Revision: revision}
+	return r
+}
+
+func inEra(era, revision int64, page *tamarackrun.Page) *tamarackrun.Page {
+	page.Position = tamarackrun.Position{Era: era, Revision: revision}
+	return page
+}
+
+// Guards against servers that left, and evacuated failure domains, that are used again because the
+// store has come back from a copy from before.
+func TestCopyBringsNothingBack(t *testing.T) {
+	one := written(server("one", "a1", 0), 7, 1, 0, 10)
+	two := func(sequence, era, revision int64) tamarackrun.Record {
+		return written(server("two", "b1", 0), 8, sequence, era, revision)
+	}
+	evacuated := tamarackrun.Record{Name: "b1"}
+	tests := map[string][]step{
+		"a draining server": {
+			{servers: inEra(0, 20, fullPage(one, draining(two(5, 0, 20)))), want: []string{"one"}},
+			{servers: inEra(1, 15, fullPage(one, two(3, 1, 12))), reconnected: true, want: []string{"one"}},
+			{at: time.Second, servers: inEra(1, 16, fullPage(one, two(3, 1, 12))), want: []string{"one"}},
+		},
+		"a server that is gone": {
+			{servers: inEra(0, 20, fullPage(one, two(3, 0, 12))), want: []string{"one", "two"}},
+			{servers: inEra(0, 21, changesPage(tamarackrun.Record{Name: "two", Position: tamarackrun.Position{Revision: 21}, Removed: true})), want: []string{"one"}},
+			{servers: inEra(1, 15, fullPage(one, two(3, 1, 12))), reconnected: true, want: []string{"one"}},
+		},
+		"a server that still writes": {
+			{servers: inEra(0, 20, fullPage(one, two(5, 0, 20))), want: []string{"one", "two"}},
+			{servers: inEra(1, 15, fullPage(one)), reconnected: true, want: []string{"one", "two"}},
+			{at: time.Second, servers: inEra(1, 16, changesPage(two(6, 1, 16))), want: []string{"one", "two"}},
+			{at: time.Minute, servers: inEra(1, 16, fullPage(one, two(6, 1, 16))), want: []string{"one", "two"}},
+		},
+		"a new process of a server that is gone": {
+			{servers: inEra(0, 20, fullPage(one, two(5, 0, 20))), want: []string{"one", "two"}},
+			{servers: inEra(0, 21, fullPage(one)), want: []string{"one"}},
+			{servers: inEra(1, 15, fullPage(one, written(server("two", "b1", 0), 9, 1, 1, 15))), reconnected: true, want: []string{"one", "two"}},
+		},
+		"an evacuated failure domain": {
+			{servers: inEra(0, 20, fullPage(one, two(5, 0, 20))), evacuations: inEra(0, 21, fullPage(evacuated)), want: []string{"one"}},
+			{evacuations: inEra(1, 15, fullPage()), want: []string{"one"}},
+			{at: time.Second, evacuations: inEra(1, 16, fullPage(evacuated)), want: []string{"one"}},
+			{at: time.Minute, evacuations: inEra(1, 17, fullPage(evacuated)), want: []string{"one"}},
+			{at: time.Minute, evacuations: inEra(0, 30, fullPage()), want: []string{"one"}},
+		},
+		"a failure domain whose evacuation ends after the copy": {
+			{servers: inEra(0, 20, fullPage(one, two(5, 0, 20))), evacuations: inEra(0, 21, fullPage(evacuated)), want: []string{"one"}},
+			{evacuations: inEra(1, 15, fullPage(evacuated)), want: []string{"one"}},
+			{at: time.Second, evacuations: inEra(1, 17, changesPage(tamarackrun.Record{Name: "b1", Removed: true})), want: []string{"one", "two"}},
+		},
+		"a failure domain whose evacuation nobody writes again": {
+			{servers: inEra(0, 20, fullPage(one, two(5, 0, 20))), evacuations: inEra(0, 21, fullPage(evacuated)), want: []string{"one"}},
+			{evacuations: inEra(1, 15, fullPage()), want: []string{"one"}},
+			{at: sla.LapsedRecordGrace, want: []string{"one", "two"}},
+		},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) { runSteps(t, steps) })
+	}
+}
