Keep reporting instances as members after a restored store

The first full page of a restored store removed instances that had written their records since the copy. Until they had written them again, the others divided the limits without them, and both used that part. Found by reading. An instance whose record was last seen in an earlier era now stays while it reports. TestReportingInstanceStaysAfterRestoredStore fails before: 2 members of 3.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -134,8 +134,10 @@
 	// lastReport is when the peer sent its latest known report, and lastMutual until
 	// when messages passed in both directions, directly or through relays.
 	lastReport, lastMutual time.Duration
-	// recordSeen is when the record first arrived.
+	// recordSeen is when the record first arrived, and recordEra the store's era when it arrived
+	// last.
 	recordSeen time.Duration
+	recordEra  int64
 	// requestRate is the rate at which callers' requests arrive there, in requests per
 	// second.
 	requestRate uint32
@@ -296,8 +298,11 @@
 		for _, r := range page.Records {
 			listed[r.Name] = true
 		}
-		for name := range m.peers {
-			if !listed[name] {
+		for name, p := range m.peers {
+			// A restored store may not have the record of an instance that reports. The
+			// instance writes it again.
+			restored := p.recordEra < page.Position.Era
+			if !listed[name] && (!restored || now-p.lastReport >= m.DetectionBound) {
 				m.remove(name)
 			}
 		}
@@ -331,7 +336,7 @@
 			m.peers[r.Name], m.byHash[p.hash] = p, p
 			m.Recorder.Record(event.InstanceKnown, "", "peer", r.Name, "address", r.Instance.ReportAddress)
 		}
-		p.record, p.address = *r.Instance, address
+		p.record, p.address, p.recordEra = *r.Instance, address, r.Position.Era
 	}
 	if m.recordsReadAt == 0 {
 		m.recordsReadAt = now
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -368,3 +368,24 @@
 		t.Errorf("after %s (-want +got):\n%s", aloneTime, diff)
 	}
 }
+
+// Guards against an instance that counts as gone, so that its part of the limits is used twice, because
+// a store that has come back from a copy does not have its record yet.
+func TestReportingInstanceStaysAfterRestoredStore(t *testing.T) {
+	f := newFleet(3)
+	f.run(time.Second)
+	own, other := f.recordOf(0), f.recordOf(1)
+	restored := tamarackrun.Page{Full: true, Position: tamarackrun.Position{Era: 1, Revision: 1}, Records: []tamarackrun.Record{
+		{Name: instanceName(0), Instance: &own}, {Name: instanceName(1), Instance: &other}}}
+	f.members[0].Apply(restored)
+	f.run(reportInterval)
+	if diff := cmp.Diff(Reachability{Members: 3, Regions: 1}, f.reachability[0]); diff != "" {
+		t.Errorf("reachability while the instance reports (-want +got):\n%s", diff)
+	}
+	f.run(2*f.members[0].DetectionBound, 2)
+	f.members[0].Apply(restored)
+	f.run(reportInterval, 2)
+	if diff := cmp.Diff(Reachability{Members: 2, Regions: 1}, f.reachability[0]); diff != "" {
+		t.Errorf("reachability of an instance that is silent (-want +got):\n%s", diff)
+	}
+}
