Skip answers without an id on used connections to servers

On a connection that has carried requests, an answer without an id is now skipped like one with another id; health answers, which have none, still count.

Three new cases of TestRequestResults fail before: a refusal, a failure, and a refusal that is the only answer.

--- a/internal/transport/exchange/connection.go
+++ b/internal/transport/exchange/connection.go
@@ -92,6 +92,10 @@
 
 // readResult reads answers until one belongs to the request.
 func (c *connection) readResult(codec tamarackrun.HeaderCodec, r Request) Result {
+	// On a connection that carried requests before, an answer without an id may be an earlier one
+	// that the server has written once more. A refusal would then say of a request that runs that
+	// it has not run.
+	mayBeEarlier := !c.lastAnswer.IsZero() && !r.Probe
 	for range maxLateAnswers {
 		response, body, reserved, err := c.readAnswer(r) //nolint:bodyclose // readAnswer reads and closes the body.
 		if err != nil {
@@ -99,7 +103,7 @@
 			return Result{Outcome: tamarackrun.Uncertain(reasonOf(response, err)), Sent: true, Err: err}
 		}
 		fields := codec.DecodeAnswer(response.StatusCode, response.Header)
-		if fields.ID != "" && fields.ID != r.ID {
+		if fields.ID != r.ID && (fields.ID != "" || mayBeEarlier) {
 			// The answer belongs to an earlier request, and more of them may follow.
 			c.broken = true
 			c.bodies.Release(reserved)
--- a/internal/transport/exchange/exchange_test.go
+++ b/internal/transport/exchange/exchange_test.go
@@ -124,6 +124,7 @@
 // because its reused connection was reset.
 func TestRequestResults(t *testing.T) {
 	truncatedAnswer := "HTTP/1.1 200 OK\r\nId: b\r\nSignature: s\r\nContent-Length: 9\r\n\r\nhalf" + thenClose
+	refusal := "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	lost, truncated := tamarackrun.Uncertain(tamarackrun.AnswerLost), tamarackrun.Uncertain(tamarackrun.AnswerTruncated)
 	tests := map[string]struct {
 		scripts [][]string
@@ -159,6 +160,18 @@
 		"a server that did not run the request": {
 			[][]string{{"HTTP/1.1 503 X\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}},
 			[]resultSummary{{tamarackrun.Refused(tamarackrun.ServerShed), "", false}}, 1},
+		"a refusal without an id on a new connection": {
+			[][]string{{refusal}},
+			[]resultSummary{{tamarackrun.Refused(tamarackrun.ServerShed), "", false}}, 1},
+		"a refusal without an id that may be an earlier one is skipped": {
+			[][]string{{answerText("a", "1"), refusal + answerText("b", "2")}, {answerText("c", "3")}},
+			[]resultSummary{{tamarackrun.Done, "1", false}, {tamarackrun.Done, "2", true}, {tamarackrun.Done, "3", false}}, 3},
+		"a failure without an id that may be an earlier one is skipped": {
+			[][]string{{answerText("a", "1"), "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n" + answerText("b", "2")}},
+			[]resultSummary{{tamarackrun.Done, "1", false}, {tamarackrun.Done, "2", true}}, 2},
+		"a request whose only answer has no id has an unknown outcome": {
+			[][]string{{answerText("a", "1"), refusal + thenClose}},
+			[]resultSummary{{tamarackrun.Done, "1", false}, {lost, "", true}}, 2},
 		"an interim answer is skipped": {
 			[][]string{{"HTTP/1.1 103 X\r\n\r\n" + answerText("a", "1")}},
 			[]resultSummary{{tamarackrun.Done, "1", false}}, 1},
