Send nothing to servers that leave or want rest

The users' rules DRAIN (Server-Leaving) and BUDGET (Retry-After of a server) are in force, and no code read either header: an instance kept sending to a server that said in each answer that it leaves, as long as its record said ready, and at once again to one that had turned a request away for some time.

The balancer, which already decides by ejection, pauses, coldness and limits whether a server gets a request, now passes over servers that have said so. Health probes leave such servers out too. A request for which no server is left is refused at once with its own reason and the time until the first server takes requests again.

TestServerThatSaysItLeavesGetsNothing and TestServerThatWantsRestGetsNothing fail before.

--- a/fleet.go
+++ b/fleet.go
@@ -178,6 +178,11 @@
 	// RateLimit is the number of requests per second that the server takes from all instances
 	// together, as long as its answers name a limit; nil if this one names none.
 	RateLimit *float64
+	// Leaving reports whether the server says that it is leaving.
+	Leaving bool
+	// RetryAfter is for how long the server wants no requests from this instance; 0 if it does
+	// not say.
+	RetryAfter time.Duration
 }
 
 // HealthFields are the values in a server's answer to a health probe.
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -69,8 +69,12 @@
 	// ColdFor is for how long the server still counted as cold, 0 if it counted as warm.
 	ColdFor time.Duration
 	// RetryAfter is the time until this instance may send a request to a server that it has not
-	// chosen because of the server's rate limit; 0 if that is not the reason.
+	// chosen because of the server's rate limit, or because it wants no requests for some time;
+	// 0 if that is not the reason.
 	RetryAfter time.Duration
+	// HeardAge is the time since the server has said in an answer that it is leaving or wants no
+	// requests for some time; 0 if that is not why it was not chosen.
+	HeardAge time.Duration
 	// Overload is the load for which the server was not chosen; nil if it was chosen.
 	Overload *LoadReport
 }
@@ -165,6 +169,8 @@
 	// of their regions.
 	candidates []candidate
 	weights    []regionWeight
+	// notices holds what servers have said about further requests, by their names.
+	notices map[string]notice
 	// confined holds the fraction of the fleet's requests that may run only in each region,
 	// from 0 to 1, as averaged up to confinedAt; nil until it is known.
 	confined   map[string]float64
@@ -172,7 +178,9 @@
 }
 
 // New returns a balancer without observations.
-func New() *Balancer { return &Balancer{servers: map[string]*serverState{}, createdAt: time.Now()} }
+func New() *Balancer {
+	return &Balancer{servers: map[string]*serverState{}, notices: map[string]notice{}, createdAt: time.Now()}
+}
 
 // candidate is a server that may get the request. Lower scores are better.
 type candidate struct {
@@ -186,9 +194,9 @@
 func (b *Balancer) Choose(now time.Time, servers []*registry.Server, q Query) (Choice, tamarackrun.Reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.listCandidates(servers, q)
+	refusal, why := b.listCandidates(now, servers, q)
 	if len(b.candidates) == 0 {
-		return Choice{}, tamarackrun.NoHealthyServer
+		return refusal, why
 	}
 	refused, reason := Choice{}, tamarackrun.QueueFull
 	for i := range b.candidates {
@@ -265,16 +273,28 @@
 	return true
 }
 
-// listCandidates sets b.candidates to the allowed servers, in any order.
-func (b *Balancer) listCandidates(servers []*registry.Server, q Query) {
-	b.candidates = b.candidates[:0]
+// listCandidates sets b.candidates to the allowed servers that have not asked for no requests, in
+// any order. It returns the refusal of the request if there are none, with the server that takes
+// requests again first.
+func (b *Balancer) listCandidates(now time.Time, servers []*registry.Server, q Query) (refusal Choice, why tamarackrun.Reason) {
+	b.candidates, why = b.candidates[:0], tamarackrun.NoHealthyServer
 	objectHash := uint64(0)
 	if q.Object != "" {
 		objectHash = rendezvous.Hash(q.Object)
 		b.setWeights(servers, q)
 	}
 	for _, server := range servers {
-		if !allows(q.AllowedRegions, server.Region) || slices.Contains(q.Tried, server.Name) {
+		if !allows(q.AllowedRegions, server.Region) {
+			continue
+		}
+		if reason, n := b.barredFor(now, server); reason != "" {
+			rest := n.restUntil.Sub(now)
+			if why == tamarackrun.NoHealthyServer || reason == tamarackrun.ServerResting && (why != reason || rest < refusal.RetryAfter) {
+				refusal, why = Choice{Server: server, RetryAfter: max(0, rest), HeardAge: now.Sub(n.heardAt)}, reason
+			}
+			continue
+		}
+		if slices.Contains(q.Tried, server.Name) {
 			continue
 		}
 		c := candidate{server: server}
@@ -289,6 +309,7 @@
 		}
 		b.candidates = append(b.candidates, c)
 	}
+	return refusal, why
 }
 
 // weightedScore returns a server's score in weighted rendezvous hashing, from the hashes of the
@@ -414,10 +435,11 @@
 }
 
 // Forget drops the state of servers that have no outstanding requests, unless keep
-// returns true for them.
-func (b *Balancer) Forget(keep func(name string) bool) {
+// returns true for them, and what servers have said that no longer matters.
+func (b *Balancer) Forget(now time.Time, keep func(name string) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.forgetNotices(now)
 	for name, st := range b.servers {
 		if st.outstanding == 0 && !keep(name) {
 			delete(b.servers, name)
--- a/internal/program/front/cold.go
+++ b/internal/program/front/cold.go
@@ -50,12 +50,19 @@
 	return f.verifier.Stale(now) || now.Sub(f.started) < newProcessHeartbeats*f.terms.Load().ServerHeartbeat
 }
 
-// limitedServers returns the usable servers whose requests are limited while they are cold.
+// limitedServers returns the usable servers whose requests are limited while they are cold, without
+// those that want no requests.
 func (f *Front) limitedServers() []*registry.Server {
 	var servers []*registry.Server
+	now := time.Now()
 	for _, service := range f.registry.Services() {
-		if _, limited := f.coldLimit(service); limited {
-			servers = append(servers, f.registry.ServersOf(service)...)
+		if _, limited := f.coldLimit(service); !limited {
+			continue
+		}
+		for _, server := range f.registry.ServersOf(service) {
+			if !f.balancer.Barred(now, server) {
+				servers = append(servers, server)
+			}
 		}
 	}
 	return servers
@@ -78,6 +85,7 @@
 	result := f.backendClient.Do(ctx, server.Address, exchange.Request{Method: http.MethodGet, Target: c.Services[server.Service].HealthPath,
 		Host: server.Address, Header: http.Header{}, Idempotent: true, Probe: true})
 	defer f.backendClient.Release(result)
+	f.noteNotice(server, result.Fields)
 	fields := f.HeaderCodec.DecodeHealth(result.Header)
 	f.scope.Counter("health_probes").Inc(1)
 	return fields.ColdFor, fields.OK && fields.Server == server.Name
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -10,6 +10,7 @@
 	"tamarackrun/internal/coordination/health"
 	"tamarackrun/internal/coordination/steer"
 	"tamarackrun/internal/protocol/event"
+	"tamarackrun/internal/state/registry"
 	"tamarackrun/internal/transport/exchange"
 	"tamarackrun/internal/transport/pipeline"
 )
@@ -104,6 +105,9 @@
 	}
 	if a.outcome.Kind == tamarackrun.NotRun {
 		f.returnToken(req)
+		if req.overloaded.Server == nil {
+			req.overloaded = f.balancer.Resting(time.Now(), f.registry.ServersOf(req.service), f.query(req))
+		}
 	}
 	return f.outcomeAnswer(req, a.outcome, f.retryAfter(req))
 }
@@ -111,12 +115,19 @@
 // choose selects the server for the next attempt, or returns the reason why there
 // is none.
 func (f *Front) choose(req *request, tried []string) (steer.Choice, tamarackrun.Reason) {
+	q := f.query(req)
+	q.Tried = tried
+	return f.balancer.Choose(time.Now(), f.registry.ServersOf(req.service), q)
+}
+
+// query returns the properties of a request that determine the choice of its server.
+func (f *Front) query(req *request) steer.Query {
 	q := steer.Query{Region: f.Identity.Region, AllowedRegions: [][]string{req.route.Regions, req.organisation.Regions},
-		TargetLatency: req.route.TargetLatency, Tried: tried}
+		TargetLatency: req.route.TargetLatency}
 	if req.route.Sticky {
 		q.Object = req.caller.Object
 	}
-	return f.balancer.Choose(time.Now(), f.registry.ServersOf(req.service), q)
+	return q
 }
 
 // send sends the request to the chosen server and records the result.
@@ -148,6 +159,7 @@
 	}
 	if result.Outcome == tamarackrun.Done || result.Fields.NotRun && !result.Fields.Misdirected {
 		f.balancer.ReportLimit(choice.Server.Name, result.Fields.RateLimit)
+		f.noteNotice(choice.Server, result.Fields)
 	}
 	if ejected {
 		f.history.Record(event.ServerEjected, req.caller.ID, "server", choice.Server.Name)
@@ -159,6 +171,14 @@
 	return result
 }
 
+// noteNotice records what a server has said in an answer about further requests.
+func (f *Front) noteNotice(server *registry.Server, fields tamarackrun.AnswerFields) {
+	if f.balancer.ReportNotice(time.Now(), server, fields.Leaving, fields.RetryAfter) {
+		f.history.Record(event.ServerNotice, "", "server", server.Name, "leaving", strconv.FormatBool(fields.Leaving),
+			"restFor", fields.RetryAfter.String())
+	}
+}
+
 // healthResult returns what the result of a dispatch shows about the health of
 // its server.
 func healthResult(result exchange.Result) health.Result {
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -405,7 +405,7 @@
 		f.coldLimiter.DropIdle(now)
 		addresses := f.registry.Addresses()
 		f.backendClient.RetainOnly(addresses)
-		f.balancer.Forget(f.registry.Usable)
+		f.balancer.Forget(now, f.registry.Usable)
 		f.serverLimiter.Forget(f.registry.Usable)
 		f.scope.Gauge("caller_connections").Update(float64(f.callerServer.ConnectionCount()))
 		f.scope.Gauge("servers").Update(float64(len(addresses)))
--- a/internal/program/front/serve.go
+++ b/internal/program/front/serve.go
@@ -185,8 +185,11 @@
 		fields = append(fields, "server", req.overloaded.Server.Name, "serverWaiting", strconv.Itoa(b.Waiting), "serverSlots", strconv.Itoa(b.Slots),
 			"reportAge", b.Age.Round(time.Millisecond).String(), "serverTook", b.ResponseTime.Round(time.Millisecond).String())
 	}
-	if req.overloaded.RetryAfter > 0 {
-		fields = append(fields, "server", req.overloaded.Server.Name)
+	if c := req.overloaded; c.Overload == nil && c.Server != nil {
+		fields = append(fields, "server", c.Server.Name)
+		if c.HeardAge > 0 {
+			fields = append(fields, "heardAge", c.HeardAge.Round(time.Millisecond).String(), "restFor", c.RetryAfter.Round(time.Millisecond).String())
+		}
 	}
 	f.history.Record(number, req.caller.ID, fields...)
 	f.history.CountOutcome("request", outcome)
@@ -208,7 +211,11 @@
 // takes a request again, or else half of the route's target latency, after which some of the
 // running requests have probably ended.
 func (f *Front) retryAfter(req *request) time.Duration {
-	if at := req.overloaded.RetryAfter; at > 0 {
+	switch at := req.overloaded.RetryAfter; {
+	case at > 0 && req.overloaded.HeardAge > 0:
+		// No server takes the request before.
+		return max(minRetryAfter, at)
+	case at > 0:
 		return min(maxRetryAfter, max(minRetryAfter, at))
 	}
 	return min(maxRetryAfter, max(minRetryAfter, cmp.Or(req.route.TargetLatency/2, defaultRetryAfter)))
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -38,6 +38,7 @@
 	ChangeOverdue         tamarackrun.EventID = 1122
 	ServerCold            tamarackrun.EventID = 1123
 	StoreRestored         tamarackrun.EventID = 1124
+	ServerNotice          tamarackrun.EventID = 1125
 	PeerReachable         tamarackrun.EventID = 1201
 	PeerUnreachable       tamarackrun.EventID = 1202
 	PeerRefused           tamarackrun.EventID = 1203
@@ -123,6 +124,7 @@
 	{ChangeOverdue, "changeOverdue", "warn", "the store has a change of a collection that this instance has not received in time; it reads the collection again"},
 	{ServerCold, "serverCold", "info", "a backend server answered a health probe that it is cold; it is asked while its record may be out of date"},
 	{StoreRestored, "storeRestored", "warn", "the store has come back from a copy, so that its latest changes may be missing; the collection was read again"},
+	{ServerNotice, "serverNotice", "info", "a backend server has said in an answer that it is leaving, or that it wants no requests from this instance for some time"},
 	{PeerReachable, "peerReachable", "info", "heartbeats with a peer succeed"},
 	{PeerUnreachable, "peerUnreachable", "warn", "a peer did not answer heartbeats"},
 	{PeerRefused, "peerRefused", "warn", "a connection of another process was refused because it did not prove that it is an instance of the fleet"},
--- a/outcome.go
+++ b/outcome.go
@@ -36,6 +36,8 @@
 //
 //   - ServerLimited: the servers that may run the request have named rate limits, and this
 //     instance has used its parts of them.
+//   - ServerLeaving, ServerResting: the servers that may run the request have said in their
+//     answers that they are leaving, or that they want no requests for some time.
 //   - NotHome: the instance that was asked is not the home of the server.
 //   - ShiftCapped, LinkCapped: the server, or the link between the regions, has no room
 //     for more requests from other regions.
@@ -62,6 +64,8 @@
 	NoHealthyServer  Reason = "noHealthyServer"
 	ServerBusy       Reason = "serverBusy"
 	ServerLimited    Reason = "serverLimited"
+	ServerLeaving    Reason = "serverLeaving"
+	ServerResting    Reason = "serverResting"
 	ServerShed       Reason = "serverShed"
 	ServerDraining   Reason = "serverDraining"
 	ServerEjected    Reason = "serverEjected"
