Restore the store and leave by answers in the soak

The soak had neither a store that comes back from a copy nor servers that leave only by a header of their answers. Both are drawn from a random stream of their own, so that the recorded seeds keep their disturbances. The check DRAIN covers servers that leave by their answers.

--- a/internal/standin/soak/backend.go
+++ b/internal/standin/soak/backend.go
@@ -84,6 +84,13 @@
 	}
 }
 
+// setLeaving makes the running server say in its answers that it leaves.
+func (b *backend) setLeaving() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.server.SetLeaving(true)
+}
+
 func (b *backend) setRateLimit(limit float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/standin/soak/checks.go
+++ b/internal/standin/soak/checks.go
@@ -54,6 +54,7 @@
 	h.checkExecutions(calls)
 	h.checkReplies(calls)
 	h.checkDrains(calls)
+	h.checkLeaving(calls)
 	h.checkDesiredStates(calls)
 	h.checkCold(calls)
 	h.checkLimits(calls)
@@ -172,6 +173,40 @@
 	}
 }
 
+// checkLeaving checks that a server which says in its answers that it leaves gets nothing more after
+// the bound from an instance that has passed such an answer on, unless that one was disturbed since
+// (DRAIN). Disturbances of the store are no excuse.
+func (h *harness) checkLeaving(calls []*call) {
+	for server, from := range h.leavingFrom {
+		told := h.toldBy(calls, server, from)
+		for _, c := range calls {
+			at, ok := told[c.instance]
+			for _, v := range c.executions {
+				if v.server == server && ok && c.sent.After(at.Add(bounds.DrainBound)) && !h.disturbances.any(at, v.at, func(d *disturbance) bool {
+					return d.scope == atInstance && d.instance == c.instance || d.name == "kill"
+				}) {
+					h.history.addViolationLocked("DRAIN", "%s ran at %s %v after its answer said that it leaves, %s",
+						c.ID, server, c.sent.Sub(at).Round(time.Millisecond), h.describe(c))
+				}
+			}
+		}
+	}
+}
+
+// toldBy returns when each instance first passed on an answer of a request that the server ran after
+// the time.
+func (h *harness) toldBy(calls []*call, server string, from time.Time) map[int]time.Time {
+	told := map[int]time.Time{}
+	for _, c := range calls {
+		if n := len(c.executions); n > 0 && c.status == 200 && c.executions[n-1].server == server && c.executions[0].at.After(from) {
+			if at, ok := told[c.instance]; !ok || c.ended.Before(at) {
+				told[c.instance] = c.ended
+			}
+		}
+	}
+	return told
+}
+
 // sentByConnected reports whether a connected instance sent the request to the
 // server just before it ran. A disturbed link to a server may have delayed the
 // request, so that an earlier dispatch is possible then.
@@ -224,14 +259,7 @@
 // (LIMIT), from connected instances that have passed on such an answer a while before.
 func (h *harness) checkLimits(calls []*call) {
 	for _, l := range h.limits {
-		told := map[int]time.Time{}
-		for _, c := range calls {
-			if n := len(c.executions); n > 0 && c.status == 200 && c.executions[n-1].server == l.server && c.executions[0].at.After(l.from) {
-				if at, ok := told[c.instance]; !ok || c.ended.Before(at) {
-					told[c.instance] = c.ended
-				}
-			}
-		}
+		told := h.toldBy(calls, l.server, l.from)
 		var spans []span
 		for _, c := range calls {
 			at, ok := told[c.instance]
--- a/internal/standin/soak/harness.go
+++ b/internal/standin/soak/harness.go
@@ -101,6 +101,8 @@
 	domainOf          map[string]string
 	evacuations       []*evacuation
 	limits            []*namedLimit
+	// leavingFrom holds, by server id, when a server began to say in its answers that it leaves.
+	leavingFrom map[string]time.Time
 	// speedup divides the pauses of the callers.
 	speedup  int
 	cleanups []func()
@@ -112,7 +114,7 @@
 	h := &harness{
 		began: time.Now(), store: standin.NewStore(),
 		keyAdded: map[string]time.Time{}, keyRevoked: map[string]time.Time{},
-		leftAt: map[string]time.Time{}, coldSince: map[string]time.Time{}, domainOf: map[string]string{},
+		leftAt: map[string]time.Time{}, coldSince: map[string]time.Time{}, domainOf: map[string]string{}, leavingFrom: map[string]time.Time{},
 		speedup: 1, history: history{calls: map[string]*call{}},
 	}
 	err := h.start(number, binary, directory)
@@ -354,7 +356,7 @@
 	for i := range callerCount {
 		group.Go(func() { h.runCaller(ctx, rand.New(rand.NewPCG(seed, uint64(i)+1)), i) })
 	}
-	h.disturb(ctx, rand.New(rand.NewPCG(seed, 0)), length, &group)
+	h.disturb(ctx, seed, length, &group)
 	group.Wait()
 	// A request may still be in flight to a server.
 	time.Sleep(routeTimeout)
--- a/internal/standin/soak/kinds.go
+++ b/internal/standin/soak/kinds.go
@@ -19,6 +19,10 @@
 	// A seed schedules at least minDisturbances and fewer than maxDisturbances
 	// disturbances. A rolling restart counts as one.
 	minDisturbances, maxDisturbances = 6, 24
+	// laterStream is the random stream of the kinds that were added after seeds had been
+	// recorded, whose disturbances must stay. A seed has fewer than maxLater of them.
+	laterStream = 1 << 20
+	maxLater    = 4
 	// One seed in plannedOneIn has planned disturbances only, as many rules are
 	// stricter then.
 	plannedOneIn = 3
@@ -30,14 +34,14 @@
 )
 
 // disturb schedules the disturbances of a seed, which may overlap.
-func (h *harness) disturb(ctx context.Context, r *rand.Rand, length time.Duration, group *sync.WaitGroup) {
+func (h *harness) disturb(ctx context.Context, seed uint64, length time.Duration, group *sync.WaitGroup) {
+	r, later := rand.New(rand.NewPCG(seed, 0)), rand.New(rand.NewPCG(seed, laterStream))
 	last := length - recoveryTime - bounds.DetectionBound
 	kinds := allKinds
 	if r.IntN(plannedOneIn) == 0 {
 		kinds = plannedKinds
 	}
-	for range minDisturbances + r.IntN(maxDisturbances-minDisturbances) {
-		kind := kinds[r.IntN(len(kinds))]
+	schedule := func(r *rand.Rand, kind kind) {
 		at := firstDisturbance + time.Duration(r.Int64N(int64(last-firstDisturbance-minDuration)))
 		duration := min(minDuration+time.Duration(r.Int64N(int64(maxDuration-minDuration))), last-at)
 		source := rand.New(rand.NewPCG(r.Uint64(), 0))
@@ -46,6 +50,12 @@
 			kind(ctx, h, source, duration)
 		})
 	}
+	for range minDisturbances + r.IntN(maxDisturbances-minDisturbances) {
+		schedule(r, kinds[r.IntN(len(kinds))])
+	}
+	for range later.IntN(maxLater) {
+		schedule(later, laterKinds[later.IntN(len(laterKinds))])
+	}
 }
 
 // sleep waits for the duration or until the context ends.
@@ -109,6 +119,9 @@
 // limitKind is a server that names a rate limit.
 var limitKind = restartKind("named limit", true, nameLimit)
 
+// laterKinds are chosen by a random stream of their own.
+var laterKinds = []kind{restoreStore, restartKind("leaves by its answers", true, leaveByAnswers)}
+
 // plannedKinds are the kinds that operators carry out on purpose.
 var plannedKinds = []kind{rollingRestart, rollingRestart, hangup, drainKind, drainKind, evacuate, changeConfiguration, burst, limitKind}
 
@@ -235,6 +248,39 @@
 	h.store.Compact()
 }
 
+// restoreStore makes the store come back from a copy that is as old as the duration. What the copy
+// lacks of the operators' desired state is written again at once, and the rest within a heartbeat.
+func restoreStore(ctx context.Context, h *harness, r *rand.Rand, duration time.Duration) {
+	d := h.disturbances.begin(disturbance{name: "store restored", target: "store", scope: atStore})
+	defer h.disturbances.end(d)
+	restored := h.store.Copy()
+	sleep(ctx, duration)
+	h.store.SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
+	sleep(ctx, duration/4)
+	replaced := h.store.Restore(restored)
+	h.store.WriteAgain("config", restored, replaced)
+	h.store.SetFaults(standin.StoreFaults{})
+	sleep(ctx, time.Duration(r.Int64N(int64(serverHeartbeat))))
+	for _, kind := range []string{"servers", "evacuations"} {
+		h.store.WriteAgain(kind, restored, replaced)
+	}
+}
+
+// leaveByAnswers makes a server say in its answers that it leaves, while its record says that it is
+// ready, and stops it some time after the bound.
+func leaveByAnswers(ctx context.Context, h *harness, b *backend, _ *rand.Rand, duration time.Duration) {
+	id := b.id()
+	h.mu.Lock()
+	h.leavingFrom[id] = time.Now()
+	h.mu.Unlock()
+	b.setLeaving()
+	sleep(ctx, bounds.DrainBound+duration)
+	h.store.RemoveServer(id)
+	h.noteLeave(id)
+	b.crash()
+	b.mustStart(coldTime)
+}
+
 // crash stops a server without an announcement, removes its record later and starts
 // the server again, which is cold then.
 func crash(ctx context.Context, h *harness, b *backend, _ *rand.Rand, duration time.Duration) {
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -116,6 +116,24 @@
 			h.disturbances.list = []*disturbance{{scope: atServer, from: at(0), to: at(time.Second)}}
 			h.add(readCall, 3*time.Second, "books-1")
 		}, nil},
+		"a server that says it leaves": {func(h *harness) {
+			h.leavingFrom = map[string]time.Time{"books-1": at(0)}
+			h.add(readCall, time.Second, "books-1")
+			h.add(readCall, 4*time.Second, "books-1")
+		}, []string{"DRAIN"}},
+		"a server that says it leaves, before the bound or to nobody": {func(h *harness) {
+			h.leavingFrom = map[string]time.Time{"books-1": at(0), "books-2": at(20 * time.Second)}
+			h.add(readCall, time.Second, "books-1")
+			h.add(readCall, 3*time.Second, "books-1")
+			h.add(readCall, 10*time.Second, "books-2")
+			h.add(readCall, 25*time.Second, "books-2")
+		}, nil},
+		"a server that says it leaves to an instance that restarts": {func(h *harness) {
+			h.leavingFrom = map[string]time.Time{"books-1": at(0)}
+			h.add(readCall, time.Second, "books-1")
+			h.disturbances.list = []*disturbance{{scope: atInstance, from: at(2 * time.Second), to: at(3 * time.Second)}}
+			h.add(readCall, 4*time.Second, "books-1")
+		}, nil},
 		"an evacuated failure domain": {func(h *harness) {
 			h.domainOf["books-1"], h.evacuations = "a1", []*evacuation{{"a1", at(0), at(time.Minute)}}
 			h.add(readCall, 6*time.Second, "books-1")
