--- a/internal/standin/soak/backend.go
+++ b/internal/standin/soak/backend.go
@@ -97,9 +97,9 @@
 	b.server.SetRateLimit(limit)
 }
 
-// mustStart starts the server again and reports a failure.
-func (b *backend) mustStart(cold time.Duration) {
-	if err := b.start(cold); err != nil {
+// mustStart starts the server again, cold, and reports a failure.
+func (b *backend) mustStart() {
+	if err := b.start(coldTime); err != nil {
 		b.onError(fmt.Sprintf("cannot start %s: %v", b.name, err))
 	}
 }
--- a/internal/standin/soak/kinds.go
+++ b/internal/standin/soak/kinds.go
@@ -278,7 +278,7 @@
 	h.store.RemoveServer(id)
 	h.noteLeave(id)
 	b.crash()
-	b.mustStart(coldTime)
+	b.mustStart()
 }
 
 // crash stops a server without an announcement, removes its record later and starts
@@ -289,7 +289,7 @@
 	sleep(ctx, duration)
 	h.store.RemoveServer(id)
 	h.noteLeave(id)
-	b.mustStart(coldTime)
+	b.mustStart()
 }
 
 // drain announces that a server leaves, stops it after the drain bound and starts
@@ -307,7 +307,7 @@
 	h.store.RemoveServer(id)
 	b.crash()
 	sleep(ctx, duration/4)
-	b.mustStart(coldTime)
+	b.mustStart()
 }
 
 // reuse gives a server's address to a server of the other service without an
@@ -317,7 +317,7 @@
 		id := b.id()
 		b.crash()
 		b.switchService()
-		b.mustStart(coldTime)
+		b.mustStart()
 		sleep(ctx, duration/2)
 		h.store.RemoveServer(id)
 		h.noteLeave(id)
