Give back tokens of server limits when the server was not reached

The balancer now returns the token. The new part of TestRateLimitOfServer fails before, since nothing returns one.

--- a/internal/coordination/serverlimit/serverlimit.go
+++ b/internal/coordination/serverlimit/serverlimit.go
@@ -60,6 +60,9 @@
 	return l.parts.Admit(now, configuration.Organisation{Name: namePrefix + server, Rate: limit})
 }
 
+// Return gives back the token of an admitted request that did not reach the server.
+func (l *Limiter) Return(now time.Time, server string) { l.parts.Return(now, namePrefix+server) }
+
 // maxSenders returns the number of instances that may send requests to a server. Each may hold
 // a token, and together the tokens must stay within the bound, so that not all instances of a
 // large fleet send to a server with a small limit.
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -68,6 +68,8 @@
 	Probe bool
 	// ColdFor is for how long the server still counted as cold, 0 if it counted as warm.
 	ColdFor time.Duration
+	// Limited is true if the request counts against the server's rate limit.
+	Limited bool
 	// RetryAfter is the time until this instance may send a request to a server that it has not
 	// chosen because of the server's rate limit, or because it wants no requests for some time;
 	// 0 if that is not the reason.
@@ -159,6 +161,9 @@
 	// AdmitLimited reports whether a server that has named a rate limit, in requests per second
 	// for all instances, may get a request now, and otherwise when. It counts the request.
 	AdmitLimited func(now time.Time, server *registry.Server, limit float64) (admitted bool, retryAfter time.Duration)
+	// ReturnLimited is called for a request that AdmitLimited has counted and that did not reach
+	// the server.
+	ReturnLimited func(now time.Time, server *registry.Server)
 	// ColdTime returns how long servers of a service are cold after their start.
 	ColdTime func(service string) time.Duration
 
@@ -239,7 +244,7 @@
 		}
 		st.outstanding++
 		st.sentSince++
-		return Choice{Server: c.server, Rank: i, Outstanding: st.outstanding - 1, Probe: probe, ColdFor: coldFor}, ""
+		return Choice{Server: c.server, Rank: i, Outstanding: st.outstanding - 1, Probe: probe, ColdFor: coldFor, Limited: st.rateLimit != nil}, ""
 	}
 	return refused, reason
 }
@@ -367,6 +372,9 @@
 	}
 	st.outstanding--
 	if connectFailed {
+		if c.Limited {
+			b.ReturnLimited(now, c.Server)
+		}
 		st.backoff = min(maxBackoff, max(initialBackoff, 2*st.backoff))
 		st.backoffUntil = now.Add(st.backoff)
 		st.coldUntil = st.backoffUntil.Add(b.ColdTime(c.Server.Service))
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -287,6 +287,17 @@
 	if c, reason := b.Choose(now, list, q); reason != tamarackrun.ServerLimited || c.RetryAfter != time.Second {
 		t.Errorf("reason %q and %s, want %q and a second", reason, c.RetryAfter, tamarackrun.ServerLimited)
 	}
+	admits, q.Tried = true, nil
+	returned := 0
+	b.ReturnLimited = func(time.Time, *registry.Server) { returned++ }
+	for _, connectFailed := range []bool{false, true} {
+		c, _ := b.Choose(now, list, q)
+		b.Done(now, c, health.Inconclusive, connectFailed, 2)
+	}
+	if returned != 1 {
+		t.Errorf("%d tokens of one request that reached the server and one that did not are given back, want 1", returned)
+	}
+	now = now.Add(time.Minute)
 	b.ReportLimit(first.Server.Name, nil)
 	if c, _ := b.Choose(now, list, q); c.Server != first.Server {
 		t.Error("a server whose limit has ended is not chosen")
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -211,6 +211,7 @@
 	f.coldLimiter.Name, f.serverLimiter.Name = f.Identity.Name, f.Identity.Name
 	f.balancer.AdmitCold, f.balancer.ColdTime = f.admitCold, f.coldTime
 	f.balancer.AdmitLimited = f.admitLimited
+	f.balancer.ReturnLimited = func(now time.Time, server *registry.Server) { f.serverLimiter.Return(now, server.Name) }
 	f.balancer.CountWarm = func(now time.Time, server *registry.Server) { f.coldLimiter.Count(now, server.Name) }
 	socket, closeSocket, err := datagram.New(f.Identity.ReportAddress)
 	if err != nil {
