Keep a peer that a heartbeat has just added

TestAgedMessagesRunNothing failed once beside load: for 30 s an instance of the own interface answered homeUnreachable, since it did not know the clock of its peer. Cause: a heartbeat adds its sender, and the platform's list, which lags behind, drops members that have not answered yet. If the list arrives between the two, the peer is unknown until its next heartbeat; the test's peer sends one only. A member that a heartbeat has added now stays for the time after which a silent one counts as unreachable.

Shown on a scratch copy that answers the peer 1.5 s late: the test fails before and passes after.

--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -32,6 +32,8 @@
 	// LastHeartbeat is the time, on the local clock, at which the latest answered
 	// heartbeat was sent.
 	LastHeartbeat time.Duration
+	// added is when a heartbeat added the member; 0 if the platform's list did.
+	added time.Duration
 	// Reachable is true if LastHeartbeat is at most UnreachableAfter ago. It is
 	// always true for this instance itself.
 	Reachable bool
@@ -62,7 +64,8 @@
 
 // Update applies a new list from the platform. Entries without a peer address are
 // backend servers and are skipped. A reachable member that is missing from the list
-// is kept, since the list lags behind.
+// is kept, since the list lags behind, and so is one that a heartbeat has added so recently that
+// it may not have answered this instance yet.
 func (r *Roster) Update(list []tamarackrun.Listing) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -77,7 +80,8 @@
 		r.members[l.Name] = m
 	}
 	for name, m := range r.members {
-		if !listed[name] && !r.reachable(m) {
+		isNew := m.added != 0 && r.Clock.Now()-m.added <= UnreachableAfter
+		if !listed[name] && !isNew && !r.reachable(m) {
 			delete(r.members, name)
 		}
 	}
@@ -92,7 +96,7 @@
 	if _, known := r.members[state.GetName()]; known || state.GetName() == "" || state.GetPeerAddress() == "" {
 		return
 	}
-	r.members[state.Name] = Member{Listing: tamarackrun.Listing{Name: state.Name, FailureDomain: state.FailureDomain,
+	r.members[state.Name] = Member{added: r.Clock.Now(), Listing: tamarackrun.Listing{Name: state.Name, FailureDomain: state.FailureDomain,
 		CallerAddress: state.CallerAddress, PeerAddress: state.PeerAddress, ControlAddress: state.ControlAddress}}
 }
 
