--- a/internal/coordination/steer/notices.go
+++ b/internal/coordination/steer/notices.go
@@ -41,7 +41,8 @@
 	if !old.about(server) {
 		old = notice{}
 	}
-	n := notice{startMillis: server.StartMillis, address: server.Address, leaving: leaving || old.leaving, restUntil: old.restUntil, heardAt: now}
+	n := notice{startMillis: server.StartMillis, address: server.Address, leaving: leaving || old.leaving,
+		restUntil: old.restUntil, heardAt: now}
 	if until := now.Add(rest); rest > 0 && until.After(n.restUntil) {
 		n.restUntil = until
 	}
