Say why no server was chosen in refusals

Change: the reasons serverPaused, serverEjected and serverCold beside queueFull, by what holds for most of the skipped servers, and the counts as skipped in requestRefused and attemptEnded. attemptEnded names the server's failure domain, and the metric server_contacts counts the results of dispatches by failure domain and by whether the connection was open before.

Three tests of the balancer expected queueFull for a cold or paused server; they expect the exact reason now, which is stricter. TestRefusalSaysWhyServersWereSkipped is new.

--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -4,6 +4,7 @@
 package steer
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -79,6 +80,34 @@
 	HeardAge time.Duration
 	// Overload is the load for which the server was not chosen; nil if it was chosen.
 	Overload *LoadReport
+	// Skipped says why the servers before this one, or all servers, were not chosen.
+	Skipped Skipped
+}
+
+// Skipped counts servers that were not chosen, by the reason.
+type Skipped struct {
+	// Full servers have maxOutstanding requests of this instance, Paused ones have refused a
+	// connection lately, Ejected ones have failed requests, and Cold ones have got as many requests
+	// as they may while they are cold.
+	Full, Paused, Ejected, Cold int
+}
+
+// String returns the counts for logs.
+func (s Skipped) String() string {
+	return fmt.Sprintf("full %d, paused %d, ejected %d, cold %d", s.Full, s.Paused, s.Ejected, s.Cold)
+}
+
+// reason returns the reason of most servers.
+func (s Skipped) reason() tamarackrun.Reason {
+	switch max(s.Full, s.Paused, s.Ejected, s.Cold) {
+	case s.Full:
+		return tamarackrun.QueueFull
+	case s.Paused:
+		return tamarackrun.ServerPaused
+	case s.Ejected:
+		return tamarackrun.ServerEjected
+	}
+	return tamarackrun.ServerCold
 }
 
 // LoadReport is the load that a server reported.
@@ -203,12 +232,17 @@
 	if len(b.candidates) == 0 {
 		return refusal, why
 	}
-	refused, reason := Choice{}, tamarackrun.QueueFull
+	refused, reason, skipped := Choice{}, tamarackrun.QueueFull, Skipped{}
 	for i := range b.candidates {
 		b.moveBest(i)
 		c := b.candidates[i]
 		st := b.stateOf(c.server)
-		if st.outstanding >= maxOutstanding || now.Before(st.backoffUntil) {
+		switch {
+		case now.Before(st.backoffUntil):
+			skipped.Paused++
+			continue
+		case st.outstanding >= maxOutstanding:
+			skipped.Full++
 			continue
 		}
 		if !st.health.Ejected() && st.overloaded(now, q.TargetLatency) {
@@ -223,10 +257,14 @@
 		}
 		admitted, probe := st.health.Admit(now.Sub(b.createdAt), true)
 		if !admitted && !b.allEjected() {
+			skipped.Ejected++
 			continue
 		}
 		coldFor := max(0, c.server.ColdUntil.Sub(now), st.coldUntil.Sub(now))
 		admitted = coldFor == 0 || b.AdmitCold(now, c.server)
+		if !admitted {
+			skipped.Cold++
+		}
 		if admitted && st.rateLimit != nil {
 			var retryAfter time.Duration
 			if admitted, retryAfter = b.AdmitLimited(now, c.server, *st.rateLimit); !admitted && reason == tamarackrun.QueueFull {
@@ -244,7 +282,11 @@
 		}
 		st.outstanding++
 		st.sentSince++
-		return Choice{Server: c.server, Rank: i, Outstanding: st.outstanding - 1, Probe: probe, ColdFor: coldFor, Limited: st.rateLimit != nil}, ""
+		return Choice{Server: c.server, Rank: i, Outstanding: st.outstanding - 1, Probe: probe, ColdFor: coldFor, Limited: st.rateLimit != nil,
+			Skipped: skipped}, ""
+	}
+	if reason == tamarackrun.QueueFull {
+		refused.Skipped, reason = skipped, skipped.reason()
 	}
 	return refused, reason
 }
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -109,8 +109,8 @@
 	b, now := newBalancer(), time.Now()
 	list := servers(1)
 	list[0].ColdUntil = now.Add(time.Second)
-	if _, reason := b.Choose(now, list, Query{Region: "a"}); reason != tamarackrun.QueueFull {
-		t.Errorf("reason %q while the server is cold, want queueFull", reason)
+	if _, reason := b.Choose(now, list, Query{Region: "a"}); reason != tamarackrun.ServerCold {
+		t.Errorf("reason %q while the server is cold, want serverCold", reason)
 	}
 	if _, reason := b.Choose(now.Add(time.Second), list, Query{Region: "a"}); reason != "" {
 		t.Errorf("reason %q when the server is warm, want none", reason)
@@ -124,8 +124,8 @@
 	list, q := servers(1), Query{Region: "a"}
 	c, _ := b.Choose(now, list, q)
 	b.Done(now, c, health.Failure, true, 1)
-	if _, reason := b.Choose(now.Add(initialBackoff+time.Second), list, q); reason != tamarackrun.QueueFull {
-		t.Errorf("reason %q while the server may be cold, want queueFull", reason)
+	if _, reason := b.Choose(now.Add(initialBackoff+time.Second), list, q); reason != tamarackrun.ServerCold {
+		t.Errorf("reason %q while the server may be cold, want serverCold", reason)
 	}
 	if _, reason := b.Choose(now.Add(initialBackoff+4*time.Second), list, q); reason != "" {
 		t.Errorf("reason %q when the server is warm, want none", reason)
@@ -317,15 +317,37 @@
 	}
 	b.Done(now, c, health.Failure, true, 1)
 	b.MarkCold(&previous, now.Add(time.Second))
-	if _, reason := b.Choose(now.Add(initialBackoff/2), list, q); reason != tamarackrun.QueueFull {
+	if _, reason := b.Choose(now.Add(initialBackoff/2), list, q); reason != tamarackrun.ServerPaused {
 		t.Error("an answer of the previous process ends the pause after a failed connection")
 	}
 	now = now.Add(initialBackoff + b.ColdTime(""))
 	b.MarkCold(list[0], now.Add(time.Second))
-	if _, reason := b.Choose(now, list, q); reason != tamarackrun.QueueFull {
-		t.Errorf("reason %q for a cold server without a share, want %q", reason, tamarackrun.QueueFull)
+	if _, reason := b.Choose(now, list, q); reason != tamarackrun.ServerCold {
+		t.Errorf("reason %q for a cold server without a share, want %q", reason, tamarackrun.ServerCold)
 	}
 	if _, reason := b.Choose(now.Add(time.Second), list, q); reason != "" {
 		t.Errorf("reason %q once the server is warm", reason)
 	}
 }
+
+// Guards against refusals that do not say why no server was chosen: an instance that has lost its
+// links to the servers looked like one whose requests wait.
+func TestRefusalSaysWhyServersWereSkipped(t *testing.T) {
+	b, now, list, q := newBalancer(), time.Now(), servers(3), Query{Region: "a"}
+	for range 3 {
+		c, _ := b.Choose(now, list, q)
+		b.Done(now, c, health.Failure, true, 3)
+	}
+	refused, reason := b.Choose(now, list, q)
+	if diff := cmp.Diff([]any{tamarackrun.ServerPaused, Skipped{Paused: 3}}, []any{reason, refused.Skipped}); diff != "" {
+		t.Errorf("reason and skipped servers after failed connections (-want +got):\n%s", diff)
+	}
+	b, list = newBalancer(), servers(1)
+	for range maxOutstanding {
+		b.Choose(now, list, q)
+	}
+	refused, reason = b.Choose(now, list, q)
+	if diff := cmp.Diff([]any{tamarackrun.QueueFull, Skipped{Full: 1}}, []any{reason, refused.Skipped}); diff != "" {
+		t.Errorf("reason and skipped servers with outstanding requests (-want +got):\n%s", diff)
+	}
+}
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -145,6 +145,7 @@
 		Body:       req.call.Body,
 		Idempotent: req.route.Idempotent,
 	})
+	f.countContact(choice.Server, result)
 	connectFailed := result.Outcome.Reason == tamarackrun.ConnectFailed || result.Fields.Misdirected
 	ejected, reinstated := f.balancer.Done(time.Now(), choice, healthResult(result), connectFailed, len(f.registry.ServersOf(req.service)))
 	if l := result.Fields.Load; l != nil {
@@ -171,6 +172,16 @@
 	return result
 }
 
+// countContact counts the result of a dispatch by the failure domain of its server.
+func (f *Front) countContact(server *registry.Server, result exchange.Result) {
+	contact := "answered"
+	if result.Outcome != tamarackrun.Done && !result.Fields.NotRun {
+		contact = string(result.Outcome.Reason)
+	}
+	f.scope.Tagged(map[string]string{"failureDomain": server.FailureDomain, "result": contact,
+		"reused": strconv.FormatBool(result.Reused)}).Counter("server_contacts").Inc(1)
+}
+
 // noteNotice records what a server has said in an answer about further requests.
 func (f *Front) noteNotice(server *registry.Server, fields tamarackrun.AnswerFields) {
 	if f.balancer.ReportNotice(time.Now(), server, fields.Leaving, fields.RetryAfter) {
@@ -197,7 +208,7 @@
 // logAttempt records the event for one dispatch of a request to a server.
 func (f *Front) logAttempt(req *request, choice steer.Choice, result exchange.Result, sent time.Time) {
 	fields := []string{"route", req.route.Name, "service", req.service, "organisation", req.organisation.Name, "server", choice.Server.Name,
-		"serverRegion", choice.Server.Region, "rank", strconv.Itoa(choice.Rank), "outstanding", strconv.Itoa(choice.Outstanding),
+		"serverDomain", choice.Server.FailureDomain, "serverRegion", choice.Server.Region, "rank", strconv.Itoa(choice.Rank), "outstanding", strconv.Itoa(choice.Outstanding),
 		"recordAge", time.Since(choice.Server.ReceivedAt).Round(time.Millisecond).String(),
 		"configuration", strconv.FormatInt(req.configuration.Version, 10),
 		"waited", sent.Sub(req.call.Arrived).Round(time.Millisecond).String(), "took", time.Since(sent).Round(time.Millisecond).String(),
@@ -205,6 +216,9 @@
 	if result.Err != nil {
 		fields = append(fields, "error", result.Err.Error())
 	}
+	if choice.Skipped != (steer.Skipped{}) {
+		fields = append(fields, "skipped", choice.Skipped.String())
+	}
 	if choice.ColdFor > 0 {
 		fields = append(fields, "coldFor", choice.ColdFor.Round(time.Millisecond).String())
 	}
--- a/internal/program/front/serve.go
+++ b/internal/program/front/serve.go
@@ -185,6 +185,9 @@
 		fields = append(fields, "server", req.overloaded.Server.Name, "serverWaiting", strconv.Itoa(b.Waiting), "serverSlots", strconv.Itoa(b.Slots),
 			"reportAge", b.Age.Round(time.Millisecond).String(), "serverTook", b.ResponseTime.Round(time.Millisecond).String())
 	}
+	if s := req.overloaded.Skipped; s != (steer.Skipped{}) {
+		fields = append(fields, "skipped", s.String())
+	}
 	if c := req.overloaded; c.Overload == nil && c.Server != nil {
 		fields = append(fields, "server", c.Server.Name)
 		if c.HeardAge > 0 {
--- a/outcome.go
+++ b/outcome.go
@@ -36,6 +36,8 @@
 //
 //   - ServerLimited: the servers that may run the request have named rate limits, and this
 //     instance has used its parts of them.
+//   - ServerPaused, ServerEjected, ServerCold: most of the servers that may run the request have refused a
+//     connection lately, have failed requests, or are cold and have got as many requests as they may.
 //   - ServerLeaving, ServerResting: the servers that may run the request have said in their
 //     answers that they are leaving, or that they want no requests for some time.
 //   - NotHome: the instance that was asked is not the home of the server.
@@ -69,6 +71,8 @@
 	ServerShed       Reason = "serverShed"
 	ServerDraining   Reason = "serverDraining"
 	ServerEjected    Reason = "serverEjected"
+	ServerPaused     Reason = "serverPaused"
+	ServerCold       Reason = "serverCold"
 	ConnectFailed    Reason = "connectFailed"
 	ConnectionsFull  Reason = "connectionsFull"
 	HomeUnreachable  Reason = "homeUnreachable"
