--- a/internal/program/command/front.go
+++ b/internal/program/command/front.go
@@ -36,6 +36,7 @@
 
 func newFront() *cobra.Command {
 	var metricsPort uint16
+	var bindServers bool
 	c := &cobra.Command{
 		Use:   "front",
 		Short: "Run an entry instance on the users' platform",
@@ -47,15 +48,17 @@
 			if err != nil {
 				return &codedError{exitInvalid, err}
 			}
-			return runFront(path, s, metricsPort, c.OutOrStdout())
+			return runFront(path, s, metricsPort, bindServers, c.OutOrStdout())
 		},
 	}
 	c.Flags().Uint16Var(&metricsPort, "metrics-port", defaultMetricsPort, "port of the metrics")
+	c.Flags().BoolVar(&bindServers, "bind-server-connections", false,
+		"open connections to backend servers from the IP address in the settings, for machines that have several")
 	return c
 }
 
 // runFront runs an instance on the users' platform until SIGTERM or SIGINT.
-func runFront(path string, s platform.Settings, metricsPort uint16, out io.Writer) error {
+func runFront(path string, s platform.Settings, metricsPort uint16, bindServers bool, out io.Writer) error {
 	writer := &log.AsyncWriter{Writer: log.IOWriter{Writer: out}, ChannelSize: logQueueSize, DiscardOnFull: true}
 	defer func() { _ = writer.Close() }()
 	logger := &log.Logger{Level: log.InfoLevel, Writer: writer}
@@ -65,7 +68,7 @@
 		debug.SetMemoryLimit(int64(collectFraction * float64(s.MemoryBytes)))
 	}
 	f := front.New(s.Terms)
-	f.Identity = s.Identity
+	f.Identity, f.BindServerConnections = s.Identity, bindServers
 	f.Identity.MetricsAddress = net.JoinHostPort(s.IP, strconv.Itoa(int(metricsPort)))
 	f.Store, f.HeaderCodec, f.Logger = store, platform.HeaderCodec{}, logger
 	f.LookupHandler, f.ReadyHandler = platform.NewLookupHandler, platform.NewReadyHandler
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -70,6 +70,9 @@
 	LookupHandler func(tamarackrun.Directory) http.Handler
 	ReadyHandler  func(tamarackrun.Directory) http.Handler
 	Logger        *log.Logger
+	// BindServerConnections makes the instance open its connections to backend servers from its
+	// callers' address.
+	BindServerConnections bool
 	// FollowSettings calls reload with changed terms, and reject with the
 	// reason why changed settings can't be used, until the context ends.
 	FollowSettings func(ctx context.Context, reload func(sla.Terms), reject func(error))
@@ -204,6 +207,13 @@
 	dials := meter.Scope.Counter("server_connections")
 	client.HeaderCodec, client.OnDial = f.HeaderCodec, func() { dials.Inc(1) }
 	f.backendClient = client
+	if f.BindServerConnections {
+		own, err := netip.ParseAddrPort(f.Identity.CallerAddress)
+		if err != nil {
+			return cleanup, eris.Wrap(err, "the callers' address "+f.Identity.CallerAddress+" is not IP:PORT")
+		}
+		client.Source = own.Addr()
+	}
 	if f.Identity.MemoryBytes > 0 {
 		client.Bodies.Limit = int64(bodiesFraction * float64(f.Identity.MemoryBytes))
 	}
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -95,6 +96,9 @@
 	// OnDial is called for each new connection. It may be nil. It is set before
 	// the first request.
 	OnDial func()
+	// Source is the address from which connections are opened. If it is not valid, the
+	// operating system chooses. It is set before the first request.
+	Source netip.Addr
 	// Bodies is the memory for the bodies of answers. Its limit is set before the first
 	// request. An answer may take a quarter of it.
 	Bodies memory.Budget
@@ -166,7 +170,11 @@
 
 // dial opens a connection to the address and calls OnDial.
 func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
-	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+	dialer := c.dialer
+	if c.Source.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.Source, 0))
+	}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
