Give up connections whose bytes are not acknowledged for 2 s

Callers saw 504 at their deadline for requests on connections that hung after the instance had lost its links.

Cause: none of our connections set TCP_USER_TIMEOUT. Linux sends no keep-alive probes while bytes are unacknowledged, so a hung connection lived until the request's deadline, or for a watch of the store for its whole wait of 30 s.

Change: one dialer for connections to servers, the store and other instances, with keep-alive probes and a user timeout of 2 s.

--- a/internal/transport/backend/backend.go
+++ b/internal/transport/backend/backend.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/transport/dialer"
 )
 
 const (
@@ -61,12 +62,12 @@
 // New returns a client with at most the given number of pooled connections to each
 // server. The clean-up function closes idle connections.
 func New(connections int) (*Client, func(), error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	d := dialer.New(dialTimeout)
 	pooled := &http.Transport{
-		DialContext: dialer.DialContext, MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
+		DialContext: d.DialContext, MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
 		IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	c := &Client{dialer: dialer, pooled: pooled}
+	c := &Client{dialer: d, pooled: pooled}
 	return c, pooled.CloseIdleConnections, nil
 }
 
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -16,6 +16,7 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/state/memory"
+	"tamarackrun/internal/transport/dialer"
 )
 
 const (
@@ -47,8 +48,6 @@
 	provenTime = 2 * time.Second
 	// maxIdle bounds the number of idle connections to one address.
 	maxIdle = 32
-	// Keep-alive probes detect lost connections.
-	keepAliveIdle, keepAliveInterval, keepAliveCount = time.Second, time.Second, 2
 )
 
 // Request is a request to one server.
@@ -112,8 +111,7 @@
 
 // New returns a client. The clean-up function closes idle connections.
 func New() (*Client, func()) {
-	c := &Client{idle: map[string][]*connection{}, dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}}}
+	c := &Client{idle: map[string][]*connection{}, dialer: *dialer.New(dialTimeout)}
 	c.Bodies.Limit = defaultMemory
 	return c, func() { c.RetainOnly(nil) }
 }
@@ -170,11 +168,11 @@
 
 // dial opens a connection to the address and calls OnDial.
 func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
-	dialer := c.dialer
+	d := c.dialer
 	if c.Source.IsValid() {
-		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.Source, 0))
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.Source, 0))
 	}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -15,6 +15,7 @@
 	"tamarackrun"
 	"tamarackrun/internal/protocol/frame"
 	"tamarackrun/internal/protocol/wire"
+	"tamarackrun/internal/transport/dialer"
 )
 
 // Limits of a session. With the library's defaults of 30 s, 10 s and 75 s for the
@@ -304,7 +305,7 @@
 		}
 		name = listed
 	}
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	conn, err := dialer.New(dialTimeout).DialContext(ctx, "tcp", address)
 	if err != nil || m.Identity == nil {
 		return conn, err
 	}
