Let other instances send requests of one without links to the servers

Cause: each server was judged alone. Nothing in an instance said that it reaches none, so it went on opening connections one after the other, 0.5 s each, and paused each server that refused one. No other instance was told or asked.

Meanwhile coordination/delegation chooses other instances, which send the requests with their own knowledge of the servers; each limit is counted by the instance that sends. The entry instance keeps authentication, the organisation's token and the answer. Deadlines are stated on the delegate's clock and can only become earlier. Failures of requests that overlap with a cut say nothing about their servers. A request whose first two servers took no connection goes to a delegate too.

Ruled out: pauses and ejections alone. They refuse requests in the cut that leaves connections open, but the silent cut serves nothing without them either.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -66,6 +66,8 @@
 	// StoreUnreachable is true if the instance reported that it cannot reach the
 	// store.
 	StoreUnreachable bool
+	// ServersUnreachable is true if the instance reported that it reaches no backend server.
+	ServersUnreachable bool
 	// RequestRate is the rate at which callers' requests arrive, in requests per second.
 	RequestRate float64
 }
@@ -131,6 +133,8 @@
 	// storeUnreachable is true if the peer reported that it cannot reach the
 	// store.
 	storeUnreachable bool
+	// serversUnreachable is true if the peer reported that it reaches no backend server.
+	serversUnreachable bool
 	// lastReport is when the peer sent its latest known report, and lastMutual until
 	// when messages passed in both directions, directly or through relays.
 	lastReport, lastMutual time.Duration
@@ -186,6 +190,8 @@
 	// RequestRate returns the rate at which callers' requests arrive, in requests per second.
 	// It may be nil.
 	RequestRate func() float64
+	// ServersUnreachable reports whether this instance reaches no backend server. It may be nil.
+	ServersUnreachable func() bool
 	// SpareTokens returns the tokens that this instance would lend, by organisation.
 	SpareTokens func() map[string]float64
 	// Send sends a message to each of the addresses and returns the number of
@@ -258,11 +264,11 @@
 // Leave reports that the instance is about to stop.
 func (m *Membership) Leave() {
 	m.leaving.Store(true)
-	m.reportSoon()
+	m.ReportSoon()
 }
 
-// reportSoon makes Run send a report without waiting for the interval to end.
-func (m *Membership) reportSoon() {
+// ReportSoon makes Run send a report without waiting for the interval to end.
+func (m *Membership) ReportSoon() {
 	select {
 	case m.early <- struct{}{}:
 	default:
@@ -340,7 +346,7 @@
 	}
 	if m.recordsReadAt == 0 {
 		m.recordsReadAt = now
-		m.reportSoon()
+		m.ReportSoon()
 	}
 	// A limit that is divided by the members must not wait for the next report.
 	m.publish(now)
@@ -380,6 +386,11 @@
 	return uint32(math.Round(m.RequestRate()))
 }
 
+// serversUnreachable reports whether this instance reaches no backend server.
+func (m *Membership) serversUnreachable() bool {
+	return m.ServersUnreachable != nil && m.ServersUnreachable()
+}
+
 // boundFraction returns the given fraction of DetectionBound.
 func (m *Membership) boundFraction(fraction float64) time.Duration {
 	return time.Duration(fraction * float64(m.DetectionBound))
@@ -460,7 +471,7 @@
 func (m *Membership) publish(now time.Duration) {
 	recent := m.recentAge()
 	members := []Member{{Name: m.Name, InstanceRecord: m.OwnRecord, Ready: m.ready.Load(), Leaving: m.leaving.Load(), Alive: true,
-		RequestRate: float64(m.requestRate())}}
+		ServersUnreachable: m.serversUnreachable(), RequestRate: float64(m.requestRate())}}
 	for name, p := range m.peers {
 		alive := now-p.lastReport < m.boundFraction(aliveFraction)
 		// A peer that has not reported yet gets some time before it counts as
@@ -476,7 +487,7 @@
 		}
 		members = append(members, Member{Name: name, InstanceRecord: p.record, Ready: p.ready, Leaving: p.leaving, Alive: alive,
 			HeardRecently: now-p.lastReport < recent, StoreUnreachable: p.storeUnreachable,
-			RequestRate: float64(p.requestRate)})
+			ServersUnreachable: p.serversUnreachable, RequestRate: float64(p.requestRate)})
 	}
 	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	m.members.Store(&members)
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -32,10 +32,11 @@
 	now := m.Clock.Now()
 	p.report.at, p.report.demands, p.report.spareTokens = now, readTable(r.Demands), readTable(r.SpareTokens)
 	if r.Leaving && !p.leaving {
-		m.reportSoon()
+		m.ReportSoon()
 	}
 	p.known, p.lastReport, p.spareTokens = true, now, maps.Clone(p.report.spareTokens)
-	p.ready, p.leaving, p.storeUnreachable, p.requestRate = r.Ready, r.Leaving, r.StoreAway, r.RequestRate
+	p.ready, p.leaving, p.requestRate = r.Ready, r.Leaving, r.RequestRate
+	p.storeUnreachable, p.serversUnreachable = r.StoreAway, r.ServersAway
 	if slices.Contains(r.HeardRelays, m.ownHash) {
 		p.lastMutual = now
 	}
@@ -94,9 +95,10 @@
 			p.lastReport = at
 			if fromOtherDomain && f&flagLeaving != 0 && !p.leaving {
 				// Callers must soon see that the directory no longer names the member.
-				m.reportSoon()
+				m.ReportSoon()
 			}
-			p.ready, p.leaving, p.storeUnreachable = f&flagReady != 0, f&flagLeaving != 0, f&flagStoreUnreachable != 0
+			p.ready, p.leaving = f&flagReady != 0, f&flagLeaving != 0
+			p.storeUnreachable, p.serversUnreachable = f&flagStoreUnreachable != 0, f&flagServersUnreachable != 0
 			if i < len(t.RequestRates) {
 				p.requestRate = t.RequestRates[i]
 			}
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -28,6 +28,7 @@
 	flagReady = 1 << iota
 	flagLeaving
 	flagStoreUnreachable
+	flagServersUnreachable
 )
 
 // ownState is what the instance itself contributes to its messages. Demands and tokens are by
@@ -60,7 +61,7 @@
 	relays, isRelay := m.ownRelays(now)
 	m.noteAsked(relays, now)
 	report := &wire.InstanceReport{Name: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Ready: m.ready.Load(),
-		Leaving: m.leaving.Load(), StoreAway: m.Verifier.StoreUnreachable(), Era: s.era, Revisions: s.revisions,
+		Leaving: m.leaving.Load(), StoreAway: m.Verifier.StoreUnreachable(), ServersAway: m.serversUnreachable(), Era: s.era, Revisions: s.revisions,
 		VerifiedAge: s.ageMillis(), Demands: rateTable(s.demands), SpareTokens: rateTable(s.spareTokens),
 		HeardRelays: m.heardRelays(now), RequestRate: m.requestRate()}
 	messages := []outgoing{{&wire.InstanceMessage{Content: &wire.InstanceMessage_Report{Report: report}}, addressesOf(relays)}}
@@ -190,29 +191,28 @@
 // memberTable returns a table with this instance and the peers. The caller holds m.mu.
 func (m *Membership) memberTable(now time.Duration, peers []*peer) *wire.MemberTable {
 	t := &wire.MemberTable{Names: []uint64{m.ownHash}, Ages: []uint32{0}, ContactAges: []uint32{0}, RequestRates: []uint32{m.requestRate()},
-		Flags: []byte{flags(m.ready.Load(), m.leaving.Load(), m.Verifier.StoreUnreachable())}}
+		Flags: []byte{flags(m.ready.Load(), m.leaving.Load(), m.Verifier.StoreUnreachable(), m.serversUnreachable())}}
 	for _, p := range peers {
 		t.Names = append(t.Names, p.hash)
 		t.Ages = append(t.Ages, uint32(min(now-p.lastReport, removeAfter).Milliseconds()))
 		t.RequestRates = append(t.RequestRates, p.requestRate)
-		t.Flags = append(t.Flags, flags(p.ready, p.leaving, p.storeUnreachable))
+		t.Flags = append(t.Flags, flags(p.ready, p.leaving, p.storeUnreachable, p.serversUnreachable))
 		t.ContactAges = append(t.ContactAges, uint32(min(now-p.lastMutual, removeAfter).Milliseconds()))
 	}
 	return t
 }
 
-func flags(ready, leaving, storeUnreachable bool) byte {
-	f := byte(0)
-	if ready {
-		f |= flagReady
-	}
-	if leaving {
-		f |= flagLeaving
-	}
-	if storeUnreachable {
-		f |= flagStoreUnreachable
+func flags(ready, leaving, storeUnreachable, serversUnreachable bool) byte {
+	return bit(ready, flagReady) | bit(leaving, flagLeaving) | bit(storeUnreachable, flagStoreUnreachable) |
+		bit(serversUnreachable, flagServersUnreachable)
+}
+
+// bit returns the flag if it is set, and else 0.
+func bit(set bool, flag byte) byte {
+	if set {
+		return flag
 	}
-	return f
+	return 0
 }
 
 // memberTokens holds the tokens that the member at a position of a member table can lend, by
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -402,6 +402,15 @@
 	return st
 }
 
+// Cancel ends a request that Choose counted and that did not reach the server, for a reason that shows
+// nothing about the server.
+func (b *Balancer) Cancel(now time.Time, c Choice) {
+	if c.Limited {
+		b.ReturnLimited(now, c.Server)
+	}
+	b.Done(now, c, health.Inconclusive, false, 0)
+}
+
 // Done records the result of a request that Choose counted. serverCount is the number of
 // servers of the service. Done reports whether the result ejected or reinstated the
 // server.
--- /dev/null
+++ b/internal/program/front/delegation.go
@@ -0,0 +1,335 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tamarackrun"
+	"tamarackrun/internal/coordination/membership"
+	"tamarackrun/internal/protocol/event"
+	"tamarackrun/internal/protocol/frame"
+	"tamarackrun/internal/protocol/wire"
+	"tamarackrun/internal/state/boottime"
+	"tamarackrun/internal/state/configuration"
+	"tamarackrun/internal/transport/exchange"
+	"tamarackrun/internal/transport/pipeline"
+)
+
+const (
+	// maxDelegates is the number of instances that may be asked to send a request.
+	maxDelegates = 2
+	// maxDelegatedBody is the largest body, in bytes, of a request that other instances may send. It
+	// fits in one message.
+	maxDelegatedBody = 1 << 20
+	// maxDelegated bounds the requests that an instance sends for others at a time.
+	maxDelegated = 512
+	// clockTimeout bounds the wait for a delegate's clock.
+	clockTimeout = 500 * time.Millisecond
+	// answerPiece is the size of the pieces of an answer's body, in bytes.
+	answerPiece = 256 << 10
+)
+
+// errAnswerLength is the error of an answer whose body has another length than was announced.
+var errAnswerLength = errors.New("the delegate's answer does not have its announced length")
+
+// linksChanged is called when this instance has lost its links to all servers, and when it has them
+// again.
+func (f *Front) linksChanged(unreachable bool, since time.Time) {
+	id := event.ServersReachable
+	if unreachable {
+		id = event.ServersUnreachable
+	}
+	f.history.Record(id, "", "firstFailureAge", time.Since(since).Round(time.Millisecond).String(),
+		"servers", strconv.Itoa(len(f.registry.Addresses())))
+	f.members.ReportSoon()
+}
+
+// attemptByDelegate asks other instances, one after the other, to send the request. It reports whether
+// no server may get the request after that. If no instance takes it, the request may still be sent
+// directly.
+func (f *Front) attemptByDelegate(ctx context.Context, a *attempts) bool {
+	req, charged := a.request, a.delivered == 0
+	for len(a.delegates) < maxDelegates {
+		m, ok := f.delegates.Choose([][]string{req.route.Regions, req.organisation.Regions}, a.delegates)
+		if !ok {
+			break
+		}
+		a.delegates = append(a.delegates, m.Name)
+		if !charged && !f.countOnce(a).AllowRetry(time.Since(f.started)) {
+			f.delegates.Done(m.Name)
+			f.recordRetryDenied(a)
+			return true
+		}
+		charged = true
+		began := time.Now()
+		reply, result := f.sendToDelegate(ctx, a, m)
+		f.delegates.Done(m.Name)
+		f.logDelegation(req, m, reply, result, began)
+		if reply.Refused {
+			continue
+		}
+		a.retryAfter = time.Duration(reply.RetryAfterMillis) * time.Millisecond
+		if result.Outcome == tamarackrun.Done {
+			f.learnFromAnswer(req.service, reply.Server, result)
+		}
+		return f.addResult(a, reply.Server, result) || result.Outcome.Reason != tamarackrun.DelegateLost
+	}
+	a.delegable = false
+	if a.delivered+a.undelivered == 0 {
+		a.outcome = tamarackrun.Refused(tamarackrun.ServersUnreachable)
+	}
+	return false
+}
+
+// refusedDelegation returns the reply of an instance that has not taken a request.
+func refusedDelegation(reason tamarackrun.Reason) *wire.Delegated {
+	return &wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(reason), Refused: true}
+}
+
+// sendToDelegate asks an instance to send the request and returns its reply with the result.
+func (f *Front) sendToDelegate(ctx context.Context, a *attempts, m membership.Member) (*wire.Delegated, exchange.Result) {
+	message, err := f.encodeDelegate(ctx, a, m)
+	if err != nil {
+		return refusedDelegation(tamarackrun.ConnectFailed), exchange.Result{Err: err}
+	}
+	stream, err := f.mesh.Open(ctx, m.ReportAddress)
+	if err != nil {
+		return refusedDelegation(tamarackrun.ConnectFailed), exchange.Result{Err: err}
+	}
+	defer func() { _ = stream.Close() }()
+	// After an error, the message may have been sent all the same.
+	err = stream.Send(&wire.Envelope{Kind: &wire.Envelope_Delegate{Delegate: message}})
+	var envelope *wire.Envelope
+	if err == nil {
+		envelope, err = stream.Receive()
+	}
+	reply := envelope.GetDelegated()
+	if reply == nil {
+		return &wire.Delegated{}, exchange.Result{Outcome: lostOutcome(ctx), Sent: true, Err: err}
+	}
+	f.delegates.NoteClock(m.Name, reply.GetClock().GetProcess(), time.Duration(reply.GetClock().GetMillis())*time.Millisecond)
+	if reply.Refused {
+		if tamarackrun.Reason(reply.Reason) == tamarackrun.DelegateChanged {
+			f.delegates.Forget(m.Name)
+		}
+		return reply, exchange.Result{}
+	}
+	result, err := f.receiveDelegated(stream, reply)
+	if err != nil {
+		f.backendClient.Release(result)
+		return reply, exchange.Result{Outcome: lostOutcome(ctx), Sent: true, Err: err}
+	}
+	return reply, result
+}
+
+// lostOutcome returns the outcome of a request whose delegate has not answered.
+func lostOutcome(ctx context.Context) tamarackrun.Outcome {
+	switch {
+	case ctx.Err() == nil:
+		return tamarackrun.Uncertain(tamarackrun.DelegateLost)
+	case eris.Is(context.Cause(ctx), context.Canceled):
+		return tamarackrun.Uncertain(tamarackrun.AnswerCancelled)
+	}
+	return tamarackrun.Uncertain(tamarackrun.AnswerTimeout)
+}
+
+// encodeDelegate returns the message that asks an instance to send the request. It asks for the
+// instance's clock if that is not known.
+func (f *Front) encodeDelegate(ctx context.Context, a *attempts, m membership.Member) (*wire.Delegate, error) {
+	req := a.request
+	clock := boottime.Clock{}
+	process, deadline, ok := f.delegates.Deadline(m.Name, clock.Now()+time.Until(req.deadline))
+	if !ok {
+		if err := f.askClock(ctx, m); err != nil {
+			return nil, err
+		}
+		process, deadline, _ = f.delegates.Deadline(m.Name, clock.Now()+time.Until(req.deadline))
+	}
+	r := req.call.Request
+	header := r.Header.Clone()
+	// The key is removed; the delegate sets the fields again.
+	f.HeaderCodec.RewriteRequest(header, tamarackrun.ForwardFields{Organisation: req.organisation.Name})
+	return &wire.Delegate{
+		Process: process, DeadlineMillis: uint64(max(0, deadline.Milliseconds())), Entry: f.Identity.Name, Id: req.caller.ID,
+		Route: req.route.Name, Service: req.service, Organisation: req.organisation.Name, Method: r.Method, Target: r.RequestURI,
+		Host: r.Host, Header: frame.HeaderFields(header), Body: req.call.Body, Idempotent: req.route.Idempotent,
+		Attempts: uint32(req.route.MaxAttempts - a.delivered), Counted: a.counted, Tried: a.tried, Object: f.query(req).Object,
+		TargetLatencyMillis: uint64(req.route.TargetLatency.Milliseconds()), RouteRegions: req.route.Regions,
+		OrganisationRegions: req.organisation.Regions,
+	}, nil
+}
+
+// askClock asks an instance for its clock.
+func (f *Front) askClock(ctx context.Context, m membership.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, clockTimeout)
+	defer cancel()
+	reply, err := f.mesh.Call(ctx, m.ReportAddress, &wire.Envelope{Kind: &wire.Envelope_ClockQuery{ClockQuery: &wire.ClockQuery{}}})
+	if err != nil {
+		return err
+	}
+	clock := reply.GetProcessClock()
+	if clock.GetProcess() == 0 {
+		return errors.New("the reply of " + m.Name + " does not name its process")
+	}
+	f.delegates.NoteClock(m.Name, clock.Process, time.Duration(clock.Millis)*time.Millisecond)
+	return nil
+}
+
+// receiveDelegated returns the result that a delegate has sent, with the body of the answer.
+func (f *Front) receiveDelegated(stream tamarackrun.Stream, reply *wire.Delegated) (exchange.Result, error) {
+	outcome, ok := frame.ParseOutcome(reply.Outcome, reply.Reason)
+	if !ok || outcome.Kind == tamarackrun.Ran && http.StatusText(int(reply.Status)) == "" && reply.Status < http.StatusOK {
+		return exchange.Result{}, errors.New("the delegate's reply has no valid outcome")
+	}
+	result := exchange.Result{Outcome: outcome, Sent: outcome.Kind != tamarackrun.NotRun}
+	if outcome.Kind != tamarackrun.Ran {
+		return result, nil
+	}
+	result.Status, result.Header = int(reply.Status), frame.Header(reply.Header)
+	result.Fields = f.HeaderCodec.DecodeAnswer(result.Status, result.Header)
+	if reply.Length > uint64(f.backendClient.Bodies.Limit) || !f.backendClient.Hold(&result, int64(reply.Length)) {
+		return exchange.Result{Outcome: tamarackrun.Uncertain(tamarackrun.AnswersFull), Sent: true}, nil
+	}
+	result.Body = make([]byte, 0, reply.Length)
+	for uint64(len(result.Body)) < reply.Length {
+		message, err := stream.Receive()
+		if err != nil {
+			return result, err
+		}
+		piece := message.GetAnswerBody().GetPiece()
+		if len(piece) == 0 || uint64(len(result.Body)+len(piece)) > reply.Length {
+			return result, errAnswerLength
+		}
+		result.Body = append(result.Body, piece...)
+	}
+	return result, nil
+}
+
+// learnFromAnswer records what a server has said in an answer that another instance has got. The
+// users' rules count from the moment at which this instance passes it on.
+func (f *Front) learnFromAnswer(service, name string, result exchange.Result) {
+	for _, server := range f.registry.ServersOf(service) {
+		if server.Name == name {
+			f.balancer.ReportLimit(name, result.Fields.RateLimit)
+			f.noteNotice(server, tamarackrun.AnswerFields{Leaving: result.Fields.Leaving})
+		}
+	}
+}
+
+// logDelegation records that an instance was asked to send the request.
+func (f *Front) logDelegation(req *request, m membership.Member, reply *wire.Delegated, result exchange.Result, began time.Time) {
+	outcome := result.Outcome
+	if reply.Refused {
+		outcome = tamarackrun.Refused(tamarackrun.Reason(reply.Reason))
+	}
+	fields := []string{"route", req.route.Name, "service", req.service, "organisation", req.organisation.Name, "delegate", m.Name,
+		"delegateRegion", m.Region, "taken", strconv.FormatBool(!reply.Refused), "server", reply.Server,
+		"serversUnreachable", strconv.FormatBool(f.links.ServersUnreachable()),
+		"waited", began.Sub(req.call.Arrived).Round(time.Millisecond).String(), "took", time.Since(began).Round(time.Millisecond).String(),
+		"outcome", outcome.String(), "status", strconv.Itoa(result.Status)}
+	if result.Err != nil {
+		fields = append(fields, "error", result.Err.Error())
+	}
+	f.history.Record(event.RequestDelegated, req.caller.ID, fields...)
+	f.history.CountOutcome("delegation", outcome)
+}
+
+// processClock returns the time on this instance's clock.
+func (f *Front) processClock() *wire.ProcessClock {
+	return &wire.ProcessClock{Process: f.process, Millis: uint64(boottime.Clock{}.Now().Milliseconds())}
+}
+
+// serveDelegate sends a request for another instance and replies with the result.
+func (f *Front) serveDelegate(ctx context.Context, m *wire.Delegate, stream tamarackrun.Stream) {
+	defer f.delegated.Add(-1)
+	var reply *wire.Delegated
+	var result exchange.Result
+	if reason := f.refuseDelegate(m, f.delegated.Add(1)); reason != "" {
+		reply = refusedDelegation(reason)
+	} else {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(f.delegatedContext, cancel)()
+		reply, result = f.runDelegated(ctx, m)
+	}
+	defer f.backendClient.Release(result)
+	reply.Clock = f.processClock()
+	// An error means that the entry instance has gone.
+	if stream.Send(&wire.Envelope{Kind: &wire.Envelope_Delegated{Delegated: reply}}) != nil {
+		return
+	}
+	for piece := range slices.Chunk(result.Body, answerPiece) {
+		if stream.Send(&wire.Envelope{Kind: &wire.Envelope_AnswerBody{AnswerBody: &wire.AnswerBody{Piece: piece}}}) != nil {
+			return
+		}
+	}
+}
+
+// refuseDelegate returns why this instance does not take the request of another one, which is one of
+// running requests of others, or "".
+func (f *Front) refuseDelegate(m *wire.Delegate, running int64) tamarackrun.Reason {
+	switch {
+	case m.Process != f.process:
+		return tamarackrun.DelegateChanged
+	case f.leaving.Load():
+		return tamarackrun.Leaving
+	case !f.members.IsReady():
+		return tamarackrun.NotReady
+	case f.links.ServersUnreachable():
+		return tamarackrun.ServersUnreachable
+	case running > maxDelegated:
+		return tamarackrun.DelegateFull
+	}
+	return ""
+}
+
+// runDelegated sends a request for another instance to servers.
+func (f *Front) runDelegated(ctx context.Context, m *wire.Delegate) (reply *wire.Delegated, result exchange.Result) {
+	outcome := tamarackrun.Uncertain(tamarackrun.InternalError)
+	reply = &wire.Delegated{}
+	defer func() { reply.Outcome, reply.Reason = uint32(outcome.Kind), string(outcome.Reason) }()
+	defer f.recoverPanic("delegated request", nil)
+	if !f.callerServer.Bodies.Reserve(int64(len(m.Body))) {
+		outcome = tamarackrun.Refused(tamarackrun.BodiesFull)
+		return reply, result
+	}
+	defer f.callerServer.Bodies.Release(int64(len(m.Body)))
+	req := f.decodeDelegate(m)
+	a := f.attempt(ctx, req, m.Tried)
+	if n := len(a.tried); n > len(m.Tried) {
+		reply.Server = a.tried[n-1]
+	}
+	if a.answer != nil {
+		outcome, result = tamarackrun.Done, *a.answer
+		reply.Status, reply.Header, reply.Length = uint32(result.Status), frame.HeaderFields(result.Header), uint64(len(result.Body))
+		return reply, result
+	}
+	outcome = a.outcome
+	reply.RetryAfterMillis = uint64(f.retryAfter(req).Milliseconds())
+	return reply, result
+}
+
+// decodeDelegate returns the request that another instance asks this one to send.
+func (f *Front) decodeDelegate(m *wire.Delegate) *request {
+	now := time.Now()
+	remaining := time.Duration(m.DeadlineMillis)*time.Millisecond - boottime.Clock{}.Now()
+	return &request{
+		call: pipeline.Call{Arrived: now, Body: m.Body,
+			Request: &http.Request{Method: m.Method, RequestURI: m.Target, Host: m.Host, Header: frame.Header(m.Header)}},
+		caller:        tamarackrun.CallerFields{ID: m.Id, Object: m.Object},
+		configuration: f.snapshot.Load(),
+		route: configuration.Route{Name: m.Route, Idempotent: m.Idempotent, MaxAttempts: int(m.Attempts), Sticky: m.Object != "",
+			Regions: m.RouteRegions, TargetLatency: time.Duration(m.TargetLatencyMillis) * time.Millisecond},
+		organisation: configuration.Organisation{Name: m.Organisation, Regions: m.OrganisationRegions},
+		service:      m.Service,
+		deadline:     now.Add(remaining),
+		entry:        m.Entry,
+		counted:      m.Counted,
+	}
+}
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -1,13 +1,16 @@
 package front
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/health"
+	"tamarackrun/internal/coordination/retry"
 	"tamarackrun/internal/coordination/steer"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/state/registry"
@@ -32,12 +35,20 @@
 	// delivered counts the servers that got the request; undelivered counts those
 	// that did not, or whose address belongs to another server now.
 	delivered, undelivered int
+	// counted is true if the request counts in the retry budget.
+	counted bool
+	// delegates are the names of the instances that were asked to send the request, and delegable is
+	// true while more of them may be asked.
+	delegates []string
+	delegable bool
 	// answer is the latest answer of a server; nil if there is none. An answer
 	// with a 5xx status to an idempotent request is sent to the caller only if no
 	// later attempt gives another answer.
 	answer *exchange.Result
 	// outcome is the outcome of the request if answer is nil.
 	outcome tamarackrun.Outcome
+	// retryAfter is how long a delegate has told the caller to wait; 0 if none has.
+	retryAfter time.Duration
 }
 
 // mayContinue reports whether another dispatch is allowed.
@@ -67,49 +78,87 @@
 	return result.Outcome.Kind == tamarackrun.Unknown && !idempotent
 }
 
-// dispatch sends the request to one server after the other until a result is
-// final or no further attempt is allowed.
+// dispatch sends the request to servers and returns the answer.
 func (f *Front) dispatch(ctx context.Context, req *request) pipeline.Answer {
+	a := f.attempt(ctx, req, nil)
+	if a.answer != nil {
+		return f.serverAnswer(*a.answer)
+	}
+	if a.outcome.Kind == tamarackrun.NotRun {
+		f.returnToken(req)
+	}
+	return f.outcomeAnswer(req, a.outcome, cmp.Or(a.retryAfter, f.retryAfter(req)))
+}
+
+// attempt sends the request to one server after the other, without the tried ones, until a result is
+// final or no further attempt is allowed.
+func (f *Front) attempt(ctx context.Context, req *request, tried []string) *attempts {
 	ctx, cancel := context.WithDeadlineCause(ctx, req.deadline.Add(answerMargin), context.DeadlineExceeded)
 	defer cancel()
-	budget := f.retryBudgets.forService(req.service, f.terms.Load())
-	budget.CountRequest(time.Since(f.started))
-	a := &attempts{request: req, outcome: tamarackrun.Refused(tamarackrun.NoHealthyServer)}
+	a := &attempts{request: req, tried: tried, delegable: req.entry == "" && len(req.call.Body) <= maxDelegatedBody,
+		outcome: tamarackrun.Refused(tamarackrun.NoHealthyServer)}
 	for a.mayContinue(time.Now()) && ctx.Err() == nil {
-		choice, reason := f.choose(req, a.tried)
-		if reason != "" {
-			if len(a.tried) == 0 {
-				a.outcome, req.overloaded = tamarackrun.Refused(reason), choice
-			}
-			break
+		var ended bool
+		if a.delegable && (f.links.ServersUnreachable() || a.undelivered == maxConnectFailures-1) {
+			ended = f.attemptByDelegate(ctx, a)
+		} else {
+			ended = f.attemptDirectly(ctx, a)
 		}
-		if a.delivered > 0 && !budget.AllowRetry(time.Since(f.started)) {
-			f.balancer.Done(time.Now(), choice, health.Inconclusive, false, 0)
-			f.history.Record(event.RetryDenied, req.caller.ID, "reason", string(a.outcome.Reason), "service", req.service)
-			break
-		}
-		previous, result := a.answer, f.send(ctx, req, choice)
-		final := a.add(choice.Server.Name, result)
-		switch {
-		case result.Outcome != tamarackrun.Done:
-			f.backendClient.Release(result)
-		case previous != nil:
-			f.backendClient.Release(*previous)
-		}
-		if final {
+		if ended {
 			break
 		}
 	}
-	if a.answer != nil {
-		return f.serverAnswer(*a.answer)
+	if a.answer == nil && a.outcome.Kind == tamarackrun.NotRun && req.overloaded.Server == nil {
+		req.overloaded = f.balancer.Resting(time.Now(), f.registry.ServersOf(req.service), f.query(req))
 	}
-	if a.outcome.Kind == tamarackrun.NotRun {
-		f.returnToken(req)
-		if req.overloaded.Server == nil {
-			req.overloaded = f.balancer.Resting(time.Now(), f.registry.ServersOf(req.service), f.query(req))
+	return a
+}
+
+// attemptDirectly sends the request to one server. It reports whether no other may get it.
+func (f *Front) attemptDirectly(ctx context.Context, a *attempts) bool {
+	req := a.request
+	budget := f.countOnce(a)
+	choice, reason := f.choose(req, a.tried)
+	if reason != "" {
+		if a.delivered+a.undelivered == 0 {
+			a.outcome, req.overloaded = tamarackrun.Refused(reason), choice
 		}
+		return true
 	}
-	return f.outcomeAnswer(req, a.outcome, f.retryAfter(req))
+	if a.delivered > 0 && !budget.AllowRetry(time.Since(f.started)) {
+		f.balancer.Cancel(time.Now(), choice)
+		f.recordRetryDenied(a)
+		return true
+	}
+	return f.addResult(a, choice.Server.Name, f.send(ctx, req, choice))
+}
+
+// countOnce counts the request in the retry budget of its service, unless it is counted.
+func (f *Front) countOnce(a *attempts) *retry.Budget {
+	budget := f.retryBudgets.forService(a.request.service, f.terms.Load())
+	if !a.counted && !a.request.counted {
+		budget.CountRequest(time.Since(f.started))
+	}
+	a.counted = true
+	return budget
+}
+
+func (f *Front) recordRetryDenied(a *attempts) {
+	f.history.Record(event.RetryDenied, a.request.caller.ID, "reason", string(a.outcome.Reason), "service", a.request.service)
+}
+
+// addResult adds the result of a dispatch and releases the answer that is no longer needed. It
+// reports whether the result is final.
+func (f *Front) addResult(a *attempts, server string, result exchange.Result) bool {
+	previous := a.answer
+	final := a.add(server, result)
+	switch {
+	case result.Outcome != tamarackrun.Done:
+		f.backendClient.Release(result)
+	case previous != nil:
+		f.backendClient.Release(*previous)
+	}
+	return final
 }
 
 // choose selects the server for the next attempt, or returns the reason why there
@@ -144,10 +193,13 @@
 		Header:     header,
 		Body:       req.call.Body,
 		Idempotent: req.route.Idempotent,
+		OpenOnly:   f.links.ServersUnreachable(),
 	})
 	f.countContact(choice.Server, result)
-	connectFailed := result.Outcome.Reason == tamarackrun.ConnectFailed || result.Fields.Misdirected
-	ejected, reinstated := f.balancer.Done(time.Now(), choice, healthResult(result), connectFailed, len(f.registry.ServersOf(req.service)))
+	if errors.Is(result.Err, exchange.ErrNoConnection) {
+		result.Outcome = tamarackrun.Refused(tamarackrun.ServersUnreachable)
+	}
+	ejected, reinstated := f.judge(choice, result, now)
 	if l := result.Fields.Load; l != nil {
 		responseTime := time.Since(now)
 		if result.Outcome != tamarackrun.Done {
@@ -172,6 +224,28 @@
 	return result
 }
 
+// judge records what the result of a dispatch, which was sent at the given time, shows about its
+// server and about the links to all servers.
+func (f *Front) judge(choice steer.Choice, result exchange.Result, sent time.Time) (ejected, reinstated bool) {
+	unanswered := unansweredReasons[result.Outcome.Reason]
+	if unanswered && f.links.Inconclusive(sent) {
+		if result.Sent {
+			return f.balancer.Done(time.Now(), choice, health.Inconclusive, false, 0)
+		}
+		f.balancer.Cancel(time.Now(), choice)
+		return false, false
+	}
+	if unanswered {
+		f.links.ReportFailure(sent)
+	}
+	connectFailed := result.Outcome.Reason == tamarackrun.ConnectFailed || result.Fields.Misdirected
+	return f.balancer.Done(time.Now(), choice, healthResult(result), connectFailed, len(f.registry.ServersOf(choice.Server.Service)))
+}
+
+// unansweredReasons are the reasons of dispatches that a lost link may have caused.
+var unansweredReasons = map[tamarackrun.Reason]bool{tamarackrun.ConnectFailed: true, tamarackrun.DeadlinePassed: true,
+	tamarackrun.AnswerLost: true, tamarackrun.AnswerTimeout: true, tamarackrun.ServersUnreachable: true}
+
 // countContact counts the result of a dispatch by the failure domain of its server.
 func (f *Front) countContact(server *registry.Server, result exchange.Result) {
 	contact := "answered"
@@ -222,6 +296,9 @@
 	if choice.ColdFor > 0 {
 		fields = append(fields, "coldFor", choice.ColdFor.Round(time.Millisecond).String())
 	}
+	if req.entry != "" {
+		fields = append(fields, "entry", req.entry)
+	}
 	if req.loan != "" {
 		fields = append(fields, "loan", string(req.loan))
 	}
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"maps"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -21,8 +23,10 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/coldstart"
+	"tamarackrun/internal/coordination/delegation"
 	"tamarackrun/internal/coordination/directory"
 	"tamarackrun/internal/coordination/follow"
+	"tamarackrun/internal/coordination/linkcheck"
 	"tamarackrun/internal/coordination/loan"
 	"tamarackrun/internal/coordination/membership"
 	"tamarackrun/internal/coordination/quota"
@@ -93,6 +97,16 @@
 	verifier      *verify.Verifier
 	source        *source.Source
 	mesh          *peer.Mesh
+	links         *linkcheck.Checker
+	// delegates are the instances that send requests to servers while this one can't, and delegated
+	// is the number of requests that it sends for others now.
+	delegates *delegation.Pool
+	delegated atomic.Int64
+	// process identifies the process. It is random, and not 0.
+	process int64
+	// delegatedContext ends when the running requests of others are cancelled.
+	delegatedContext context.Context
+	cancelDelegated  context.CancelFunc
 	// known holds what the instance knows of each collection, for the instances that read
 	// the store through this one.
 	known map[tamarackrun.Collection]*records.Collection
@@ -136,6 +150,8 @@
 		balancer:      steer.New(),
 		coldLimiter:   &coldstart.Limiter{},
 		serverLimiter: serverlimit.New(time.Now()),
+		links:         linkcheck.New(),
+		process:       1 + rand.Int64N(math.MaxInt64-1),
 		announceAgain: make(chan struct{}, 1),
 		instancesRead: make(chan struct{}),
 		recordWritten: make(chan struct{}),
@@ -143,6 +159,7 @@
 		selectors:     map[string]*directory.Selector{},
 		encoded:       map[tamarackrun.Collection]*wire.RecordPage{},
 	}
+	f.delegatedContext, f.cancelDelegated = context.WithCancel(context.Background())
 	f.terms.Store(&t)
 	f.limiter.SetBound(t.RateWindow, t.RateOverage, t.RateSlack)
 	return f
@@ -182,6 +199,7 @@
 	start("reports", f.members.Run)
 	start("verify", f.verifier.Run)
 	start("probe", f.newProber().Run)
+	start("links", f.links.Run)
 	start("sweep", f.sweep)
 	f.history.Record(event.Started, "", "failureDomain", f.Identity.FailureDomain, "region", f.Identity.Region)
 	<-ctx.Done()
@@ -223,6 +241,7 @@
 	f.balancer.AdmitLimited = f.admitLimited
 	f.balancer.ReturnLimited = func(now time.Time, server *registry.Server) { f.serverLimiter.Return(now, server.Name) }
 	f.balancer.CountWarm = func(now time.Time, server *registry.Server) { f.coldLimiter.Count(now, server.Name) }
+	f.links.Servers, f.links.Dial, f.links.OnChange = f.registry.Servers, client.Connect, f.linksChanged
 	socket, closeSocket, err := datagram.New(f.Identity.ReportAddress)
 	if err != nil {
 		return cleanup, err
@@ -275,6 +294,8 @@
 	}
 	f.members.RequestRate = func() float64 { return f.requestRate.value(time.Now()) }
 	f.members.OnRecordMissing = f.requestAnnounce
+	f.members.ServersUnreachable = f.links.ServersUnreachable
+	f.delegates = &delegation.Pool{Name: f.Identity.Name, Region: f.Identity.Region, Clock: boottime.Clock{}, Members: f.members.Members}
 	var latest membership.Reachability
 	f.members.OnReport = func(reachability membership.Reachability, totalDemand func(organisation string) float64) {
 		if reachability != latest {
@@ -419,11 +440,21 @@
 		f.balancer.Forget(now, f.registry.Usable)
 		f.serverLimiter.Forget(f.registry.Usable)
 		f.scope.Gauge("caller_connections").Update(float64(f.callerServer.ConnectionCount()))
+		f.scope.Gauge("servers_unreachable").Update(gaugeOf(f.links.ServersUnreachable()))
+		f.scope.Gauge("delegated_requests").Update(float64(f.delegated.Load()))
 		f.scope.Gauge("servers").Update(float64(len(addresses)))
 		f.scope.Gauge("configuration_version").Update(float64(f.configurationVersion()))
 	}
 }
 
+// gaugeOf returns 1 for true and 0 for false.
+func gaugeOf(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // coldTime returns how long a new server of the service counts as cold.
 func (f *Front) coldTime(service string) time.Duration {
 	c := f.snapshot.Load()
--- a/internal/program/front/reading.go
+++ b/internal/program/front/reading.go
@@ -63,13 +63,21 @@
 	})
 }
 
-// ServePeer answers a query of an instance that reads the store through this one.
+// ServePeer serves the request of another instance.
 func (f *Front) ServePeer(ctx context.Context, first *wire.Envelope, stream tamarackrun.Stream) {
-	defer f.recoverPanic("record query", nil)
-	query := first.GetRecordQuery()
-	if query == nil {
-		return
+	defer f.recoverPanic("peer request", nil)
+	switch kind := first.Kind.(type) {
+	case *wire.Envelope_RecordQuery:
+		f.serveRecordQuery(ctx, kind.RecordQuery, stream)
+	case *wire.Envelope_ClockQuery:
+		// An error means that the asking instance has gone.
+		_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_ProcessClock{ProcessClock: f.processClock()}})
+	case *wire.Envelope_Delegate:
+		f.serveDelegate(ctx, kind.Delegate, stream)
 	}
+}
+
+func (f *Front) serveRecordQuery(ctx context.Context, query *wire.RecordQuery, stream tamarackrun.Stream) {
 	page, err := f.answerQuery(ctx, query)
 	if err != nil {
 		page = &wire.RecordPage{Problem: err.Error()}
--- a/internal/program/front/serve.go
+++ b/internal/program/front/serve.go
@@ -84,6 +84,11 @@
 	// limit, or not valid.
 	loan   loan.Outcome
 	lender netip.AddrPort
+	// entry is the instance that has delegated the request to this one; empty if the caller has sent
+	// it here.
+	entry string
+	// counted is true if the entry instance has counted the request in its retry budget.
+	counted bool
 	// overloaded holds the server whose load is the reason for the refusal, if
 	// any.
 	overloaded steer.Choice
--- a/internal/program/front/shutdown.go
+++ b/internal/program/front/shutdown.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"tamarackrun/internal/coordination/waiting"
 	"tamarackrun/internal/protocol/event"
 )
 
@@ -22,6 +23,8 @@
 	// killMargin is the part of the grace time that the shutdown leaves unused,
 	// because the platform kills the process at its end.
 	killMargin = 300 * time.Millisecond
+	// delegatedPoll is how often the shutdown checks whether requests of other instances run.
+	delegatedPoll = 10 * time.Millisecond
 )
 
 // shutdown takes the instance out of look-ups, closes the callers' connections as
@@ -39,10 +42,16 @@
 	waitUntil(refuseAfter)
 	f.refusingRequests.Store(true)
 	f.callerServer.CloseIdle()
-	cancelRequests := time.AfterFunc(time.Until(began.Add(time.Duration(cancelFraction*float64(stopGrace)))), f.callerServer.CancelRequests)
+	cancelRequests := time.AfterFunc(time.Until(began.Add(time.Duration(cancelFraction*float64(stopGrace)))), func() {
+		f.callerServer.CancelRequests()
+		f.cancelDelegated()
+	})
 	defer cancelRequests.Stop()
 	finish, cancel := context.WithDeadline(context.Background(), began.Add(grace))
 	defer cancel()
 	f.callerServer.Wait(finish)
+	for f.delegated.Load() > 0 && finish.Err() == nil {
+		waiting.Pause(finish, delegatedPoll)
+	}
 	f.history.Record(event.Stopped, "", "after", time.Since(began).String())
 }
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -39,6 +39,8 @@
 	ServerCold            tamarackrun.EventID = 1123
 	StoreRestored         tamarackrun.EventID = 1124
 	ServerNotice          tamarackrun.EventID = 1125
+	ServersUnreachable    tamarackrun.EventID = 1126
+	ServersReachable      tamarackrun.EventID = 1127
 	PeerReachable         tamarackrun.EventID = 1201
 	PeerUnreachable       tamarackrun.EventID = 1202
 	PeerRefused           tamarackrun.EventID = 1203
@@ -59,6 +61,7 @@
 	RequestUncertain      tamarackrun.EventID = 2006
 	AttemptResolved       tamarackrun.EventID = 2007
 	AttemptEnded          tamarackrun.EventID = 2008
+	RequestDelegated      tamarackrun.EventID = 2009
 	PartChanged           tamarackrun.EventID = 2320
 	TicketsIssued         tamarackrun.EventID = 2101
 	OrderForwarded        tamarackrun.EventID = 2102
@@ -125,6 +128,8 @@
 	{ServerCold, "serverCold", "info", "a backend server answered a health probe that it is cold; it is asked while its record may be out of date"},
 	{StoreRestored, "storeRestored", "warn", "the store has come back from a copy, so that its latest changes may be missing; the collection was read again"},
 	{ServerNotice, "serverNotice", "info", "a backend server has said in an answer that it is leaving, or that it wants no requests from this instance for some time"},
+	{ServersUnreachable, "serversUnreachable", "warn", "the instance has lost its links to all backend servers; other instances send its requests"},
+	{ServersReachable, "serversReachable", "info", "the instance reaches backend servers again"},
 	{PeerReachable, "peerReachable", "info", "heartbeats with a peer succeed"},
 	{PeerUnreachable, "peerUnreachable", "warn", "a peer did not answer heartbeats"},
 	{PeerRefused, "peerRefused", "warn", "a connection of another process was refused because it did not prove that it is an instance of the fleet"},
@@ -145,6 +150,7 @@
 	{RequestUncertain, "requestUncertain", "warn", "the outcome of a request is unknown"},
 	{AttemptResolved, "attemptResolved", "info", "the outcome of an attempt was determined by asking its home instance"},
 	{AttemptEnded, "attemptEnded", "info", "one dispatch of a request to a backend server ended"},
+	{RequestDelegated, "requestDelegated", "info", "another instance was asked to send a request to a backend server"},
 	{TicketsIssued, "ticketsIssued", "debug", "a caller got tickets"},
 	{OrderForwarded, "orderForwarded", "debug", "a request went to the instance that issued its ticket"},
 	{OrderRepeated, "orderRepeated", "info", "a request with a used ticket got the recorded outcome or a refusal"},
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -108,6 +108,15 @@
 // Services returns the names of the services that have usable servers.
 func (r *Registry) Services() []string { return slices.Collect(maps.Keys(r.view.Load().services)) }
 
+// Servers returns the usable servers of all services, in any order.
+func (r *Registry) Servers() []*Server {
+	var all []*Server
+	for _, servers := range r.view.Load().services {
+		all = append(all, servers...)
+	}
+	return all
+}
+
 // Usable reports whether the server may get requests.
 func (r *Registry) Usable(name string) bool { return r.view.Load().names[name] }
 
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -64,6 +65,9 @@
 	// Idempotent reports whether the request may run more than once. Such a request
 	// may be sent on any idle connection.
 	Idempotent bool
+	// OpenOnly reports whether no connection may be opened for the request. Without an open one the
+	// outcome is a refusal with ErrNoConnection.
+	OpenOnly bool
 	// Probe marks a health probe, whose answer has neither a signature nor an id.
 	Probe bool
 }
@@ -87,6 +91,9 @@
 	reserved int64
 }
 
+// ErrNoConnection is the error of a request with OpenOnly for which no connection is open.
+var ErrNoConnection = errors.New("no connection to the server is open")
+
 // Client sends requests to servers.
 type Client struct {
 	// HeaderCodec reads the headers of answers. It is set before the first
@@ -119,6 +126,26 @@
 // Release gives back the memory of a result's body, which must not be used any more.
 func (c *Client) Release(r Result) { c.Bodies.Release(r.reserved) }
 
+// Hold reserves the memory of a result's body that did not come from this client, until Release. It
+// reports whether there is enough.
+func (c *Client) Hold(r *Result, bytes int64) bool {
+	if !c.Bodies.Reserve(bytes) {
+		return false
+	}
+	r.reserved += bytes
+	return true
+}
+
+// Connect opens a connection to the address and closes it.
+func (c *Client) Connect(ctx context.Context, address string) error {
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	conn.close()
+	return nil
+}
+
 // RetainOnly closes the idle connections to all other addresses.
 func (c *Client) RetainOnly(addresses map[string]bool) {
 	c.mu.Lock()
@@ -139,6 +166,9 @@
 func (c *Client) Do(ctx context.Context, address string, r Request) Result {
 	conn := c.takeIdle(address, r.Idempotent)
 	reused := conn != nil
+	if conn == nil && r.OpenOnly {
+		return Result{Outcome: tamarackrun.Refused(tamarackrun.ConnectFailed), Err: ErrNoConnection}
+	}
 	if conn == nil {
 		var err error
 		if conn, err = c.dial(ctx, address); err != nil {
--- a/outcome.go
+++ b/outcome.go
@@ -38,6 +38,10 @@
 //     instance has used its parts of them.
 //   - ServerPaused, ServerEjected, ServerCold: most of the servers that may run the request have refused a
 //     connection lately, have failed requests, or are cold and have got as many requests as they may.
+//   - ServersUnreachable: the instance has lost its links to all servers, and no other instance has
+//     taken the request.
+//   - DelegateFull, DelegateChanged: the instance that was asked to send the request to a server has
+//     too many requests of others, or its process is another one than the sender knows.
 //   - ServerLeaving, ServerResting: the servers that may run the request have said in their
 //     answers that they are leaving, or that they want no requests for some time.
 //   - NotHome: the instance that was asked is not the home of the server.
@@ -51,54 +55,58 @@
 //   - AttemptCancelled: the issuer asked for the outcome of the attempt before the attempt
 //     started.
 const (
-	KeyMissing       Reason = "keyMissing"
-	KeyUnknown       Reason = "keyUnknown"
-	KeyWithdrawn     Reason = "keyWithdrawn"
-	KeyInURL         Reason = "keyInUrl"
-	KeyInBody        Reason = "keyInBody"
-	RouteUnknown     Reason = "routeUnknown"
-	RouteForbidden   Reason = "routeForbidden"
-	MethodForbidden  Reason = "methodForbidden"
-	RateExceeded     Reason = "rateExceeded"
-	QueueFull        Reason = "queueFull"
-	QueueTimeout     Reason = "queueTimeout"
-	DeadlinePassed   Reason = "deadlinePassed"
-	NoHealthyServer  Reason = "noHealthyServer"
-	ServerBusy       Reason = "serverBusy"
-	ServerLimited    Reason = "serverLimited"
-	ServerLeaving    Reason = "serverLeaving"
-	ServerResting    Reason = "serverResting"
-	ServerShed       Reason = "serverShed"
-	ServerDraining   Reason = "serverDraining"
-	ServerEjected    Reason = "serverEjected"
-	ServerPaused     Reason = "serverPaused"
-	ServerCold       Reason = "serverCold"
-	ConnectFailed    Reason = "connectFailed"
-	ConnectionsFull  Reason = "connectionsFull"
-	HomeUnreachable  Reason = "homeUnreachable"
-	NotHome          Reason = "notHome"
-	ShiftCapped      Reason = "shiftCapped"
-	LinkCapped       Reason = "linkCapped"
-	CutOff           Reason = "cutOff"
-	NotReady         Reason = "notReady"
-	Leaving          Reason = "leaving"
-	TicketRequired   Reason = "ticketRequired"
-	TicketInvalid    Reason = "ticketInvalid"
-	TicketExpired    Reason = "ticketExpired"
-	TicketReused     Reason = "ticketReused"
-	TicketSealed     Reason = "ticketSealed"
-	LedgerFull       Reason = "ledgerFull"
-	BodyTooLarge     Reason = "bodyTooLarge"
-	BodiesFull       Reason = "bodiesFull"
-	BodyTimeout      Reason = "bodyTimeout"
-	Malformed        Reason = "malformed"
-	HeaderTooLarge   Reason = "headerTooLarge"
-	HeldTooLong      Reason = "heldTooLong"
-	AttemptCancelled Reason = "attemptCancelled"
-	CallerCancelled  Reason = "callerCancelled"
+	KeyMissing         Reason = "keyMissing"
+	KeyUnknown         Reason = "keyUnknown"
+	KeyWithdrawn       Reason = "keyWithdrawn"
+	KeyInURL           Reason = "keyInUrl"
+	KeyInBody          Reason = "keyInBody"
+	RouteUnknown       Reason = "routeUnknown"
+	RouteForbidden     Reason = "routeForbidden"
+	MethodForbidden    Reason = "methodForbidden"
+	RateExceeded       Reason = "rateExceeded"
+	QueueFull          Reason = "queueFull"
+	QueueTimeout       Reason = "queueTimeout"
+	DeadlinePassed     Reason = "deadlinePassed"
+	NoHealthyServer    Reason = "noHealthyServer"
+	ServerBusy         Reason = "serverBusy"
+	ServerLimited      Reason = "serverLimited"
+	ServerLeaving      Reason = "serverLeaving"
+	ServerResting      Reason = "serverResting"
+	ServerShed         Reason = "serverShed"
+	ServerDraining     Reason = "serverDraining"
+	ServerEjected      Reason = "serverEjected"
+	ServerPaused       Reason = "serverPaused"
+	ServersUnreachable Reason = "serversUnreachable"
+	DelegateFull       Reason = "delegateFull"
+	DelegateChanged    Reason = "delegateChanged"
+	ServerCold         Reason = "serverCold"
+	ConnectFailed      Reason = "connectFailed"
+	ConnectionsFull    Reason = "connectionsFull"
+	HomeUnreachable    Reason = "homeUnreachable"
+	NotHome            Reason = "notHome"
+	ShiftCapped        Reason = "shiftCapped"
+	LinkCapped         Reason = "linkCapped"
+	CutOff             Reason = "cutOff"
+	NotReady           Reason = "notReady"
+	Leaving            Reason = "leaving"
+	TicketRequired     Reason = "ticketRequired"
+	TicketInvalid      Reason = "ticketInvalid"
+	TicketExpired      Reason = "ticketExpired"
+	TicketReused       Reason = "ticketReused"
+	TicketSealed       Reason = "ticketSealed"
+	LedgerFull         Reason = "ledgerFull"
+	BodyTooLarge       Reason = "bodyTooLarge"
+	BodiesFull         Reason = "bodiesFull"
+	BodyTimeout        Reason = "bodyTimeout"
+	Malformed          Reason = "malformed"
+	HeaderTooLarge     Reason = "headerTooLarge"
+	HeldTooLong        Reason = "heldTooLong"
+	AttemptCancelled   Reason = "attemptCancelled"
+	CallerCancelled    Reason = "callerCancelled"
 )
 
-// Reasons of unknown outcomes; the request may have run. HomeLost and IssuerLost mean that
+// Reasons of unknown outcomes; the request may have run. DelegateLost means that the instance that was to
+// send the request to a server can't be reached. HomeLost and IssuerLost mean that
 // the home of the server or the issuer of the ticket can't be reached, and IssuerGone that
 // the issuer's process ended and left no record of the ticket. AnswerTooLarge means that the
 // server sent more than an answer may have, and AnswersFull that the process has no memory
@@ -110,6 +118,7 @@
 	AnswersFull     Reason = "answersFull"
 	AnswerTimeout   Reason = "answerTimeout"
 	AnswerCancelled Reason = "answerCancelled"
+	DelegateLost    Reason = "delegateLost"
 	HomeLost        Reason = "homeLost"
 	IssuerGone      Reason = "issuerGone"
 	IssuerLost      Reason = "issuerLost"
