Take back pauses and ejections that a cut of the links has caused

Cause: failures before the cut is noticed pause servers for up to 4 s and eject them for 5 s, although the servers did nothing wrong.

Change: the balancer forgives failures since the first one that the lost links may have caused, when the loss is noticed and when it ends. Servers stay cold for as long as before, since they may have restarted behind the cut.

Evidence: TestFailuresOfACutAreForgiven fails without the call.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -48,6 +48,8 @@
 	recent []bool
 
 	ejected bool
+	// ejectedAt is when the server was ejected last.
+	ejectedAt time.Duration
 	// probeAt is the time from which on an ejected server may be probed.
 	probeAt time.Duration
 	// ejectionTime is the length of the latest ejection.
@@ -118,7 +120,17 @@
 // eject ejects the server for twice the time of its latest ejection.
 func (t *Tracker) eject(now time.Duration) {
 	t.ejectionTime = min(2*t.ejectionTime, maxEjection)
-	t.ejected, t.probeAt = true, now+t.ejectionTime
+	t.ejected, t.ejectedAt, t.probeAt = true, now, now+t.ejectionTime
+}
+
+// Forgive takes back what failures since the given time have done, because the server was not their
+// cause.
+func (t *Tracker) Forgive(since time.Duration) {
+	t.consecutive, t.recent = 0, nil
+	if t.ejected && t.ejectedAt >= since {
+		t.ejected = false
+		t.ejectionTime /= 2
+	}
 }
 
 // ObserveProbe records the result of the probe, and reports whether the server is
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -439,6 +439,20 @@
 	return st.health.Observe(at, result, b.mayEject(c.Server.Service, serverCount)), false
 }
 
+// Forgive takes back the pauses and ejections that failures since the given time have caused, because
+// the instance had lost its links to the servers. The servers still count as cold for as long: they
+// may have restarted meanwhile.
+func (b *Balancer) Forgive(since time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, st := range b.servers {
+		if !st.backoffUntil.Add(-st.backoff).Before(since) {
+			st.backoff, st.backoffUntil = 0, time.Time{}
+		}
+		st.health.Forgive(since.Sub(b.createdAt))
+	}
+}
+
 // MarkCold records that a server is cold until the given time. It does nothing if a new process
 // has taken the server's place meanwhile.
 func (b *Balancer) MarkCold(server *registry.Server, until time.Time) {
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -351,3 +351,41 @@
 		t.Errorf("reason and skipped servers with outstanding requests (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against pauses and ejections that outlast a cut of the instance's links: they refused requests
+// for seconds after the links were back. What a server has done before the cut still counts.
+func TestFailuresOfACutAreForgiven(t *testing.T) {
+	b, now, list, q := newBalancer(), time.Now(), servers(4), Query{Region: "a"}
+	fail := func(connectFailed bool) *registry.Server {
+		c, reason := b.Choose(now, list, q)
+		if reason != "" {
+			t.Fatalf("refused with %q", reason)
+		}
+		b.Done(now, c, health.Failure, connectFailed, len(list))
+		return c.Server
+	}
+	before := fail(true)
+	cut := now.Add(time.Millisecond)
+	now = cut
+	for range 2 {
+		fail(true)
+	}
+	for range 5 {
+		fail(false)
+	}
+	if _, reason := b.Choose(now, list, q); reason == "" {
+		t.Fatal("a server is chosen although all are paused or ejected")
+	}
+	b.Forgive(cut)
+	b.AdmitCold = func(time.Time, *registry.Server) bool { return true }
+	chosen := map[string]bool{}
+	for range 3 * maxOutstanding {
+		c, _ := b.Choose(now, list, q)
+		if c.Server != nil {
+			chosen[c.Server.Name] = true
+		}
+	}
+	if len(chosen) != 3 || chosen[before.Name] {
+		t.Errorf("servers %v get requests, want the three that failed in the cut only", chosen)
+	}
+}
--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -41,6 +41,7 @@
 // linksChanged is called when this instance has lost its links to all servers, and when it has them
 // again.
 func (f *Front) linksChanged(unreachable bool, since time.Time) {
+	f.balancer.Forgive(since)
 	id := event.ServersReachable
 	if unreachable {
 		id = event.ServersUnreachable
