Keep connections that lose a single keep-alive probe

Change: 2.5 s, so that it takes two lost probes, 3 s, as before the user timeout.

Evidence: TestConnectionSurvivesALostProbe fails with 1.5 and 2 s and passes with 2.5 s.

--- a/internal/transport/dialer/dialer.go
+++ b/internal/transport/dialer/dialer.go
@@ -10,12 +10,12 @@
 )
 
 const (
-	// Keep-alive probes find a silent link while nothing is sent.
+	// Keep-alive probes find a silent link within 3 s while nothing is sent.
 	keepAliveIdle, keepAliveInterval, keepAliveCount = time.Second, time.Second, 2
 	// userTimeout is how long sent bytes may stay unacknowledged. No keep-alive probes are sent
-	// meanwhile, and the default allows a quarter of an hour. It also ends connections whose
-	// probes are not answered, so that both ways take 2 s, half of the users' bound for lost contact.
-	userTimeout = 2 * time.Second
+	// meanwhile, and the default allows a quarter of an hour. Linux also ends a connection at the
+	// first probe after this time, whatever keepAliveCount is, so with 2 s a single lost probe would.
+	userTimeout = 2500 * time.Millisecond
 )
 
 // New returns a dialer that gives up a connection after the timeout.
