Ask up to four delegates, and not again one that can't help

Change: a delegate that refuses because it has lost its links or is leaving is not asked for 1.5 s, in which its reports arrive, and a request may ask four instead of two.

--- a/internal/coordination/delegation/delegation.go
+++ b/internal/coordination/delegation/delegation.go
@@ -20,6 +20,9 @@
 	maxOutstanding = 256
 	// leadLifetime is how long the smallest delay of a clock value counts. Clocks drift apart.
 	leadLifetime = 10 * time.Second
+	// avoidTime is how long a delegate that can't help is not asked again. Its reports say so after
+	// three intervals of 0.5 s at most.
+	avoidTime = 1500 * time.Millisecond
 )
 
 // delegate is what the instance knows of one delegate.
@@ -31,6 +34,8 @@
 	lead    time.Duration
 	// leadAt is when the lead was computed.
 	leadAt time.Duration
+	// avoidUntil is the time until which the delegate is not chosen.
+	avoidUntil time.Duration
 }
 
 // Pool holds the delegates of one instance. Its exported fields are set before the first call. It is
@@ -61,7 +66,7 @@
 			continue
 		}
 		d := p.get(m.Name)
-		if d.outstanding >= maxOutstanding {
+		if d.outstanding >= maxOutstanding || p.Clock.Now() < d.avoidUntil {
 			continue
 		}
 		// The fraction puts delegates with the same load in random order.
@@ -99,6 +104,13 @@
 	}
 }
 
+// Avoid records that a delegate can't help for a while.
+func (p *Pool) Avoid(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.get(name).avoidUntil = p.Clock.Now() + avoidTime
+}
+
 // Forget drops the clock of a delegate, whose process may be another one now.
 func (p *Pool) Forget(name string) {
 	p.mu.Lock()
--- a/internal/coordination/delegation/delegation_test.go
+++ b/internal/coordination/delegation/delegation_test.go
@@ -72,6 +72,14 @@
 	if m, ok := p.Choose([][]string{{"a"}, {"b"}}, nil); ok {
 		t.Errorf("a request that no region allows goes to %q", m.Name)
 	}
+	p.Avoid("far")
+	if m, ok := p.Choose([][]string{{"b"}}, nil); ok {
+		t.Errorf("a request is sent to %q, which has just said that it can't help", m.Name)
+	}
+	p.Clock.(*clock).now += avoidTime
+	if _, ok := p.Choose([][]string{{"b"}}, nil); !ok {
+		t.Error("a delegate is not asked again")
+	}
 	if m, ok := p.Choose([][]string{{"b"}}, []string{"far"}); ok {
 		t.Errorf("a request is sent to the same delegate again: %q", m.Name)
 	}
--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	// maxDelegates is the number of instances that may be asked to send a request.
-	maxDelegates = 2
+	// maxDelegates is the number of instances that may be asked to send a request. When many lose
+	// their links at once, some are asked before their reports say so.
+	maxDelegates = 4
 	// maxDelegatedBody is the largest body, in bytes, of a request that other instances may send. It
 	// fits in one message.
 	maxDelegatedBody = 1 << 20
@@ -116,8 +117,11 @@
 	}
 	f.delegates.NoteClock(m.Name, reply.GetClock().GetProcess(), time.Duration(reply.GetClock().GetMillis())*time.Millisecond)
 	if reply.Refused {
-		if tamarackrun.Reason(reply.Reason) == tamarackrun.DelegateChanged {
+		switch tamarackrun.Reason(reply.Reason) {
+		case tamarackrun.DelegateChanged:
 			f.delegates.Forget(m.Name)
+		case tamarackrun.ServersUnreachable, tamarackrun.Leaving:
+			f.delegates.Avoid(m.Name)
 		}
 		return reply, exchange.Result{}
 	}
