Refuse orders that a planned stop might break off

Callers of an instance that is stopped could see 502 for a request that may not be repeated and ran: it was taken up to half of the grace time, however long it may take, and cancelled at 7/8 of it.

Cause: the time at which new requests are refused did not look at their deadlines.

Change: once a shutdown has begun, a request that may not be repeated is taken only if its deadline is before the time at which running requests are cancelled. Else it is refused at once with a short Retry-After, so that it runs elsewhere.

--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -134,6 +134,8 @@
 	// leaving reports whether look-ups no longer return the instance, and
 	// refusingRequests whether new requests are refused.
 	leaving, refusingRequests atomic.Bool
+	// cancelAt is when the graceful shutdown cancels running requests; nil before it has begun.
+	cancelAt atomic.Pointer[time.Time]
 	// instancesRead is closed when the other instances are known for the first time, and
 	// recordWritten when the first write of the instance's own record has ended.
 	instancesRead, recordWritten chan struct{}
--- a/internal/program/front/serve.go
+++ b/internal/program/front/serve.go
@@ -106,17 +106,12 @@
 		return f.outcomeAnswer(req, tamarackrun.Refused(reason), retryAfter)
 	}
 	req.service = pickService(req.route)
-	timeout := req.route.Timeout
-	if req.caller.Timeout > 0 {
-		timeout = min(timeout, req.caller.Timeout)
-	}
-	req.deadline = call.Arrived.Add(timeout)
 	answer = f.dispatch(ctx, req)
 	f.scope.Tagged(map[string]string{"route": req.route.Name}).Timer("request_latency").Record(time.Since(call.Arrived))
 	return answer
 }
 
-// admit sets the route and the organisation of a request and applies the
+// admit sets the route, the deadline and the organisation of a request and applies the
 // organisation's rate limit. It returns the reason of a refusal, or none, and how
 // long the caller should wait before it tries again.
 func (f *Front) admit(ctx context.Context, req *request) (tamarackrun.Reason, time.Duration) {
@@ -133,6 +128,14 @@
 	if req.route, ok = c.RouteForHost(r.Host, pathOf(r)); !ok {
 		return tamarackrun.RouteUnknown, 0
 	}
+	timeout := req.route.Timeout
+	if req.caller.Timeout > 0 {
+		timeout = min(timeout, req.caller.Timeout)
+	}
+	req.deadline = req.call.Arrived.Add(timeout)
+	if !req.route.Idempotent && f.mayBeCancelled(req.deadline) {
+		return tamarackrun.Leaving, minRetryAfter
+	}
 	if req.route.Open || len(c.Organisations) == 0 {
 		return "", 0
 	}
--- a/internal/program/front/shutdown.go
+++ b/internal/program/front/shutdown.go
@@ -27,6 +27,12 @@
 	delegatedPoll = 10 * time.Millisecond
 )
 
+// mayBeCancelled reports whether the graceful shutdown may cancel a request before its deadline.
+func (f *Front) mayBeCancelled(deadline time.Time) bool {
+	at := f.cancelAt.Load()
+	return at != nil && deadline.After(*at)
+}
+
 // shutdown takes the instance out of look-ups, closes the callers' connections as
 // they become idle, and waits for running requests.
 func (f *Front) shutdown() {
@@ -34,6 +40,8 @@
 	stopGrace := f.terms.Load().StopGrace
 	grace := stopGrace - killMargin
 	f.history.Record(event.Stopping, "", "grace", grace.String())
+	cancelAt := began.Add(time.Duration(cancelFraction * float64(stopGrace)))
+	f.cancelAt.Store(&cancelAt)
 	f.leaving.Store(true)
 	f.members.Leave()
 	waitUntil := func(d time.Duration) { time.Sleep(time.Until(began.Add(min(d, grace/2)))) }
@@ -42,7 +50,7 @@
 	waitUntil(refuseAfter)
 	f.refusingRequests.Store(true)
 	f.callerServer.CloseIdle()
-	cancelRequests := time.AfterFunc(time.Until(began.Add(time.Duration(cancelFraction*float64(stopGrace)))), func() {
+	cancelRequests := time.AfterFunc(time.Until(cancelAt), func() {
 		f.callerServer.CancelRequests()
 		f.cancelDelegated()
 	})
