Send new callers to instances that reach the servers

Callers of an instance without links are served by delegates, but each request takes another hop.

Change: look-ups leave out instances that report lost links as long as at least half of the region's remain; with fewer, those would have to take all callers.

Evidence: TestLookupsPreferInstancesWithLinks.

--- a/internal/program/front/directory.go
+++ b/internal/program/front/directory.go
@@ -35,6 +35,7 @@
 	if len(near) == 0 {
 		near, region = far, ""
 	}
+	near = preferLinked(near)
 	addresses := []string{}
 	for _, m := range f.chooseInstances(region, near) {
 		addresses = append(addresses, m.CallerAddress)
@@ -47,6 +48,21 @@
 	return addresses, min(lookupLifetime, f.terms.Load().LookupLifetime)
 }
 
+// preferLinked returns the instances that reach backend servers, if they are at least half of all. The
+// others serve callers too, by delegates, so that fewer than half need not take all callers.
+func preferLinked(members []membership.Member) []membership.Member {
+	var linked []membership.Member
+	for _, m := range members {
+		if !m.ServersUnreachable {
+			linked = append(linked, m)
+		}
+	}
+	if 2*len(linked) < len(members) {
+		return members
+	}
+	return linked
+}
+
 // chooseInstances returns the instances of a region that callers are sent to. The region is
 // empty for callers whose own region has no instance.
 func (f *Front) chooseInstances(region string, serving []membership.Member) []membership.Member {
--- a/internal/program/front/front_test.go
+++ b/internal/program/front/front_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/membership"
 	"tamarackrun/internal/state/configuration"
 	"tamarackrun/internal/state/sla"
 	"tamarackrun/internal/transport/exchange"
@@ -103,3 +104,27 @@
 		})
 	}
 }
+
+// Guards against callers that are sent to an instance which needs another one for each request, and
+// against look-ups that leave too few instances when many have lost their links.
+func TestLookupsPreferInstancesWithLinks(t *testing.T) {
+	member := func(name string, unreachable bool) membership.Member {
+		return membership.Member{Name: name, ServersUnreachable: unreachable}
+	}
+	a, b, c, cut, cutToo := member("a", false), member("b", false), member("c", false), member("cut", true), member("cutToo", true)
+	tests := map[string]struct{ members, want []membership.Member }{
+		"all have links":      {[]membership.Member{a, b}, []membership.Member{a, b}},
+		"one of three is cut": {[]membership.Member{a, b, cut}, []membership.Member{a, b}},
+		"half is cut":         {[]membership.Member{a, cut}, []membership.Member{a}},
+		"most are cut":        {[]membership.Member{a, cut, cutToo}, []membership.Member{a, cut, cutToo}},
+		"all are cut":         {[]membership.Member{cut, cutToo}, []membership.Member{cut, cutToo}},
+		"two of five are cut": {[]membership.Member{a, b, c, cut, cutToo}, []membership.Member{a, b, c}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(test.want, preferLinked(test.members)); diff != "" {
+				t.Errorf("instances (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
