Send hung requests through delegates once the links are known to be lost

Callers saw 504 for requests on connections that hung in the second before an instance noticed the loss of its links: their servers fail only after 2.5 s, which is longer than many callers wait.

Change: when the loss is noticed, connections of idempotent requests whose bytes the server has not acknowledged for 0.3 s are closed, so that the requests are repeated by a delegate within the retry budget. Requests that a server has got go on, and so do those that may not be repeated.

Evidence: TestHungRequestsEnd.

--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -32,6 +32,9 @@
 	maxDelegated = 512
 	// clockTimeout bounds the wait for a delegate's clock.
 	clockTimeout = 500 * time.Millisecond
+	// hungAge is how long the server of a request has not acknowledged it when it counts as hung. It
+	// is longer than a round trip to another region.
+	hungAge = 300 * time.Millisecond
 	// answerPiece is the size of the pieces of an answer's body, in bytes.
 	answerPiece = 256 << 10
 )
@@ -43,12 +46,14 @@
 // again.
 func (f *Front) linksChanged(unreachable bool, since time.Time) {
 	f.balancer.Forgive(since)
-	id := event.ServersReachable
+	id, hung := event.ServersReachable, 0
 	if unreachable {
 		id = event.ServersUnreachable
+		// Their retries go to delegates.
+		hung = f.backendClient.EndHung(time.Now().Add(-hungAge))
 	}
 	f.history.Record(id, "", "firstFailureAge", time.Since(since).Round(time.Millisecond).String(),
-		"servers", strconv.Itoa(len(f.registry.Addresses())))
+		"servers", strconv.Itoa(len(f.registry.Addresses())), "hungRequests", strconv.Itoa(hung))
 	f.members.ReportSoon()
 }
 
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	"tamarackrun"
 	"tamarackrun/internal/state/memory"
@@ -114,11 +115,14 @@
 	// idle holds the idle connections to each address, the most recently used one
 	// last.
 	idle map[string][]*connection
+	// running holds the connections that carry an idempotent request, with the times at which it
+	// was sent.
+	running map[*connection]time.Time
 }
 
 // New returns a client. The clean-up function closes idle connections.
 func New() (*Client, func()) {
-	c := &Client{idle: map[string][]*connection{}, dialer: *dialer.New(dialTimeout)}
+	c := &Client{idle: map[string][]*connection{}, running: map[*connection]time.Time{}, dialer: *dialer.New(dialTimeout)}
 	c.Bodies.Limit = defaultMemory
 	return c, func() { c.RetainOnly(nil) }
 }
@@ -180,7 +184,9 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, conn.close)
+	c.setRunning(conn, r.Idempotent)
 	result := conn.roundTrip(c.HeaderCodec, r)
+	c.setRunning(conn, false)
 	result.Reused = reused
 	if !stop() {
 		// The context has ended, so the connection is closed or is about to be.
@@ -196,6 +202,33 @@
 	return result
 }
 
+// setRunning records whether the connection carries an idempotent request that is sent now.
+func (c *Client) setRunning(conn *connection, running bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if running {
+		c.running[conn] = time.Now()
+	} else {
+		delete(c.running, conn)
+	}
+}
+
+// EndHung closes the connections of idempotent requests that were sent before the given time and that
+// the server has not acknowledged, so that they may be sent on another way. It returns the number
+// of these connections.
+func (c *Client) EndHung(sentBefore time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for conn, sentAt := range c.running {
+		if sentAt.Before(sentBefore) && conn.hasUnacknowledged() {
+			conn.close()
+			n++
+		}
+	}
+	return n
+}
+
 // dial opens a connection to the address and calls OnDial.
 func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
 	d := c.dialer
@@ -249,6 +282,24 @@
 	c.idle[address] = list
 }
 
+// hasUnacknowledged reports whether the server has not acknowledged all bytes that were sent.
+func (c *connection) hasUnacknowledged() bool {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unacknowledged := 0
+	err = raw.Control(func(fd uintptr) {
+		// Without the value, the connection counts as working.
+		unacknowledged, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
+	})
+	return err == nil && unacknowledged > 0
+}
+
 // isUsable reports whether the server has neither closed the connection nor sent
 // bytes that belong to no request.
 func (c *connection) isUsable() bool {
--- a/internal/transport/exchange/exchange_test.go
+++ b/internal/transport/exchange/exchange_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"tamarackrun"
+	"tamarackrun/internal/standin/partition"
 )
 
 // testCodec reads the headers that the scripts use.
@@ -248,3 +250,65 @@
 		})
 	}
 }
+
+// Guards against idempotent requests that wait on hung connections although there is another way, and
+// against the end of requests at which a server works.
+func TestHungRequestsEnd(t *testing.T) {
+	for name, test := range map[string]struct{ cut, idempotent, ends bool }{
+		"hung":                 {true, true, true},
+		"hung, not idempotent": {true, false, false},
+		"a slow server":        {false, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			listener, err := partition.Listen("127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			requests := make(chan struct{}, 2)
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				requests <- struct{}{}
+				if r.URL.Path == "/slow" {
+					<-r.Context().Done()
+				}
+				w.Header().Set("Id", "a")
+				w.Header().Set("Signature", "s")
+			})}
+			go func() { _ = server.Serve(listener) }()
+			defer func() { _ = server.Close() }()
+			client, cleanup := New()
+			defer cleanup()
+			client.HeaderCodec = testCodec{}
+			send := func(ctx context.Context, target string) Result {
+				return client.Do(ctx, listener.Addr().String(), Request{ID: "a", Method: http.MethodGet, Target: target, Host: "h", Header: http.Header{},
+					Idempotent: test.idempotent})
+			}
+			if r := send(t.Context(), "/"); r.Outcome != tamarackrun.Done {
+				t.Fatalf("outcome %v of the first request: %v", r.Outcome, r.Err)
+			}
+			if test.cut {
+				if err := listener.LoseAll(netip.MustParseAddr("127.0.0.1")); err != nil {
+					t.Fatal(err)
+				}
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan Result, 1)
+			go func() { ended <- send(ctx, "/slow") }()
+			time.Sleep(100 * time.Millisecond)
+			if n := client.EndHung(time.Now()); (n == 1) != test.ends {
+				t.Errorf("%d requests end", n)
+			}
+			if !test.ends {
+				cancel()
+			}
+			want := tamarackrun.Uncertain(tamarackrun.AnswerLost)
+			if !test.ends {
+				want = tamarackrun.Uncertain(tamarackrun.AnswerCancelled)
+			}
+			if diff := cmp.Diff(want, (<-ended).Outcome); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+			cancel()
+		})
+	}
+}
