Cut instances off from all servers in the soak

Proxies connect to servers from the instance's address, so that rules on what an instance sends hold for the one that has sent it. The check RECOVER compares callers of cut instances with others.

TestCutCallersAreChecked.

--- a/internal/standin/soak/checks.go
+++ b/internal/standin/soak/checks.go
@@ -25,6 +25,9 @@
 	limitFactor, limitSlack = 1.5, 5
 	limitWindow             = 4 * time.Second
 	toldDelay               = 500 * time.Millisecond
+	// At instances that are cut off from all servers, allowedCutFailures and one in
+	// cutFailuresOneIn of all requests may fail.
+	allowedCutFailures, cutFailuresOneIn = 10, 50
 	// minServedAtEnd is the fraction of the requests that must be served in the
 	// recovery time.
 	minServedAtEnd = 0.25
@@ -60,6 +63,7 @@
 	h.checkLimits(calls)
 	h.checkRates(calls)
 	h.checkRetries(calls)
+	h.checkCutFromServers(calls)
 	r := report{seed: seed, requests: len(calls), disturbances: h.disturbances.list}
 	r.served = h.servedFraction(calls, time.Time{}, end)
 	r.servedAtEnd = h.servedFraction(calls, end.Add(-recoveryTime), end)
@@ -180,10 +184,10 @@
 	for server, from := range h.leavingFrom {
 		told := h.toldBy(calls, server, from)
 		for _, c := range calls {
-			at, ok := told[c.instance]
 			for _, v := range c.executions {
+				at, ok := told[v.sender]
 				if v.server == server && ok && c.sent.After(at.Add(bounds.DrainBound)) && !h.disturbances.any(at, v.at, func(d *disturbance) bool {
-					return d.scope == atInstance && d.instance == c.instance || d.name == "kill"
+					return d.scope == atInstance && d.instance == v.sender || d.name == "kill"
 				}) {
 					h.history.addViolationLocked("DRAIN", "%s ran at %s %v after its answer said that it leaves, %s",
 						c.ID, server, c.sent.Sub(at).Round(time.Millisecond), h.describe(c))
@@ -194,25 +198,61 @@
 }
 
 // toldBy returns when each instance first passed on an answer of a request that the server ran after
-// the time.
+// the time. If another instance sent the request to the server, that one and the caller's do.
 func (h *harness) toldBy(calls []*call, server string, from time.Time) map[int]time.Time {
 	told := map[int]time.Time{}
 	for _, c := range calls {
 		if n := len(c.executions); n > 0 && c.status == 200 && c.executions[n-1].server == server && c.executions[0].at.After(from) {
-			if at, ok := told[c.instance]; !ok || c.ended.Before(at) {
-				told[c.instance] = c.ended
+			for _, i := range []int{c.instance, c.executions[n-1].sender} {
+				if at, ok := told[i]; !ok || c.ended.Before(at) {
+					told[i] = c.ended
+				}
 			}
 		}
 	}
 	return told
 }
 
-// sentByConnected reports whether a connected instance sent the request to the
-// server just before it ran. A disturbed link to a server may have delayed the
+// sentByConnected reports whether connected instances took the request from the caller and sent it
+// to the server just before it ran. A disturbed link to a server may have delayed the
 // request, so that an earlier dispatch is possible then.
 func (h *harness) sentByConnected(c *call, v execution) bool {
-	return h.disturbances.connected(c.instance, v.at, v.at) &&
-		!h.disturbances.any(v.at.Add(-bounds.DetectionBound), v.at, func(d *disturbance) bool { return d.scope == atServer && !d.planned })
+	return h.disturbances.connected(c.instance, v.at, v.at) && h.disturbances.connected(v.sender, v.at, v.at) &&
+		!h.disturbances.any(v.at.Add(-bounds.DetectionBound), v.at, func(d *disturbance) bool {
+			return d.scope == atServer && !d.planned || d.scope == atLinks && d.instance == v.sender
+		})
+}
+
+// checkCutFromServers checks that callers of instances that are cut off from all servers are served
+// two thirds as often as those of the others (RECOVER).
+func (h *harness) checkCutFromServers(calls []*call) {
+	type count struct{ sent, served int }
+	var cut, others count
+	for _, c := range calls {
+		if c.organisation == limited || h.revoked(c.Key) || c.unread || !h.disturbances.connected(c.instance, c.sent, c.sent) {
+			continue
+		}
+		own := func(d *disturbance) bool { return d.scope == atLinks && d.instance == c.instance }
+		anyCut := func(d *disturbance) bool {
+			return d.scope == atLinks && d.from.Add(bounds.DetectionBound).Before(c.sent)
+		}
+		group := &others
+		switch {
+		case h.disturbances.any(c.sent, c.sent, func(d *disturbance) bool { return own(d) && anyCut(d) }):
+			group = &cut
+		case h.disturbances.any(c.sent.Add(-bounds.DetectionBound), c.sent, own) || !h.disturbances.any(c.sent, c.sent, anyCut):
+			continue
+		}
+		group.sent++
+		if c.status == 200 {
+			group.served++
+		}
+	}
+	failed, allowed := cut.sent-cut.served, allowedCutFailures+(cut.sent+others.sent)/cutFailuresOneIn
+	if failed > allowed && 3*cut.served*others.sent < 2*others.served*cut.sent {
+		h.history.addViolationLocked("RECOVER", "instances cut off from all servers serve %d of %d requests, the others %d of %d",
+			cut.served, cut.sent, others.served, others.sent)
+	}
 }
 
 // checkDesiredStates checks that no request runs at a service that no desired state
@@ -262,10 +302,10 @@
 		told := h.toldBy(calls, l.server, l.from)
 		var spans []span
 		for _, c := range calls {
-			at, ok := told[c.instance]
 			for _, v := range c.executions {
+				at, ok := told[v.sender]
 				if v.server == l.server && v.at.After(l.from.Add(bounds.DetectionBound)) && v.at.Before(l.to) &&
-					ok && c.sent.After(at.Add(toldDelay)) && h.disturbances.connected(c.instance, v.at, v.at) {
+					ok && c.sent.After(at.Add(toldDelay)) && h.disturbances.connected(v.sender, v.at, v.at) {
 					spans = append(spans, span{v.at, v.at})
 				}
 			}
--- a/internal/standin/soak/disturbance.go
+++ b/internal/standin/soak/disturbance.go
@@ -15,6 +15,8 @@
 	atInstance
 	// atStore affects all instances.
 	atStore
+	// atLinks affects the links of one instance to all servers. The users' rules hold for it as before.
+	atLinks
 )
 
 // disturbance is a time span in which a fault was injected or an operation was
@@ -24,7 +26,7 @@
 	name   string
 	target string
 	scope  scope
-	// instance is the index of the instance if the scope is atInstance.
+	// instance is the index of the instance if the scope is atInstance or atLinks.
 	instance int
 	// planned marks what operators do on purpose, such as a restart.
 	planned  bool
--- a/internal/standin/soak/harness.go
+++ b/internal/standin/soak/harness.go
@@ -198,7 +198,8 @@
 // execute records a request that a server runs and waits for its working time or
 // its cancellation.
 func (h *harness) execute(x standin.Execution) {
-	h.history.recordExecution(x)
+	sender := slices.IndexFunc(h.instances, func(in *instance) bool { return in.settings.IP == x.From })
+	h.history.recordExecution(x, sender)
 	duration := time.Duration(5+rand.IntN(20)) * time.Millisecond
 	if rand.IntN(slowOneIn) == 0 {
 		duration = time.Duration(rand.Int64N(int64(maxWorkTime)))
--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -34,6 +34,8 @@
 type execution struct {
 	server, service string
 	at              time.Time
+	// sender is the index of the instance that has sent the request to the server.
+	sender int
 }
 
 // violation describes a broken rule. The rule is named as in the users' rules; SOAK
@@ -68,8 +70,8 @@
 }
 
 // recordExecution records a request that a server runs and checks that it is as a
-// caller sent it.
-func (h *history) recordExecution(x standin.Execution) {
+// caller sent it. sender is the index of the instance that has sent it to the server.
+func (h *history) recordExecution(x standin.Execution, sender int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	c := h.calls[x.ID]
@@ -77,7 +79,7 @@
 		h.addViolationLocked("UNASKED", "server %s runs %q, which no caller sent", x.Server, x.ID)
 		return
 	}
-	c.executions = append(c.executions, execution{x.Server, x.Service, time.Now()})
+	c.executions = append(c.executions, execution{x.Server, x.Service, time.Now(), sender})
 	if x.Method != c.Method || x.Target != c.Target || x.Body != c.Body {
 		h.addViolationLocked("UNASKED", "server %s runs %s as %s %s with %d bytes", x.Server, x.ID, x.Method, x.Target, len(x.Body))
 	}
--- a/internal/standin/soak/instance.go
+++ b/internal/standin/soak/instance.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	c := exec.Command(in.binary, "front")
+	c := exec.Command(in.binary, "front", "--bind-server-connections")
 	c.Env = append(os.Environ(), platform.SettingsVariable+"="+in.settingsFile())
 	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
--- a/internal/standin/soak/kinds.go
+++ b/internal/standin/soak/kinds.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync"
 	"syscall"
 	"time"
 
+	"tamarackrun/internal/standin/partition"
 	"tamarackrun/platform/standin"
 )
 
@@ -23,6 +25,10 @@
 	// recorded, whose disturbances must stay. A seed has fewer than maxLater of them.
 	laterStream = 1 << 20
 	maxLater    = 4
+	// linkStream is the random stream of the cuts from all servers, of which a seed has fewer than
+	// maxLinkCuts.
+	linkStream  = 1 << 21
+	maxLinkCuts = 3
 	// One seed in plannedOneIn has planned disturbances only, as many rules are
 	// stricter then.
 	plannedOneIn = 3
@@ -56,6 +62,11 @@
 	for range later.IntN(maxLater) {
 		schedule(later, laterKinds[later.IntN(len(laterKinds))])
 	}
+	links := rand.New(rand.NewPCG(seed, linkStream))
+	spared := links.IntN(len(h.instances))
+	for range links.IntN(maxLinkCuts) {
+		schedule(links, cutFromServers(spared))
+	}
 }
 
 // sleep waits for the duration or until the context ends.
@@ -171,6 +182,44 @@
 	}
 }
 
+// cutFromServers returns a kind that cuts some instances, but never the spared one, off from all
+// servers for longer than the time in which their callers must be served again.
+func cutFromServers(spared int) kind {
+	cuts := []struct {
+		name string
+		do   func(*partition.Listener, netip.Addr) error
+	}{
+		{"links to servers hang", (*partition.Listener).LoseAll},
+		{"no new connections to servers", (*partition.Listener).LoseNew},
+		{"links to servers reset", (*partition.Listener).Reset},
+	}
+	return func(ctx context.Context, h *harness, r *rand.Rand, duration time.Duration) {
+		cut := cuts[r.IntN(len(cuts))]
+		for _, i := range r.Perm(len(h.instances))[:1+r.IntN(len(h.instances)-1)] {
+			if i == spared {
+				continue
+			}
+			client := netip.MustParseAddr(h.instances[i].settings.IP)
+			d := h.disturbances.begin(disturbance{name: cut.name, target: h.instances[i].settings.Name, scope: atLinks, instance: i})
+			h.eachServerLink(client, cut.do)
+			defer func() {
+				h.eachServerLink(client, (*partition.Listener).Restore)
+				h.disturbances.end(d)
+			}()
+		}
+		sleep(ctx, bounds.DetectionBound+duration)
+	}
+}
+
+// eachServerLink calls f for the listener of the link from the client to each server.
+func (h *harness) eachServerLink(client netip.Addr, f func(*partition.Listener, netip.Addr) error) {
+	for _, b := range h.backends {
+		if err := f(b.link.listener, client); err != nil {
+			h.history.addViolation("SOAK", fmt.Sprintf("cannot change the link to %s: %v", b.name, err))
+		}
+	}
+}
+
 // misbehave returns a function that gives a server the behaviour for the duration.
 func misbehave(f func(*standin.Server) standin.Behaviour) func(context.Context, *harness, *backend, *rand.Rand, time.Duration) {
 	return func(ctx context.Context, _ *harness, b *backend, _ *rand.Rand, duration time.Duration) {
--- a/internal/standin/soak/link.go
+++ b/internal/standin/soak/link.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"tamarackrun/internal/standin/partition"
 )
 
 // mode is what a link does to the bytes of its connections.
@@ -22,9 +24,10 @@
 )
 
 // link is a TCP proxy in front of one listener that can delay, stall, reset and
-// refuse connections.
+// refuse connections. It connects to the target from the address of the client, so that the target
+// knows which instance has sent a request.
 type link struct {
-	listener net.Listener
+	listener *partition.Listener
 
 	mu     sync.Mutex
 	target string
@@ -37,7 +40,7 @@
 }
 
 func newLink(target string) (*link, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := partition.Listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -120,7 +123,8 @@
 		abort(downstream)
 		return
 	}
-	c, err := net.Dial("tcp", target)
+	from := net.TCPAddr{IP: downstream.RemoteAddr().(*net.TCPAddr).IP}
+	c, err := (&net.Dialer{LocalAddr: &from}).Dial("tcp", target)
 	if err != nil {
 		abort(downstream)
 		return
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -40,7 +40,7 @@
 	}
 	for _, server := range servers {
 		service, _, _ := strings.Cut(server, "-")
-		c.executions = append(c.executions, execution{server, service, c.sent.Add(10 * time.Millisecond)})
+		c.executions = append(c.executions, execution{server, service, c.sent.Add(10 * time.Millisecond), c.instance})
 	}
 	h.history.calls[c.ID] = &c
 	return &c
@@ -272,7 +272,7 @@
 			hist.recordRequest(c)
 			x, r := good, reply
 			test.edit(&x, &r)
-			hist.recordExecution(x)
+			hist.recordExecution(x, 0)
 			hist.recordReply(c, r)
 			got := ""
 			if len(hist.violations) > 0 {
@@ -340,3 +340,43 @@
 		t.Error("the connection goes on after a reset")
 	}
 }
+
+// Guards against a check of cuts from all servers that misses callers who are not served, or reports
+// them before the bound or where the other instances serve no more.
+func TestCutCallersAreChecked(t *testing.T) {
+	const n = 60
+	tests := map[string]struct {
+		sent          time.Duration
+		served, other int
+		want          bool
+	}{
+		"served as often":       {6 * time.Second, n, n, false},
+		"served half as often":  {6 * time.Second, n / 2, n, true},
+		"before the bound":      {3 * time.Second, 0, n, false},
+		"nobody is served":      {6 * time.Second, 0, 0, false},
+		"few fail at all":       {6 * time.Second, n - 11, n, false},
+		"served after the cut":  {20 * time.Second, 0, n, false},
+		"two thirds are enough": {6 * time.Second, 2 * n / 3, n, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newEmptyHarness()
+			h.disturbances.list = []*disturbance{{scope: atLinks, instance: 1, from: at(0), to: at(10 * time.Second)}}
+			var calls []*call
+			for i := range n {
+				for instance, served := range []int{test.other, test.served} {
+					c := readCall
+					c.instance = instance
+					if i >= served {
+						c.status = 503
+					}
+					calls = append(calls, h.add(c, test.sent))
+				}
+			}
+			h.checkCutFromServers(calls)
+			if broken := len(h.history.violations) > 0; broken != test.want {
+				t.Errorf("violations %v, want some: %v", h.history.violations, test.want)
+			}
+		})
+	}
+}
