Do not restart a server's cold time with an unchanged record

Cause: a list that is read again, here because a change was overdue after the store had come back from a copy, applied records whose position had not changed as if they were new, so that the time until they are warm began again.

Change: a record at its known position changes nothing.

Evidence: TestUnchangedRecordIsNoColdStart fails without the change.

The tests of linkcheck wait for the connections that are being opened at their end: about one run in three under the race detector left them behind.

--- a/internal/coordination/linkcheck/linkcheck_test.go
+++ b/internal/coordination/linkcheck/linkcheck_test.go
@@ -58,6 +58,8 @@
 		go c.Run(ctx)
 		f(c, &changes)
 		cancel()
+		// The connections that are being opened end.
+		time.Sleep(dialTimeout)
 		synctest.Wait()
 	})
 }
@@ -83,6 +85,7 @@
 		time.Sleep(10 * time.Second)
 		n.reachable.Store(12)
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		if diff := cmp.Diff([]bool{true, false}, *changes); diff != "" || c.ServersUnreachable() {
 			t.Errorf("changes (-want +got):\n%s", diff)
 		}
@@ -103,6 +106,7 @@
 			c.ReportFailure(time.Now())
 			time.Sleep(50 * time.Millisecond)
 		}
+		synctest.Wait()
 		if len(*changes) > 0 {
 			t.Errorf("changes %v while most servers are reached", *changes)
 		}
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -154,6 +154,11 @@
 		// The store's list and watch overlap, so an older position may follow.
 		return
 	}
+	if old != nil && record.Position.Revision != 0 && record.Position == old.Position && !record.Removed {
+		// A list that is read again has unchanged records, whose time to warm up goes on.
+		delete(r.missing, record.Name)
+		return
+	}
 	if r.isFromCopy(record, old) {
 		return
 	}
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -228,3 +228,21 @@
 		t.Run(name, func(t *testing.T) { runSteps(t, steps) })
 	}
 }
+
+// Guards against servers that stay cold because a list with their unchanged records is read again.
+func TestUnchangedRecordIsNoColdStart(t *testing.T) {
+	r, now := newTestRegistry(), time.Now()
+	cold := server("one", "a1", 1)
+	cold.Server.ColdFor = 3 * time.Second
+	r.ApplyServers(now, *fullPage(cold), false)
+	r.ApplyServers(now.Add(2*time.Second), *fullPage(cold), true)
+	if r.ServersOf("s")[0].Cold(now.Add(3 * time.Second)) {
+		t.Error("the server is cold for longer than its record says")
+	}
+	changed := cold
+	changed.Position.Revision++
+	r.ApplyServers(now.Add(2*time.Second), *fullPage(changed), false)
+	if !r.ServersOf("s")[0].Cold(now.Add(3 * time.Second)) {
+		t.Error("a newer record does not make the server cold")
+	}
+}
