Let old failures not count with new ones in link checks

A failure of long ago and one of now started a check whose loss of links then forgave ejections of all the time between. Failures more than 5 s apart do not count together any more. Also, the delegate's reply is checked by its status alone, and whether a request is counted has one place.

--- a/internal/coordination/linkcheck/linkcheck.go
+++ b/internal/coordination/linkcheck/linkcheck.go
@@ -20,6 +20,8 @@
 	// checkPause the least time between two checks.
 	suspectAfter = 2
 	checkPause   = 500 * time.Millisecond
+	// failureMemory is how long after the first failure others count with it.
+	failureMemory = 5 * time.Second
 	// A check opens connections to sampleSize servers, one each stagger, until one succeeds. The first
 	// is in the own region and answers within a few milliseconds.
 	sampleSize = 6
@@ -85,6 +87,9 @@
 func (c *Checker) ReportFailure(began time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if began.Sub(c.firstFailure) > failureMemory {
+		c.failures = 0
+	}
 	if c.failures == 0 || began.Before(c.firstFailure) {
 		c.firstFailure = began
 	}
--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -206,7 +206,7 @@
 // receiveDelegated returns the result that a delegate has sent, with the body of the answer.
 func (f *Front) receiveDelegated(stream tamarackrun.Stream, reply *wire.Delegated) (exchange.Result, error) {
 	outcome, ok := frame.ParseOutcome(reply.Outcome, reply.Reason)
-	if !ok || outcome.Kind == tamarackrun.Ran && http.StatusText(int(reply.Status)) == "" && reply.Status < http.StatusOK {
+	if !ok || outcome.Kind == tamarackrun.Ran && reply.Status < http.StatusOK {
 		return exchange.Result{}, errors.New("the delegate's reply has no valid outcome")
 	}
 	result := exchange.Result{Outcome: outcome, Sent: outcome.Kind != tamarackrun.NotRun}
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -100,7 +100,7 @@
 func (f *Front) attempt(ctx context.Context, req *request, tried []string) *attempts {
 	ctx, cancel := context.WithDeadlineCause(ctx, req.deadline.Add(answerMargin), context.DeadlineExceeded)
 	defer cancel()
-	a := &attempts{request: req, tried: tried, delegable: req.entry == "" && len(req.call.Body) <= maxDelegatedBody,
+	a := &attempts{request: req, tried: tried, counted: req.counted, delegable: req.entry == "" && len(req.call.Body) <= maxDelegatedBody,
 		outcome: tamarackrun.Refused(tamarackrun.NoHealthyServer)}
 	for a.mayContinue(time.Now()) && ctx.Err() == nil {
 		if a.delegable && (f.links.ServersUnreachable() || a.undelivered == maxConnectFailures-1) {
@@ -143,7 +143,7 @@
 // countOnce counts the request in the retry budget of its service, unless it is counted.
 func (f *Front) countOnce(a *attempts) *retry.Budget {
 	budget := f.retryBudgets.forService(a.request.service, f.terms.Load())
-	if !a.counted && !a.request.counted {
+	if !a.counted {
 		budget.CountRequest(time.Since(f.started))
 	}
 	a.counted = true
