Let servers in the soak want rest

The check BUDGET counts what each instance sends to the server from 0.5 s later to the end of that time, with the excuses of the users' page.

--- a/internal/standin/soak/checks.go
+++ b/internal/standin/soak/checks.go
@@ -28,6 +28,9 @@
 	// At instances that are cut off from all servers, allowedCutFailures and one in
 	// cutFailuresOneIn of all requests may fail.
 	allowedCutFailures, cutFailuresOneIn = 10, 50
+	// A server that has turned an instance away gets at most allowedInRest requests of it from
+	// restDelay later to the end of the time in which it wants none.
+	restDelay, allowedInRest = 500 * time.Millisecond, 2
 	// minServedAtEnd is the fraction of the requests that must be served in the
 	// recovery time.
 	minServedAtEnd = 0.25
@@ -64,6 +67,7 @@
 	h.checkRates(calls)
 	h.checkRetries(calls)
 	h.checkCutFromServers(calls)
+	h.checkRests(calls)
 	r := report{seed: seed, requests: len(calls), disturbances: h.disturbances.list}
 	r.served = h.servedFraction(calls, time.Time{}, end)
 	r.servedAtEnd = h.servedFraction(calls, end.Add(-recoveryTime), end)
@@ -364,6 +368,38 @@
 	}
 }
 
+// checkRests checks that a server which has turned a request of an instance away, and said for how long it
+// wants no more, gets almost none from it in that time (BUDGET). A disturbance of the instance, of its
+// links or of the server's link excuses it.
+func (h *harness) checkRests(calls []*call) {
+	type pair struct {
+		server string
+		sender int
+	}
+	arrivals := map[pair][]time.Time{}
+	for _, t := range h.history.turnedAway {
+		arrivals[pair{t.server, t.sender}] = append(arrivals[pair{t.server, t.sender}], t.at)
+	}
+	for _, c := range calls {
+		for _, v := range c.executions {
+			arrivals[pair{v.server, v.sender}] = append(arrivals[pair{v.server, v.sender}], v.at)
+		}
+	}
+	for _, t := range h.history.turnedAway {
+		list := arrivals[pair{t.server, t.sender}]
+		slices.SortFunc(list, time.Time.Compare)
+		n := countBetween(list, t.at.Add(restDelay), t.until)
+		if n > allowedInRest && !h.disturbances.any(t.at, t.until, func(d *disturbance) bool {
+			return d.name == "kill" || d.scope != atStore && d.scope != atServer && d.instance == t.sender ||
+				d.scope == atServer && !d.planned && d.name != wantsRest
+		}) {
+			h.history.addViolationLocked("BUDGET", "%s got %d requests of %s in the %v in which it wanted none, from %.2f s",
+				t.server, n, h.instances[t.sender].settings.Name, t.until.Sub(t.at), t.at.Sub(h.began).Seconds())
+			return
+		}
+	}
+}
+
 // countBetween returns how many times of a sorted list are in the span.
 func countBetween(list []time.Time, from, to time.Time) int {
 	a, _ := slices.BinarySearchFunc(list, from, time.Time.Compare)
--- a/internal/standin/soak/harness.go
+++ b/internal/standin/soak/harness.go
@@ -198,8 +198,7 @@
 // execute records a request that a server runs and waits for its working time or
 // its cancellation.
 func (h *harness) execute(x standin.Execution) {
-	sender := slices.IndexFunc(h.instances, func(in *instance) bool { return in.settings.IP == x.From })
-	h.history.recordExecution(x, sender)
+	h.history.recordExecution(x, h.instanceAt(x.From))
 	duration := time.Duration(5+rand.IntN(20)) * time.Millisecond
 	if rand.IntN(slowOneIn) == 0 {
 		duration = time.Duration(rand.Int64N(int64(maxWorkTime)))
@@ -210,6 +209,11 @@
 	}
 }
 
+// instanceAt returns the index of the instance with the IP address.
+func (h *harness) instanceAt(ip string) int {
+	return slices.IndexFunc(h.instances, func(in *instance) bool { return in.settings.IP == ip })
+}
+
 // noteColdStart records that a cold server has started.
 func (h *harness) noteColdStart(id string, at time.Time) {
 	h.mu.Lock()
--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -38,6 +38,14 @@
 	sender int
 }
 
+// turnedAway is a request of an instance that a server has not run and after which it wants no more from
+// the instance until a time.
+type turnedAway struct {
+	server    string
+	sender    int
+	at, until time.Time
+}
+
 // violation describes a broken rule. The rule is named as in the users' rules; SOAK
 // marks a failure of the soak itself.
 type violation struct{ rule, text string }
@@ -48,6 +56,7 @@
 	mu         sync.Mutex
 	calls      map[string]*call
 	violations []violation
+	turnedAway []turnedAway
 }
 
 func (h *history) addViolation(rule, text string) {
@@ -88,6 +97,14 @@
 	}
 }
 
+// recordTurnedAway records a request that a server turns away now.
+func (h *history) recordTurnedAway(server string, sender int, rest time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	h.turnedAway = append(h.turnedAway, turnedAway{server, sender, now, now.Add(rest)})
+}
+
 // recordReply records the reply that a caller got and checks that it belongs to
 // the request.
 func (h *history) recordReply(c *call, r standin.Reply) {
--- a/internal/standin/soak/kinds.go
+++ b/internal/standin/soak/kinds.go
@@ -29,6 +29,9 @@
 	// maxLinkCuts.
 	linkStream  = 1 << 21
 	maxLinkCuts = 3
+	// The same stream has fewer than maxRests servers that want rest, for minRest to maxRest.
+	maxRests         = 3
+	minRest, maxRest = 800 * time.Millisecond, 2500 * time.Millisecond
 	// One seed in plannedOneIn has planned disturbances only, as many rules are
 	// stricter then.
 	plannedOneIn = 3
@@ -67,6 +70,9 @@
 	for range links.IntN(maxLinkCuts) {
 		schedule(links, cutFromServers(spared))
 	}
+	for range links.IntN(maxRests) {
+		schedule(links, serverKind(wantsRest, wantRest))
+	}
 }
 
 // sleep waits for the duration or until the context ends.
@@ -211,6 +217,17 @@
 	}
 }
 
+// wantsRest is the name of the kind wantRest.
+const wantsRest = "wants rest"
+
+// wantRest makes a server turn requests away and say for how long it wants none.
+func wantRest(ctx context.Context, h *harness, b *backend, r *rand.Rand, duration time.Duration) {
+	rest := minRest + time.Duration(r.Int64N(int64(maxRest-minRest)))
+	misbehave(func(v *standin.Server) standin.Behaviour {
+		return standin.TurnAway(rest, func(from string) { h.history.recordTurnedAway(v.ID(), h.instanceAt(from), rest) })
+	})(ctx, h, b, r, duration)
+}
+
 // eachServerLink calls f for the listener of the link from the client to each server.
 func (h *harness) eachServerLink(client netip.Addr, f func(*partition.Listener, netip.Addr) error) {
 	for _, b := range h.backends {
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -87,6 +87,25 @@
 			c.status = 502
 			h.add(c, 0, "parcels-1")
 		}, nil},
+		"a server that wants rest gets requests": {func(h *harness) {
+			h.history.turnedAway = []turnedAway{{"books-1", 0, at(0), at(2 * time.Second)}}
+			for i := range 3 {
+				h.add(readCall, time.Second+time.Duration(i)*time.Millisecond, "books-1")
+			}
+		}, []string{"BUDGET"}},
+		"a server that wants rest gets few requests, and more before and after": {func(h *harness) {
+			h.history.turnedAway = []turnedAway{{"books-1", 0, at(0), at(2 * time.Second)}}
+			for i := range 6 {
+				h.add(readCall, time.Duration(i)*700*time.Millisecond, "books-1")
+			}
+		}, nil},
+		"a server that wants rest gets requests of an instance that was paused": {func(h *harness) {
+			h.history.turnedAway = []turnedAway{{"books-1", 0, at(0), at(2 * time.Second)}}
+			h.disturbances.list = []*disturbance{{scope: atInstance, from: at(500 * time.Millisecond), to: at(time.Second)}}
+			for i := range 3 {
+				h.add(readCall, time.Second+time.Duration(i)*time.Millisecond, "books-1")
+			}
+		}, nil},
 		"the wrong service": {func(h *harness) { h.add(readCall, 0, "parcels-1") }, []string{"ROUTE", "CONFIG"}},
 		"the old service": {func(h *harness) {
 			h.routeChanges = append(h.routeChanges, routeChange{at(0), services[1]})
