Let busy and stopping instances send requests of others

Change: a check that is under way is no reason to refuse; a delegate that turns out to reach nothing is left anyway. A stopping instance takes requests of others as long and under the same rule as those of its callers, but is asked last.

--- a/internal/coordination/delegation/delegation.go
+++ b/internal/coordination/delegation/delegation.go
@@ -16,6 +16,9 @@
 	// farPenalty is added to the outstanding requests of delegates in other regions, to which the
 	// way takes some tens of milliseconds more.
 	farPenalty = 16
+	// leavingPenalty makes an instance that is leaving the last choice. It may be the only one with
+	// links to the servers.
+	leavingPenalty = 1000
 	// maxOutstanding bounds the outstanding requests of this instance at one delegate.
 	maxOutstanding = 256
 	// leadLifetime is how long the smallest delay of a clock value counts. Clocks drift apart.
@@ -61,7 +64,7 @@
 	var best membership.Member
 	bestLoad := 0.0
 	for _, m := range p.Members() {
-		if m.Name == p.Name || !m.HeardRecently || !m.Ready || m.Leaving || m.ServersUnreachable || slices.Contains(tried, m.Name) ||
+		if m.Name == p.Name || !m.HeardRecently || !m.Ready || m.ServersUnreachable || slices.Contains(tried, m.Name) ||
 			slices.ContainsFunc(allowedRegions, func(list []string) bool { return len(list) > 0 && !slices.Contains(list, m.Region) }) {
 			continue
 		}
@@ -74,6 +77,9 @@
 		if m.Region != p.Region {
 			load += farPenalty
 		}
+		if m.Leaving {
+			load += leavingPenalty
+		}
 		if best.Name == "" || load < bestLoad {
 			best, bestLoad = m, load
 		}
--- a/internal/coordination/delegation/delegation_test.go
+++ b/internal/coordination/delegation/delegation_test.go
@@ -66,6 +66,9 @@
 		counts["near-1"]-counts["near-2"] > 2 || counts["near-2"]-counts["near-1"] > 2 {
 		t.Errorf("%d requests went to %v", 3*farPenalty, counts)
 	}
+	if m, ok := p.Choose([][]string{{"a"}}, []string{"near-1", "near-2"}); !ok || m.Name != "leaving" {
+		t.Errorf("a request goes to %q, want the leaving instance, the last with links", m.Name)
+	}
 	if m, ok := p.Choose([][]string{{"a", "b"}, {"b"}}, nil); !ok || m.Name != "far" {
 		t.Errorf("a request for region b goes to %q", m.Name)
 	}
--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -299,11 +299,11 @@
 	switch {
 	case m.Process != f.process:
 		return tamarackrun.DelegateChanged
-	case f.leaving.Load():
+	case f.refusingRequests.Load(), !m.Idempotent && f.mayBeCancelled(time.Now().Add(remainingTime(m))):
 		return tamarackrun.Leaving
 	case !f.members.IsReady():
 		return tamarackrun.NotReady
-	case f.links.ServersUnreachable(), f.links.Suspected():
+	case f.links.ServersUnreachable():
 		return tamarackrun.ServersUnreachable
 	case running > maxDelegated:
 		return tamarackrun.DelegateFull
@@ -337,10 +337,14 @@
 	return reply, result
 }
 
+// remainingTime returns the time until the deadline of another instance's request.
+func remainingTime(m *wire.Delegate) time.Duration {
+	return time.Duration(m.DeadlineMillis)*time.Millisecond - boottime.Clock{}.Now()
+}
+
 // decodeDelegate returns the request that another instance asks this one to send.
 func (f *Front) decodeDelegate(m *wire.Delegate) *request {
 	now := time.Now()
-	remaining := time.Duration(m.DeadlineMillis)*time.Millisecond - boottime.Clock{}.Now()
 	return &request{
 		call: pipeline.Call{Arrived: now, Body: m.Body,
 			Request: &http.Request{Method: m.Method, RequestURI: m.Target, Host: m.Host, Header: frame.Header(m.Header)}},
@@ -350,7 +354,7 @@
 			Regions: m.RouteRegions, TargetLatency: time.Duration(m.TargetLatencyMillis) * time.Millisecond},
 		organisation: configuration.Organisation{Name: m.Organisation, Regions: m.OrganisationRegions},
 		service:      m.Service,
-		deadline:     now.Add(remaining),
+		deadline:     now.Add(remainingTime(m)),
 		entry:        m.Entry,
 		counted:      m.Counted,
 	}
