Catch SIGHUP before the settings are read

Cause: the signal was caught by the task that follows the settings, which starts after the settings were read and the instance was assembled.

Change: the command catches it first and hands the channel on.

--- a/internal/program/command/front.go
+++ b/internal/program/command/front.go
@@ -43,12 +43,16 @@
 		Long:  "Run an entry instance on the users' platform. The variable " + platform.SettingsVariable + " holds the path of the settings file.",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			// A SIGHUP ends a process that does not catch it, and may come right after the start.
+			hangups := make(chan os.Signal, 1)
+			signal.Notify(hangups, syscall.SIGHUP)
+			defer signal.Stop(hangups)
 			path := os.Getenv(platform.SettingsVariable)
 			s, err := platform.LoadSettings(path)
 			if err != nil {
 				return &codedError{exitInvalid, err}
 			}
-			return runFront(path, s, metricsPort, bindServers, c.OutOrStdout())
+			return runFront(path, s, metricsPort, bindServers, hangups, c.OutOrStdout())
 		},
 	}
 	c.Flags().Uint16Var(&metricsPort, "metrics-port", defaultMetricsPort, "port of the metrics")
@@ -58,7 +62,7 @@
 }
 
 // runFront runs an instance on the users' platform until SIGTERM or SIGINT.
-func runFront(path string, s platform.Settings, metricsPort uint16, bindServers bool, out io.Writer) error {
+func runFront(path string, s platform.Settings, metricsPort uint16, bindServers bool, hangups <-chan os.Signal, out io.Writer) error {
 	writer := &log.AsyncWriter{Writer: log.IOWriter{Writer: out}, ChannelSize: logQueueSize, DiscardOnFull: true}
 	defer func() { _ = writer.Close() }()
 	logger := &log.Logger{Level: log.InfoLevel, Writer: writer}
@@ -75,17 +79,14 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	f.FollowSettings = func(ctx context.Context, reload func(sla.Terms), reject func(error)) {
-		followSettings(ctx, path, reload, reject)
+		followSettings(ctx, path, hangups, reload, reject)
 	}
 	return f.Run(ctx)
 }
 
-// followSettings reloads the terms after SIGHUP or when the settings file has
+// followSettings reloads the terms after a value of hangups or when the settings file has
 // changed. Changes of addresses need a restart.
-func followSettings(ctx context.Context, path string, reload func(sla.Terms), reject func(error)) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func followSettings(ctx context.Context, path string, hangups <-chan os.Signal, reload func(sla.Terms), reject func(error)) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	// If the file cannot be read, the first comparison reports the error.
