--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -42,8 +44,13 @@
 type options struct {
 	// work is how long an upstream works on a request, by its route; 0 means defaultWork.
 	work map[string]time.Duration
+	// stampers is the number of upstreams of the unsafe route; 0 means defaultUpstreams.
+	stampers int
 }
 
+// defaultUpstreams is the number of upstreams of a service.
+const defaultUpstreams = 3
+
 // deployment is a store, upstreams and machines on loopback addresses.
 type deployment struct {
 	record *recorder
@@ -81,12 +88,15 @@
 	if err := d.store.Configure(desiredState()); err != nil {
 		return d, cleanup, err
 	}
-	for i, service := range []string{"logbook", "logbook", "logbook", "certifier", "certifier", "certifier"} {
+	services := slices.Repeat([]string{"logbook"}, defaultUpstreams)
+	services = append(services, slices.Repeat([]string{"certifier"}, cmp.Or(o.stampers, defaultUpstreams))...)
+	for i, service := range services {
 		v := &upstream{id: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, zone: zoneNames[i%len(zoneNames)],
-			born: time.Now(), work: o.work, record: record}
-		if v.address, err = d.serve(fmt.Sprintf("%s%d:0", base, 50+i), v); err != nil {
+			work: o.work, record: record}
+		if err := v.start(fmt.Sprintf("%s%d:0", base, 50+i)); err != nil {
 			return d, cleanup, err
 		}
+		d.cleanups = append(d.cleanups, v.stop)
 		d.upstreams = append(d.upstreams, v)
 	}
 	stopBeats := d.keepRegistered(ctx)
@@ -164,7 +174,7 @@
 	group.Go(func() {
 		for ctx.Err() == nil {
 			for _, v := range d.upstreams {
-				d.store.Put("servers", v.id, v.nextRecord())
+				d.register(v)
 			}
 			select {
 			case <-ctx.Done():
@@ -175,6 +185,9 @@
 	return func() { cancel(); group.Wait() }
 }
 
+// register writes the record of an upstream.
+func (d *deployment) register(v *upstream) { d.store.Put("servers", v.id, v.nextRecord()) }
+
 // awaitReady waits until all machines are ready and settled.
 func (d *deployment) awaitReady(ctx context.Context) error {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -35,6 +35,7 @@
 
 var cases = map[string]reviewCase{
 	"connection-header": {options{}, runConnectionHeader},
+	"restored-lifetime": {options{work: map[string]time.Duration{"stamp": time.Second}}, runRestoredLifetime},
 }
 
 // recorder writes the file that shows what was sent, answered and run. It is safe for concurrent
--- a/review/harness/upstream.go
+++ b/review/harness/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -32,6 +33,50 @@
 	mu       sync.Mutex
 	sequence int
 	runs     []*run
+	// failing is true while the upstream fails every second request after it has run it.
+	failing bool
+	// leaving is true once the upstream reports that it drains and says so in its answers.
+	leaving bool
+	server  *http.Server
+}
+
+// start serves at the address, of which the port may be 0, and begins a lifetime.
+func (v *upstream) start(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	v.mu.Lock()
+	v.address, v.born, v.sequence = listener.Addr().String(), time.Now(), 0
+	server := &http.Server{Handler: v}
+	v.server = server
+	v.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// stop ends the lifetime like a crash.
+func (v *upstream) stop() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.server == nil {
+		return nil
+	}
+	return v.server.Close()
+}
+
+// leave makes the upstream say that it leaves. It goes on serving.
+func (v *upstream) leave() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.leaving = true
+}
+
+// isLeaving reports whether the upstream says that it leaves.
+func (v *upstream) isLeaving() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.leaving
 }
 
 // nextRecord returns the spec of the upstream's next record in the store.
@@ -39,14 +84,21 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.sequence++
-	return fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":"v1","slots":9,"state":"ready","cold-remaining-s":0,"seq":%d,"born":%d}`,
-		v.service, v.address, v.zone, v.sequence, v.born.UnixMilli())
+	state := "ready"
+	if v.leaving {
+		state = "draining"
+	}
+	return fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":"v1","slots":9,"state":%q,"cold-remaining-s":0,"seq":%d,"born":%d}`,
+		v.service, v.address, v.zone, state, v.sequence, v.born.UnixMilli())
 }
 
 // ServeHTTP handles one request.
 func (v *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
+	if v.isLeaving() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if r.URL.Path == "/healthz" {
 		w.Header().Set("X-Instance-Id", v.id)
 		w.Header().Set("X-Cold-Remaining-Ms", "0")
@@ -69,6 +121,7 @@
 	e := &run{id: id, target: r.RequestURI, tenant: r.Header.Get("X-Tenant"), began: time.Now()}
 	v.mu.Lock()
 	v.runs = append(v.runs, e)
+	fails := v.failing && len(v.runs)%2 == 0
 	v.mu.Unlock()
 	v.record.add("upstream %s (%s) begins to run %s %s, X-Tenant %q", v.id, v.service, id, e.target, e.tenant)
 	work := v.work[routeOf(r.URL.Path)]
@@ -88,6 +141,14 @@
 		v.record.add("upstream %s stops work on %s, its connection has closed", v.id, id)
 		return
 	}
+	if v.isLeaving() {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if fails {
+		v.record.add("upstream %s has run %s and answers 503 without X-Not-Executed", v.id, id)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("X-Response-Signature", "signed-"+v.id+"-"+id)
 	w.Header().Set("X-Server-Load", "1,0,9")
 	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
