--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -36,6 +36,7 @@
 var cases = map[string]reviewCase{
 	"connection-header": {options{}, runConnectionHeader},
 	"failed-run":        {options{stampers: 8}, runFailedRun},
+	"smuggled":          {options{}, runSmuggled},
 	"restored-lifetime": {options{work: map[string]time.Duration{"stamp": time.Second}}, runRestoredLifetime},
 }
 
