Merge all pages of a collection in one copy, and ask readers for reported changes

An instance that reads the store for its failure domain learned of an evacuation from its read of the store's revision, while its own watch had been silent since the store dropped its history. That read went to the registry of servers only: the copy that it serves to the others lacked the evacuation, and nothing renewed its watch, since it knew the change. The others heard of the change from reports, read the collection again, got that copy each time and took it.

Change: state/records is the one place where pages are merged, from followers and from other reads alike, record by record and by position, so that neither an older record nor an earlier removal undoes a later one; what is new goes on to the registry, the members and the configuration. A watch without changes no longer counts as proof of its position. A read that finds what a watch missed renews the watch, and a removal that only a whole read shows is reported. A reader's whole collection must have the change that was reported; a reader without it reads the store, once for all that ask. The function withoutOld of coordination/source is gone, since the copy compares every record; its check is a case of TestRecordsAreMergedByPosition.

Also: peers are served only once the followers exist; a peer's early query read a map while it was filled (review).

--- a/fleet.go
+++ b/fleet.go
@@ -83,6 +83,8 @@
 	Full bool
 	// Position is the position up to which the page is complete.
 	Position Position
+	// Reader is the address of the instance that sent the page; empty if the store did.
+	Reader string
 	// Reconnected reports whether the instance that read the page had lost contact with
 	// the store before, so that records may have lapsed meanwhile.
 	Reconnected bool
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -42,10 +41,15 @@
 	// before the instance counts as in contact again.
 	MaxBackoff time.Duration
 	// Apply is called with each page. reconnected is true for the first page after a
-	// failure, after the store has come back from a copy, and for the very first page.
+	// failure, and for the very first page.
 	Apply func(page tamarackrun.Page, reconnected bool)
+	// Known returns the position up to which the instance knows the collection, also from other
+	// reads than the follower's; nil means that there are none.
+	Known func() tamarackrun.Position
 
-	resyncRequested atomic.Bool
+	// resyncRequested and renewRequested are true from a call of Resync or Renew on until the
+	// follower has noticed it.
+	resyncRequested, renewRequested atomic.Bool
 	// cancelWatch cancels the running watch. It is nil while no watch runs: a read
 	// is never cancelled, because it would have to start again.
 	cancelWatch atomic.Pointer[context.CancelFunc]
@@ -60,6 +64,15 @@
 	}
 }
 
+// Renew makes the follower watch from the position that Known returns. It cancels the running watch,
+// which has not delivered a change that another read has shown.
+func (f *Follower) Renew() {
+	f.renewRequested.Store(true)
+	if cancel := f.cancelWatch.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
 // Run follows the collection until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	// position is that of the latest page. complete is true once the whole
@@ -72,8 +85,15 @@
 		if f.resyncRequested.Swap(false) {
 			complete = false
 		}
+		f.renewRequested.Store(false)
+		if f.Known != nil {
+			position = tamarackrun.Latest(position, f.Known())
+		}
 		page, err := f.fetch(ctx, position, complete, failing)
 		switch {
+		case err != nil && f.renewRequested.Load() && complete && !failing && ctx.Err() == nil:
+			// Renew cancelled the watch, or will cancel nothing.
+			continue
 		case f.resyncRequested.Load() && complete && !failing:
 			// Resync cancelled the watch; what the watch returned is read again.
 			continue
@@ -98,13 +118,7 @@
 			if failing {
 				f.Recorder.Record(event.StoreReachable, "", "collection", f.Collection.String())
 			}
-			restored := position != tamarackrun.Position{} && page.Position.Era > position.Era
-			if restored {
-				f.Recorder.Record(event.StoreRestored, "", "collection", f.Collection.String(),
-					"era", strconv.FormatInt(page.Position.Era, 10), "revision", strconv.FormatInt(page.Position.Revision, 10),
-					"previousEra", strconv.FormatInt(position.Era, 10), "previousRevision", strconv.FormatInt(position.Revision, 10))
-			}
-			f.Apply(page, failing || restored)
+			f.Apply(page, failing)
 			position, complete, failing, backoff = page.Position, complete || page.Full, false, minBackoff
 			if f.Paced == nil || f.Paced() {
 				waiting.Pause(ctx, f.MinInterval-time.Since(began))
@@ -128,7 +142,7 @@
 	defer cancel()
 	f.cancelWatch.Store(&cancel)
 	defer f.cancelWatch.Store(nil)
-	if f.resyncRequested.Load() {
+	if f.resyncRequested.Load() || f.renewRequested.Load() {
 		cancel()
 	}
 	return f.Store.Watch(ctx, f.Collection, position, f.WatchTimeout)
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -198,3 +198,36 @@
 		})
 	}
 }
+
+// Guards against a watch that goes on although it has missed a change that another read has shown: a
+// store that dropped its history left watches waiting for 9 s (EVAC, stw-tamarack-large).
+func TestRenewedWatchStartsAfterKnownPosition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store, known := &slowStore{}, atomic.Int64{}
+		var pages []tamarackrun.Page
+		f := &Follower{
+			Store:        store,
+			Recorder:     recorder.Discard{},
+			WatchTimeout: 30 * time.Second,
+			MaxBackoff:   400 * time.Millisecond,
+			Apply:        func(page tamarackrun.Page, _ bool) { pages = append(pages, page) },
+			Known:        func() tamarackrun.Position { return tamarackrun.Position{Revision: known.Load()} },
+		}
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			f.Run(ctx)
+		}()
+		time.Sleep(2 * time.Second)
+		known.Store(20)
+		f.Renew()
+		time.Sleep(31 * time.Second)
+		cancel()
+		<-ended
+		want := []tamarackrun.Page{{Full: true, Position: tamarackrun.Position{Revision: 1}}, {Position: tamarackrun.Position{Revision: 20}}}
+		if diff := cmp.Diff(want, pages); diff != "" {
+			t.Errorf("pages (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/coordination/source/source.go
+++ b/internal/coordination/source/source.go
@@ -37,8 +37,12 @@
 	collectionCount = 4
 )
 
-// errOld is returned for a page of a reader that knows less than this instance.
-var errOld = errors.New("the reader's records are older than those of this instance")
+// errOld is returned for a page of a reader that knows less than this instance, and errBehind for
+// one that lacks a change of which this instance has heard.
+var (
+	errOld    = errors.New("the reader's records are older than those of this instance")
+	errBehind = errors.New("the reader's records lack a reported change")
+)
 
 // Source implements tamarackrun.RecordReader. It is safe for concurrent use.
 type Source struct {
@@ -52,6 +56,12 @@
 	// RemoteReader returns the address of a reader of another failure domain, or "". It is
 	// asked when the store does not answer this instance in time. It may be nil.
 	RemoteReader func() string
+	// Known returns the position up to which the instance knows a collection. No reader's page
+	// before it is accepted, so that nothing comes back that was removed.
+	Known func(collection tamarackrun.Collection) tamarackrun.Position
+	// Reported returns the position of the latest change of a collection that other instances
+	// have reported. A reader's whole collection must contain it. It may be nil.
+	Reported func(collection tamarackrun.Collection) tamarackrun.Position
 	// OnAnswer is called when the store has answered this instance. It may be nil.
 	OnAnswer func()
 	// Dial returns the records of the reader at an address.
@@ -61,9 +71,6 @@
 	mu sync.Mutex
 	// latest is the address of the latest source of each collection, "" for the store.
 	latest [collectionCount]string
-	// positions holds the latest position of a page of each collection. No reader's page
-	// before it is accepted, so that nothing comes back that was removed.
-	positions [collectionCount]tamarackrun.Position
 	// avoidUntil holds the times until which readers are not asked, by address.
 	avoidUntil map[string]time.Time
 	// catchUp is true for the collections whose next watch asks the store. cancels holds the
@@ -88,7 +95,7 @@
 func (s *Source) ReadsStore(collection tamarackrun.Collection) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.latest[collection] == "" && s.positions[collection] != tamarackrun.Position{}
+	return s.latest[collection] == "" && s.Known(collection) != tamarackrun.Position{}
 }
 
 // noteStore records whether a call to the store succeeded. A call that this instance has
@@ -154,16 +161,15 @@
 	s.Recorder.Record(event.ReaderFailed, "", "collection", collection.String(), "reader", address, "error", err.Error())
 }
 
-// accept records the position of a page. It reports whether the page is not older than an
-// earlier one.
-func (s *Source) accept(collection tamarackrun.Collection, page tamarackrun.Page) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if page.Position.Before(s.positions[collection]) {
-		return false
+// check returns an error if a reader's whole collection must not replace what the instance knows.
+func (s *Source) check(collection tamarackrun.Collection, page tamarackrun.Page) error {
+	switch {
+	case page.Position.Before(s.Known(collection)):
+		return errOld
+	case s.Reported != nil && page.Position.Before(s.Reported(collection)):
+		return errBehind
 	}
-	s.positions[collection] = page.Position
-	return true
+	return nil
 }
 
 // Read returns all records of a collection.
@@ -172,10 +178,11 @@
 		readerCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		page, err := s.Dial(address).Read(readerCtx, collection)
 		cancel()
-		if err == nil && !s.accept(collection, page) {
-			err = errOld
+		if err == nil {
+			err = s.check(collection, page)
 		}
 		if err == nil {
+			page.Reader = address
 			return page, nil
 		}
 		if ctx.Err() != nil {
@@ -183,14 +190,14 @@
 		}
 		s.avoid(address, collection, err)
 	}
-	return s.readHedged(ctx, collection)
+	return s.ReadStore(ctx, collection)
 }
 
-// readHedged returns all records of a collection from the store, or from a reader of another
+// ReadStore returns all records of a collection from the store, or from a reader of another
 // failure domain if the store does not answer in time and that reader knows as much as this
 // instance. A store that is silent towards this instance only would hold up the read until it
 // times out.
-func (s *Source) readHedged(ctx context.Context, collection tamarackrun.Collection) (tamarackrun.Page, error) {
+func (s *Source) ReadStore(ctx context.Context, collection tamarackrun.Collection) (tamarackrun.Page, error) {
 	type result struct {
 		page    tamarackrun.Page
 		err     error
@@ -209,15 +216,13 @@
 	for {
 		select {
 		case r := <-fromStore:
-			if r.err == nil {
-				s.accept(collection, r.page)
-			}
 			return r.page, r.err
 		case r := <-fromReader:
-			if r.err == nil && !s.accept(collection, r.page) {
-				r.err = errOld
+			if r.err == nil {
+				r.err = s.check(collection, r.page)
 			}
 			if r.err == nil {
+				r.page.Reader = r.address
 				return r.page, nil
 			}
 			s.avoid(r.address, collection, r.err)
@@ -277,9 +282,6 @@
 	case watchCtx.Err() != nil:
 		// The reader has changed, or the collection is read from the store next.
 		return tamarackrun.Page{Position: after}, nil
-	case fromStore && err == nil:
-		s.accept(collection, page)
-		return page, nil
 	case fromStore:
 		return page, err
 	case err == nil && page.Position.Before(after):
@@ -289,24 +291,8 @@
 		s.avoid(address, collection, err)
 		return tamarackrun.Page{Position: after}, nil
 	}
-	s.accept(collection, page)
-	return withoutOld(page, after), nil
-}
-
-// withoutOld returns the page without the records that a page up to the position has
-// contained. A reader's page may start earlier.
-func withoutOld(page tamarackrun.Page, after tamarackrun.Position) tamarackrun.Page {
-	if page.Full {
-		return page
-	}
-	records := make([]tamarackrun.Record, 0, len(page.Records))
-	for _, r := range page.Records {
-		if r.Removed || after.Before(r.Position) {
-			records = append(records, r)
-		}
-	}
-	page.Records = records
-	return page
+	page.Reader = address
+	return page, nil
 }
 
 // cancelOnChange calls cancel when the reader is no longer the one at the address. The
--- a/internal/coordination/source/source_test.go
+++ b/internal/coordination/source/source_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"tamarackrun"
 	"tamarackrun/internal/standin/recorder"
@@ -74,6 +75,8 @@
 // fixture is a source with a store and two readers.
 type fixture struct {
 	*Source
+	// known is what the instance knows.
+	known   *records.Collection
 	store   *copyOfStore
 	readers map[string]*copyOfStore
 	mu      sync.Mutex
@@ -81,9 +84,10 @@
 }
 
 func newFixture() *fixture {
-	f := &fixture{store: newCopy(page(true, 10, record("a", 1))), reader: "one",
+	f := &fixture{known: records.New(), store: newCopy(page(true, 10, record("a", 1))), reader: "one",
 		readers: map[string]*copyOfStore{"one": newCopy(page(true, 10, record("a", 1))), "two": newCopy(page(true, 10, record("a", 1)))}}
 	f.Source = &Source{Store: f.store, Recorder: recorder.Discard{},
+		Known: func(tamarackrun.Collection) tamarackrun.Position { return f.known.Position() },
 		Reader: func() string {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -93,6 +97,21 @@
 	return f
 }
 
+// read reads the collection and applies the page.
+func (f *fixture) read(t *testing.T) (tamarackrun.Page, error) {
+	page, err := f.Read(t.Context(), tamarackrun.Servers)
+	if err == nil {
+		f.known.Apply(page)
+	}
+	return page, err
+}
+
+// from returns the page as one that the reader has sent.
+func from(reader string, page tamarackrun.Page) tamarackrun.Page {
+	page.Reader = reader
+	return page
+}
+
 func (f *fixture) setReader(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -103,16 +122,16 @@
 // instance without records when its reader does not answer.
 func TestReaderIsAskedBeforeStore(t *testing.T) {
 	f := newFixture()
-	got, err := f.Read(t.Context(), tamarackrun.Servers)
-	if diff := cmp.Diff(page(true, 10, record("a", 1)), got); diff != "" || err != nil || f.store.calls != 0 {
+	got, err := f.read(t)
+	if diff := cmp.Diff(from("one", page(true, 10, record("a", 1))), got); diff != "" || err != nil || f.store.calls != 0 {
 		t.Errorf("page (-want +got):\n%s%v; %d calls to the store", diff, err, f.store.calls)
 	}
 	f.readers["one"].setAway(true)
-	if _, err := f.Read(t.Context(), tamarackrun.Servers); err != nil || f.store.calls != 1 {
+	if _, err := f.read(t); err != nil || f.store.calls != 1 {
 		t.Errorf("after the reader's failure: %v, %d calls to the store, want 1", err, f.store.calls)
 	}
 	asked := f.readers["one"].calls
-	if _, err := f.Read(t.Context(), tamarackrun.Servers); err != nil || f.readers["one"].calls != asked {
+	if _, err := f.read(t); err != nil || f.readers["one"].calls != asked {
 		t.Errorf("the failed reader was asked again at once: %v", err)
 	}
 	if !f.ReadsStore(tamarackrun.Servers) {
@@ -126,11 +145,11 @@
 	f := newFixture()
 	f.setReader("")
 	f.store.Apply(page(false, 12, tamarackrun.Record{Name: "a", Position: tamarackrun.Position{Revision: 12}, Removed: true}))
-	if _, err := f.Read(t.Context(), tamarackrun.Servers); err != nil {
+	if _, err := f.read(t); err != nil {
 		t.Fatal(err)
 	}
 	f.setReader("one")
-	got, err := f.Read(t.Context(), tamarackrun.Servers)
+	got, err := f.read(t)
 	if diff := cmp.Diff(page(true, 12), got); diff != "" || err != nil {
 		t.Errorf("page (-want +got):\n%s%v", diff, err)
 	}
@@ -139,12 +158,26 @@
 	f.readers["two"].Apply(page(false, 13, record("b", 13)))
 	f.setReader("two")
 	got, err = f.Watch(t.Context(), tamarackrun.Servers, tamarackrun.Position{Revision: 12}, time.Second)
-	if diff := cmp.Diff(page(false, 13, record("b", 13)), got); diff != "" || err != nil {
+	if diff := cmp.Diff(from("two", page(false, 13, record("b", 13))), got); diff != "" || err != nil {
 		t.Errorf("changes (-want +got):\n%s%v", diff, err)
 	}
-	got = withoutOld(page(false, 13, record("a", 11), record("b", 13)), tamarackrun.Position{Revision: 12})
-	if diff := cmp.Diff(page(false, 13, record("b", 13)), got); diff != "" {
-		t.Errorf("page without old records (-want +got):\n%s", diff)
+}
+
+// Guards against an instance that reads a collection again because of a reported change, and takes a
+// copy without that change from its reader each time (EVAC, stw-tamarack-large).
+func TestReaderMustKnowReportedChange(t *testing.T) {
+	f := newFixture()
+	f.Reported = func(tamarackrun.Collection) tamarackrun.Position { return tamarackrun.Position{Revision: 12} }
+	f.store.Apply(page(false, 12, record("b", 12)))
+	got, err := f.read(t)
+	if diff := cmp.Diff(page(true, 12, record("a", 1), record("b", 12)), got, cmpopts.SortSlices(func(a, b tamarackrun.Record) bool { return a.Name < b.Name })); diff != "" || err != nil {
+		t.Errorf("page (-want +got):\n%s%v", diff, err)
+	}
+	f.readers["two"].Apply(page(false, 12, record("b", 12)))
+	f.setReader("two")
+	calls := f.store.calls
+	if got, err = f.read(t); got.Reader != "two" || err != nil || f.store.calls != calls {
+		t.Errorf("page from %q, %v, %d further calls to the store, want a page from two", got.Reader, err, f.store.calls-calls)
 	}
 }
 
@@ -262,7 +295,8 @@
 	for _, c := range []struct {
 		delay, longest time.Duration
 		asked          int
-	}{{hedgeDelay / 2, hedgeDelay / 2, 0}, {time.Minute, hedgeDelay, 1}} {
+		reader         string
+	}{{hedgeDelay / 2, hedgeDelay / 2, 0, ""}, {time.Minute, hedgeDelay, 1, "two"}} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFixture()
 			f.setReader("")
@@ -271,7 +305,7 @@
 			f.Store, f.RemoteReader = delayedStore{f.store, c.delay}, func() string { return "two" }
 			began := time.Now()
 			got, err := f.Read(ctx, tamarackrun.Servers)
-			if diff := cmp.Diff(page(true, 10, record("a", 1)), got); diff != "" || err != nil || time.Since(began) > c.longest {
+			if diff := cmp.Diff(from(c.reader, page(true, 10, record("a", 1))), got); diff != "" || err != nil || time.Since(began) > c.longest {
 				t.Errorf("page after %s (-want +got):\n%s%v", time.Since(began), diff, err)
 			}
 			if f.readers["two"].calls != c.asked {
--- a/internal/coordination/verify/verify.go
+++ b/internal/coordination/verify/verify.go
@@ -51,6 +51,9 @@
 	retryPause = time.Second
 )
 
+// otherCollections are those that readStore does not read.
+var otherCollections = [...]tamarackrun.Collection{tamarackrun.Configurations, tamarackrun.Servers, tamarackrun.Instances}
+
 // Positions holds the latest known position of each collection.
 type Positions [4]tamarackrun.Position
 
@@ -96,8 +99,8 @@
 	// ReadsStore reports whether the instance watches the collection in the store itself;
 	// nil means that it does.
 	ReadsStore func(collection tamarackrun.Collection) bool
-	// ApplyEvacuations is called with the evacuations that each read returns.
-	ApplyEvacuations func(page tamarackrun.Page)
+	// Apply is called with the evacuations that each read returns, and calls Applied.
+	Apply func(collection tamarackrun.Collection, page tamarackrun.Page)
 	// PropagationBound is how soon any change must be in force, and
 	// HeartbeatInterval the interval at which servers renew their records.
 	PropagationBound, HeartbeatInterval time.Duration
@@ -114,6 +117,9 @@
 	recoveredAt time.Time
 	// lastRead is when the latest successful read by any instance began.
 	lastRead time.Time
+	// searching is true for the collections that are being read because the store's position
+	// showed a change that no watch has delivered.
+	searching [4]bool
 	// readResync is the store's position at the latest read by this instance that led to a
 	// resync.
 	readResync tamarackrun.Position
@@ -125,10 +131,15 @@
 	resyncDue         [4]time.Time
 }
 
-// Applied records the positions of a page that was applied.
-func (v *Verifier) Applied(collection tamarackrun.Collection, page tamarackrun.Page) {
+// Applied records the positions of a page that was applied. vanished reports whether the page, the
+// whole collection, lacks a record that was known.
+func (v *Verifier) Applied(collection tamarackrun.Collection, page tamarackrun.Page, vanished bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if vanished && (collection == tamarackrun.Evacuations || v.searching[collection]) {
+		// Nobody may have the position of the removal, so the others are told that of the page.
+		v.applied[collection] = tamarackrun.Latest(v.applied[collection], page.Position)
+	}
 	for _, r := range page.Records {
 		v.applied[collection] = tamarackrun.Latest(v.applied[collection], r.Position)
 	}
@@ -136,6 +147,7 @@
 		// A full page does not show removals, so its records may have lower
 		// positions than the collection.
 		v.fullRead[collection] = tamarackrun.Latest(v.fullRead[collection], page.Position)
+		v.searching[collection] = false
 	}
 	now := time.Now()
 	v.updateResync(now, collection)
@@ -211,6 +223,13 @@
 	return known, min(now.Sub(v.lastRead), maxReportedAge)
 }
 
+// Reported returns the position of the latest change of a collection that others have reported.
+func (v *Verifier) Reported(collection tamarackrun.Collection) tamarackrun.Position {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.reported[collection]
+}
+
 // MergeReport processes the report of another instance. age is the age of the
 // latest read that the other instance knows of.
 func (v *Verifier) MergeReport(now time.Time, positions Positions, age time.Duration) {
@@ -296,17 +315,19 @@
 	if err != nil {
 		return false
 	}
-	v.ApplyEvacuations(page)
 	v.mu.Lock()
 	v.noteRead(time.Now(), began)
 	behind := tamarackrun.Latest(v.applied.latest(), v.fullRead.latest(), v.readResync).Before(page.Position)
 	if behind {
 		v.readResync = page.Position
+		for _, c := range otherCollections {
+			v.searching[c] = true
+		}
 	}
 	v.mu.Unlock()
-	v.Applied(tamarackrun.Evacuations, page)
+	v.Apply(tamarackrun.Evacuations, page)
 	if behind {
-		for _, c := range []tamarackrun.Collection{tamarackrun.Configurations, tamarackrun.Servers, tamarackrun.Instances} {
+		for _, c := range otherCollections {
 			v.Resync(c)
 		}
 	}
--- a/internal/coordination/verify/verify_test.go
+++ b/internal/coordination/verify/verify_test.go
@@ -57,8 +57,8 @@
 			Rank:              func() int { return f.rank(i) },
 			StoreFailed:       func() bool { return slices.Contains(f.storeless, i) },
 			Resync:            func(c tamarackrun.Collection) { resyncs[c]++ },
-			ApplyEvacuations:  func(tamarackrun.Page) {},
 		})
+		f.verifiers[i].Apply = func(c tamarackrun.Collection, page tamarackrun.Page) { f.verifiers[i].Applied(c, page, false) }
 	}
 	return f
 }
@@ -103,8 +103,8 @@
 }
 
 // pageWithRevision returns the arguments of Applied for a change of a collection.
-func pageWithRevision(c tamarackrun.Collection, revision int64) (tamarackrun.Collection, tamarackrun.Page) {
-	return c, tamarackrun.Page{Records: []tamarackrun.Record{{Name: "x", Position: tamarackrun.Position{Revision: revision}}}}
+func pageWithRevision(c tamarackrun.Collection, revision int64) (tamarackrun.Collection, tamarackrun.Page, bool) {
+	return c, tamarackrun.Page{Records: []tamarackrun.Record{{Name: "x", Position: tamarackrun.Position{Revision: revision}}}}, false
 }
 
 // Guards against reads of the store by all instances in each interval.
@@ -154,6 +154,36 @@
 	}
 }
 
+// Guards against instances that go on with a removed record, because the only one that has found the
+// removal, by reading the whole collection, does not know its position and tells nobody.
+func TestRemovalFoundByReadIsReported(t *testing.T) {
+	for _, c := range []tamarackrun.Collection{tamarackrun.Evacuations, tamarackrun.Servers} {
+		t.Run(c.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(7)
+				for _, v := range f.verifiers {
+					v.Applied(pageWithRevision(c, 10))
+				}
+				f.run(t, 5*time.Second)
+				f.store.revision = 11
+				reader := f.verifiers[0]
+				removed := tamarackrun.Page{Full: true, Position: tamarackrun.Position{Revision: 11}}
+				reader.Resync = func(resynced tamarackrun.Collection) {
+					reader.Applied(resynced, removed, resynced == c)
+				}
+				reader.Apply = func(read tamarackrun.Collection, page tamarackrun.Page) { reader.Applied(read, page, read == c) }
+				// The users' bound on leaving servers is 2.5 s.
+				f.run(t, 2200*time.Millisecond)
+				for i, resyncs := range f.resyncs[1:] {
+					if resyncs[c] == 0 {
+						t.Errorf("instance %d did not read the collection again", i+1)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against a resync of collections that miss no change.
 func TestNoResyncWithoutMissedChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -163,7 +193,7 @@
 		}
 		// The latest change is a removal, which a full page does not show: the
 		// highest revision of its records is lower than the page's.
-		f.verifiers[0].Applied(tamarackrun.Servers, tamarackrun.Page{Full: true, Position: tamarackrun.Position{Revision: 9}, Records: []tamarackrun.Record{{Position: tamarackrun.Position{Revision: 5}}}})
+		f.verifiers[0].Applied(tamarackrun.Servers, tamarackrun.Page{Full: true, Position: tamarackrun.Position{Revision: 9}, Records: []tamarackrun.Record{{Position: tamarackrun.Position{Revision: 5}}}}, false)
 		f.verifiers[1].Applied(pageWithRevision(tamarackrun.Servers, 8))
 		f.verifiers[2].Applied(pageWithRevision(tamarackrun.Servers, 8))
 		f.run(t, 10*time.Second)
@@ -260,10 +290,10 @@
 		}
 		for _, v := range f.verifiers {
 			for _, c := range append(all, tamarackrun.Evacuations) {
-				v.Applied(c, inEra(0, 500))
+				v.Applied(c, inEra(0, 500), false)
 			}
 		}
-		f.verifiers[0].Applied(tamarackrun.Evacuations, inEra(1, 40))
+		f.verifiers[0].Applied(tamarackrun.Evacuations, inEra(1, 40), false)
 		f.run(t, propagationBound)
 		for i, resyncs := range f.resyncs {
 			for _, c := range all {
@@ -274,7 +304,7 @@
 		}
 		for _, v := range f.verifiers {
 			for _, c := range append(all, tamarackrun.Evacuations) {
-				v.Applied(c, inEra(1, 41))
+				v.Applied(c, inEra(1, 41), false)
 			}
 		}
 		for _, resyncs := range f.resyncs {
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -110,6 +110,10 @@
 	// known holds what the instance knows of each collection, for the instances that read
 	// the store through this one.
 	known map[tamarackrun.Collection]*records.Collection
+	// learning serialises the pages of each collection, and reads holds the latest read of each
+	// for other instances.
+	learning map[tamarackrun.Collection]*sync.Mutex
+	reads    map[tamarackrun.Collection]*storeRead
 	// encoded holds the latest message with the whole of each collection.
 	encodedMutex sync.Mutex
 	encoded      map[tamarackrun.Collection]*wire.RecordPage
@@ -158,6 +162,8 @@
 		instancesRead: make(chan struct{}),
 		recordWritten: make(chan struct{}),
 		known:         map[tamarackrun.Collection]*records.Collection{},
+		learning:      map[tamarackrun.Collection]*sync.Mutex{},
+		reads:         map[tamarackrun.Collection]*storeRead{},
 		selectors:     map[string]*directory.Selector{},
 		encoded:       map[tamarackrun.Collection]*wire.RecordPage{},
 	}
@@ -258,9 +264,10 @@
 	}
 	cleanups = append(cleanups, closeMesh)
 	f.mesh, mesh.Handler = mesh, f
-	go f.runListener(mesh.Run)
 	f.openFollowers()
 	f.openMembership(socket)
+	// Peers ask for what the two calls above have set.
+	go f.runListener(mesh.Run)
 	callers, closeCallers, err := pipeline.New(f.Identity.CallerAddress)
 	if err != nil {
 		return cleanup, err
--- a/internal/program/front/reading.go
+++ b/internal/program/front/reading.go
@@ -27,15 +27,20 @@
 	queryMargin = time.Second
 )
 
+// errReaderBehind is the answer to an instance that knows of a change which this one has not found
+// in the store.
+var errReaderBehind = errors.New("its records lack the change that is asked for")
+
 // remoteReader implements tamarackrun.RecordReader by queries to the reader at an address.
 type remoteReader struct {
 	front   *Front
 	address string
 }
 
-// Read returns all records of a collection.
+// Read returns all records of a collection, with all changes that were reported to this instance.
 func (r *remoteReader) Read(ctx context.Context, collection tamarackrun.Collection) (tamarackrun.Page, error) {
-	return r.query(ctx, collection, &wire.RecordQuery{Collection: uint32(collection), Full: true})
+	reported := r.front.verifier.Reported(collection)
+	return r.query(ctx, collection, &wire.RecordQuery{Collection: uint32(collection), Full: true, Era: reported.Era, After: reported.Revision})
 }
 
 // Watch returns the changes after a position.
@@ -105,6 +110,7 @@
 			return nil, errors.New("it does not read the store itself")
 		}
 	}
+	after := tamarackrun.Position{Era: query.Era, Revision: query.After}
 	if query.Full {
 		if f.source.StoreUnreachable() {
 			return nil, errors.New("the store does not answer it")
@@ -112,12 +118,16 @@
 		ctx, cancel := context.WithTimeout(ctx, firstReadWait)
 		defer cancel()
 		page, err := known.Read(ctx)
+		if err == nil && page.Position.Before(after) {
+			if err = f.readFor(ctx, collection, after); err == nil {
+				page, err = known.Read(ctx)
+			}
+		}
 		if err != nil {
 			return nil, err
 		}
 		return f.encodeWhole(collection, page)
 	}
-	after := tamarackrun.Position{Era: query.Era, Revision: query.After}
 	page, err := known.Watch(ctx, after, min(maxQueryWait, time.Duration(query.WaitMillis)*time.Millisecond))
 	if err != nil {
 		return nil, err
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -41,6 +41,7 @@
 	ServerNotice          tamarackrun.EventID = 1125
 	ServersUnreachable    tamarackrun.EventID = 1126
 	ServersReachable      tamarackrun.EventID = 1127
+	CollectionRead        tamarackrun.EventID = 1128
 	PeerReachable         tamarackrun.EventID = 1201
 	PeerUnreachable       tamarackrun.EventID = 1202
 	PeerRefused           tamarackrun.EventID = 1203
@@ -130,6 +131,7 @@
 	{ServerNotice, "serverNotice", "info", "a backend server has said in an answer that it is leaving, or that it wants no requests from this instance for some time"},
 	{ServersUnreachable, "serversUnreachable", "warn", "the instance has lost its links to all backend servers; other instances send its requests"},
 	{ServersReachable, "serversReachable", "info", "the instance reaches backend servers again"},
+	{CollectionRead, "collectionRead", "info", "the instance has read a whole collection of the store's records"},
 	{PeerReachable, "peerReachable", "info", "heartbeats with a peer succeed"},
 	{PeerUnreachable, "peerUnreachable", "warn", "a peer did not answer heartbeats"},
 	{PeerRefused, "peerRefused", "warn", "a connection of another process was refused because it did not prove that it is an instance of the fleet"},
--- a/internal/state/records/records_test.go
+++ b/internal/state/records/records_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	gocmp "github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"tamarackrun"
 )
@@ -49,6 +50,67 @@
 	}
 }
 
+// Guards against pages of different sources that undo each other. A reader's page may start before
+// what the instance has, and hold the end of an evacuation together with the next one of the same
+// failure domain: applied without a comparison of the records' positions, the earlier removal ended
+// the later evacuation.
+func TestRecordsAreMergedByPosition(t *testing.T) {
+	known := []tamarackrun.Page{full(10, record("a", 3), record("b", 9)), changes(20, removal("b", 15), record("a", 20))}
+	tests := map[string]struct {
+		page    tamarackrun.Page
+		want    Update
+		records []tamarackrun.Record
+	}{
+		"an earlier removal": {changes(25, removal("a", 15), record("a", 20)),
+			Update{Page: changes(25)}, []tamarackrun.Record{record("a", 20)}},
+		"an earlier removal alone": {changes(25, removal("a", 15)),
+			Update{Page: changes(25)}, []tamarackrun.Record{record("a", 20)}},
+		"a removed record": {changes(25, record("b", 9), record("c", 25)),
+			Update{Page: changes(25, record("c", 25)), Changed: true}, []tamarackrun.Record{record("a", 20), record("c", 25)}},
+		"a record that the whole collection did not have": {changes(25, record("d", 8)),
+			Update{Page: changes(25)}, []tamarackrun.Record{record("a", 20)}},
+		"a record that was added again": {changes(25, record("b", 22)),
+			Update{Page: changes(25, record("b", 22)), Changed: true}, []tamarackrun.Record{record("a", 20), record("b", 22)}},
+		"a removal with the position of its record": {changes(25, removal("a", 20), record("a", 20)),
+			Update{Page: changes(25, removal("a", 20)), Changed: true}, nil},
+		"a whole collection from before": {full(19, record("a", 3)),
+			Update{Page: changes(20)}, []tamarackrun.Record{record("a", 20)}},
+		"an unchanged whole collection": {full(25, record("a", 20)),
+			Update{Page: full(25, record("a", 20))}, []tamarackrun.Record{record("a", 20)}},
+		"a whole collection without a record": {full(25),
+			Update{Page: full(25), Changed: true, Vanished: true}, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := New()
+			for _, page := range known {
+				c.Apply(page)
+			}
+			if diff := gocmp.Diff(test.want, c.Apply(test.page), cmpopts.EquateEmpty()); diff != "" {
+				t.Errorf("update (-want +got):\n%s", diff)
+			}
+			page, err := c.Read(t.Context())
+			if diff := gocmp.Diff(test.records, sorted(page).Records); diff != "" || err != nil {
+				t.Errorf("records (-want +got):\n%s%v", diff, err)
+			}
+		})
+	}
+}
+
+// Guards against a copy that counts as up to date although a change is missing in it: the answer to
+// a watch that has missed a change may name a later position.
+func TestWatchWithoutChangesProvesNothing(t *testing.T) {
+	c := New()
+	c.Apply(full(10, record("a", 3)))
+	c.Apply(changes(30))
+	if got := c.Position(); got != (tamarackrun.Position{Revision: 10}) {
+		t.Errorf("position %v, want 10", got)
+	}
+	if got := c.Apply(changes(31, record("b", 20))); !got.Changed {
+		t.Error("the missed change is ignored")
+	}
+}
+
 // Guards against changes that a watch misses or gets twice.
 func TestWatchReturnsChangesAfterRevision(t *testing.T) {
 	c := New()
