Read bodies without copies, so that endless ones leave no garbage

Not tried so far: several such servers at a time under load, and bodies just below the bound of an answer on many connections.

Cause: the buffer of a body grew by half, each time by a copy, so that a body up to its bound left three times its size as garbage, faster than it was collected; and the head and the body of each answer and request were joined in a further copy that no budget counted.

Change: bodies without a length are read into pooled pieces and joined once they are complete, and an announced length is trusted once 256 KiB have arrived. Large bodies are written after their heads without a copy.

TestManyLargeAnswers, 6 servers with 8 requests each at the loopback's rate, limit on bodies 16 MB, that is a machine of 128 MB with the collector's limit at 89 MB.

--- a/internal/transport/bounded/bounded.go
+++ b/internal/transport/bounded/bounded.go
@@ -6,19 +6,25 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 
 	"tamarackrun/internal/state/memory"
 )
 
 const (
-	// minChunk is the first size of the buffer of a body, in bytes. The buffer grows
-	// by half, so that its memory stays below three times the bytes that arrived.
-	minChunk = 4 << 10
+	// firstPiece and piece are the sizes of the first buffer and of the following ones of a body
+	// whose length is not known or not trusted, in bytes.
+	firstPiece = 4 << 10
+	piece      = 64 << 10
 	// maxTrusted bounds the memory that an announced length takes before the bytes
 	// arrive.
 	maxTrusted = 256 << 10
 )
 
+// pieces holds unused buffers of the size piece. Bodies without end would otherwise leave garbage
+// faster than it is collected.
+var pieces = sync.Pool{New: func() any { return new([piece]byte) }}
+
 // ErrNoMemory is returned if the memory that the process has for bodies is used up.
 // It says nothing about the peer.
 var ErrNoMemory = errors.New("the process has no memory left for bodies")
@@ -90,38 +96,105 @@
 // none. The caller releases the returned number of bytes when it drops the body.
 // After an error nothing is reserved.
 func ReadBody(r io.Reader, expected, limit int64, budget *memory.Budget) (body []byte, reserved int64, err error) {
-	defer func() {
-		if err != nil {
-			budget.Release(reserved)
-			reserved = 0
-		}
-	}()
 	if expected > limit {
 		return nil, 0, &LimitError{"body", limit, "bytes"}
 	}
-	chunk := int64(minChunk)
+	first := int64(firstPiece)
 	if expected >= 0 {
-		// One byte more shows the end of the body without another chunk.
-		chunk = min(expected+1, maxTrusted)
-	}
-	for {
-		if len(body) == cap(body) {
-			if !budget.Reserve(chunk) {
-				return nil, reserved, ErrNoMemory
-			}
-			reserved += chunk
-			body = append(make([]byte, 0, int64(len(body))+chunk), body...)
-			chunk = max(minChunk, int64(cap(body)/2))
+		// One byte more shows the end of the body without another piece.
+		first = min(expected+1, maxTrusted)
+	}
+	if !budget.Reserve(first) {
+		return nil, 0, ErrNoMemory
+	}
+	body, err = fill(r, make([]byte, first))
+	switch {
+	case int64(len(body)) > limit:
+		err = &LimitError{"body", limit, "bytes"}
+	case errors.Is(err, errFull) && expected > 0:
+		return readAnnounced(r, body, expected, budget)
+	case errors.Is(err, errFull):
+		return readPieces(r, body, limit, budget)
+	}
+	if err != nil {
+		budget.Release(first)
+		return body, 0, err
+	}
+	return body, first, nil
+}
+
+// readAnnounced reads the rest of a body of an announced length whose first bytes are in a buffer that
+// is reserved.
+func readAnnounced(r io.Reader, first []byte, expected int64, budget *memory.Budget) (body []byte, reserved int64, err error) {
+	defer budget.Release(int64(len(first)))
+	if !budget.Reserve(expected + 1) {
+		return nil, 0, ErrNoMemory
+	}
+	whole := make([]byte, expected+1)
+	rest, err := fill(r, whole[copy(whole, first):])
+	if errors.Is(err, errFull) {
+		err = &LimitError{"body", expected, "bytes"}
+	}
+	if err != nil {
+		budget.Release(expected + 1)
+		return nil, 0, err
+	}
+	return whole[:len(first)+len(rest)], expected + 1, nil
+}
+
+// readPieces reads the rest of a body of unknown length whose first bytes are in a buffer that is reserved. The pieces
+// are joined when the body is complete.
+func readPieces(r io.Reader, first []byte, limit int64, budget *memory.Budget) (body []byte, reserved int64, err error) {
+	var rest []*[piece]byte
+	length, held := int64(len(first)), int64(len(first))
+	defer func() {
+		for _, p := range rest {
+			pieces.Put(p)
 		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		budget.Release(held)
+	}()
+	for err = errFull; errors.Is(err, errFull); {
+		if !budget.Reserve(piece) {
+			return nil, 0, ErrNoMemory
+		}
+		held += piece
+		p := pieces.Get().(*[piece]byte)
+		rest = append(rest, p)
+		var filled []byte
+		filled, err = fill(r, p[:])
+		if length += int64(len(filled)); length > limit {
+			return nil, 0, &LimitError{"body", limit, "bytes"}
+		}
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	if !budget.Reserve(length) {
+		return nil, 0, ErrNoMemory
+	}
+	body = append(make([]byte, 0, length), first...)
+	for _, p := range rest {
+		body = append(body, p[:min(piece, length-int64(len(body)))]...)
+	}
+	return body, length, nil
+}
+
+// errFull is returned by fill if the reader may have further bytes.
+var errFull = errors.New("the buffer is full")
+
+// fill reads until the buffer is full, and then returns errFull, or until the end, and then returns no
+// error.
+func fill(r io.Reader, buffer []byte) ([]byte, error) {
+	n := 0
+	for n < len(buffer) {
+		m, err := r.Read(buffer[n:])
+		n += m
 		switch {
-		case int64(len(body)) > limit:
-			return nil, reserved, &LimitError{"body", limit, "bytes"}
 		case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
-			return body, reserved, nil
+			return buffer[:n], nil
 		case err != nil:
-			return body, reserved, err
+			return buffer[:n], err
 		}
 	}
+	return buffer, errFull
 }
--- a/internal/transport/exchange/connection.go
+++ b/internal/transport/exchange/connection.go
@@ -55,8 +55,9 @@
 // background, since the server may answer before it has read the whole body.
 func (c *connection) roundTrip(codec tamarackrun.HeaderCodec, r Request) Result {
 	written := make(chan error, 1)
-	encoded := encodeRequest(r)
-	if len(encoded) <= shortRequest {
+	encoded := encodeHead(r)
+	if len(encoded)+len(r.Body) <= shortRequest {
+		encoded = append(encoded, r.Body...)
 		n, err := c.Write(encoded)
 		if err != nil {
 			c.broken = true
@@ -69,6 +70,9 @@
 	} else {
 		go func() {
 			_, err := c.Write(encoded)
+			if err == nil {
+				_, err = c.Write(r.Body)
+			}
 			written <- err
 		}()
 	}
@@ -195,15 +199,15 @@
 	c.usableUntil = now.Add(keep)
 }
 
-// encodeRequest returns the bytes of a request. It removes the header fields that it
-// sets itself from the request.
-func encodeRequest(r Request) []byte {
+// encodeHead returns the bytes of a request up to its body, which may be large and is not copied. It
+// removes the header fields that it sets itself from the request.
+func encodeHead(r Request) []byte {
 	hopheader.Remove(r.Header)
 	for _, name := range []string{"Content-Length", "Expect", "Host"} {
 		delete(r.Header, name)
 	}
 	var b bytes.Buffer
-	b.Grow(len(r.Body) + 512)
+	b.Grow(min(len(r.Body), shortRequest) + 512)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header {
 		for _, v := range values {
@@ -214,6 +218,5 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
--- a/internal/transport/exchange/endless_test.go
+++ b/internal/transport/exchange/endless_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
-	"io"
+	"fmt"
 	"net"
 	"net/http"
 	"runtime"
+	"runtime/debug"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -44,22 +46,27 @@
 			return
 		}
 		defer close(closed)
-		defer func() { _ = conn.Close() }()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-			return
-		}
-		text := answer.start
-		block := strings.Repeat(answer.piece, 1+(32<<10)/len(answer.piece))
-		for {
-			if _, err := io.WriteString(conn, text); err != nil {
-				return
-			}
-			text = block
-		}
+		sendEndless(conn, answer)
 	}()
 	return listener.Addr().String(), closed
 }
 
+// sendEndless reads a request and sends an endless answer until the client closes the connection.
+func sendEndless(conn net.Conn, answer endlessAnswer) {
+	defer func() { _ = conn.Close() }()
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		return
+	}
+	// The same bytes are sent each time, so that the server takes no memory of the test's process.
+	text, block := []byte(answer.start), []byte(strings.Repeat(answer.piece, 1+(32<<10)/len(answer.piece)))
+	for {
+		if _, err := conn.Write(text); err != nil {
+			return
+		}
+		text = block
+	}
+}
+
 // peakHeap returns a function that ends the observation of the heap and returns its
 // largest size in bytes.
 func peakHeap() func() uint64 {
@@ -147,6 +154,80 @@
 	}
 }
 
+// Guards against several servers at a time whose bytes never end, or whose bodies are just below the
+// bound of an answer, under load: each answer is within its limit for some time, and together they must
+// leave the process its memory (LOST, as the process is killed with all its connections).
+func TestManyLargeAnswers(t *testing.T) {
+	const (
+		bodies, servers, perServer = 16 << 20, 6, 8
+		// machine is the memory, in bytes, for which the limit on bodies is set, and maxHeap the part
+		// of it at which the product's process collects garbage at any cost.
+		machine = 8 * bodies
+		maxHeap = machine / 10 * 7
+		head    = "HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\n"
+		largest = bodies / maxAnswerFraction
+	)
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(maxHeap))
+	tests := map[string][]endlessAnswer{
+		"endless":              {{head + "\r\n", "x"}, {head, "A: b\r\n"}, {head + "Content-Length: 9000000000\r\n\r\n", "x"}},
+		"just below the bound": {{head + fmt.Sprintf("Content-Length: %d\r\n\r\n", largest-1), "x"}},
+	}
+	for name, answers := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newClient(t)
+			c.Bodies.Limit = bodies
+			var addresses []string
+			for i := range servers {
+				addresses = append(addresses, serveManyEndless(t, answers[i%len(answers)]))
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), testDeadline)
+			defer cancel()
+			stop := peakHeap()
+			var group sync.WaitGroup
+			for _, address := range addresses {
+				for range perServer {
+					group.Go(func() {
+						for ctx.Err() == nil {
+							result := c.Do(ctx, address, testRequest("a", true))
+							if result.Outcome.Kind == tamarackrun.Ran && len(result.Body) != largest-1 {
+								t.Errorf("%d bytes count as a whole body", len(result.Body))
+							}
+							c.Release(result)
+						}
+					})
+				}
+			}
+			group.Wait()
+			if peak := stop(); peak > maxHeap {
+				t.Errorf("the heap grew to %d MB, want at most %d MB", peak>>20, maxHeap>>20)
+			}
+			if got := c.Bodies.Reserved(); got != 0 {
+				t.Errorf("%d bytes are still reserved", got)
+			}
+		})
+	}
+}
+
+// serveManyEndless answers the first request of each connection with an endless answer.
+func serveManyEndless(t *testing.T, answer endlessAnswer) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go sendEndless(conn, answer)
+		}
+	}()
+	return listener.Addr().String()
+}
+
 // Guards against many large answers at a time, each within its own limit, that together
 // exceed the memory of the process.
 func TestAnswersShareMemory(t *testing.T) {
--- a/internal/transport/pipeline/connection.go
+++ b/internal/transport/pipeline/connection.go
@@ -17,6 +17,9 @@
 	"tamarackrun/internal/transport/bounded"
 )
 
+// maxCopiedBody is the size of a body, in bytes, up to which an answer is written with one call.
+const maxCopiedBody = 64 << 10
+
 // pendingAnswer is the answer to a request that was read. Answers are written in
 // the order of the requests.
 type pendingAnswer struct {
@@ -330,7 +333,7 @@
 		}
 		closes := c.decideClose(pending)
 		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		_, err := c.conn.Write(encodeAnswer(answer, pending, closes))
+		err := c.write(answer, pending, closes)
 		answer.release()
 		if err != nil {
 			c.cancel()
@@ -341,6 +344,23 @@
 	}
 }
 
+// write writes an answer. A large body is not copied behind its head: copies are not in the memory
+// that the body has reserved.
+func (c *connection) write(answer Answer, pending *pendingAnswer, closes bool) error {
+	head, body := encodeHead(answer, pending, closes), answer.Body
+	if pending.isHead {
+		body = nil
+	}
+	if len(body) <= maxCopiedBody {
+		head, body = append(head, body...), nil
+	}
+	_, err := c.conn.Write(head)
+	if err == nil && len(body) > 0 {
+		_, err = c.conn.Write(body)
+	}
+	return err
+}
+
 // decideClose reports whether the connection is closed after the answer. While the
 // server closes idle connections, that is the answer to the last request that was
 // read; closing earlier would lose the answers to running requests.
@@ -400,10 +420,10 @@
 	}
 }
 
-// encodeAnswer returns the bytes of an answer.
-func encodeAnswer(answer Answer, pending *pendingAnswer, closes bool) []byte {
+// encodeHead returns the bytes of an answer up to its body.
+func encodeHead(answer Answer, pending *pendingAnswer, closes bool) []byte {
 	var b bytes.Buffer
-	b.Grow(len(answer.Body) + 512)
+	b.Grow(min(len(answer.Body), maxCopiedBody) + 512)
 	b.WriteString("HTTP/1.1 " + strconv.Itoa(answer.Status) + " " + http.StatusText(answer.Status) + "\r\n")
 	hopheader.Remove(answer.Header)
 	if !pending.isHead {
@@ -424,8 +444,5 @@
 		b.WriteString("Connection: keep-alive\r\n")
 	}
 	b.WriteString("\r\n")
-	if !pending.isHead {
-		b.Write(answer.Body)
-	}
 	return b.Bytes()
 }
