Refuse requests under which three servers have ended

Cause: each attempt of a caller, and each instance, treated a request that ends its server as a new one.

Change: coordination/crash. An instance that loses an answer and finds that the server takes no connections any more tells the request's holder in each region, an instance chosen by hash. After three servers the holder tells its region to refuse the request for 30 s, at once and with the time; then it is tried once. An answer of any server ends the suspicion. A request is identified by organisation, method, host, target and body. Weighed: counting at each instance (7 instances end a server each), telling all instances of each loss (some 18 messages to each of 119 for one end), suspects in the regular reports (1.5 s late). New reason endsServers, new events serverEnded and requestSuspected.

--- /dev/null
+++ b/internal/coordination/crash/crash_test.go
@@ -0,0 +1,52 @@
+package crash
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Guards against a request that ends one server after the other, because each instance and each attempt
+// of a caller looks like the first (BUDGET, hollowmere-run, day deadly).
+func TestRequestIsRefusedAfterThreeEnds(t *testing.T) {
+	g, now := &Register{}, time.Now()
+	request := Identify("org", "GET", "h", "/x", nil)
+	var got []bool
+	// The second end of process 1 was seen by another request there.
+	for _, process := range []uint64{1, 1, 2, 3, 4} {
+		got = append(got, g.Note(now, request, process))
+	}
+	if diff := cmp.Diff([]bool{false, false, false, true, true}, got); diff != "" {
+		t.Errorf("refusals (-want +got):\n%s", diff)
+	}
+	if g.Refused(now, request) != 0 {
+		t.Error("the request is refused before its holder has said so")
+	}
+	g.Refuse(now, request)
+	later := now.Add(RefusalTime + time.Second)
+	want := []time.Duration{RefusalTime, 0, RefusalTime, 0}
+	left := []time.Duration{g.Refused(now, request), g.Refused(later, request), g.Refused(later, request),
+		g.Refused(now, Identify("org", "GET", "h", "/y", nil))}
+	if diff := cmp.Diff(want, left); diff != "" {
+		t.Errorf("times of refusal at once, later, right after that, and of another request (-want +got):\n%s", diff)
+	}
+	g.Answered(request)
+	if g.Refused(now, request) != 0 || !g.Empty() {
+		t.Error("a request that was answered is still refused")
+	}
+}
+
+// Guards against a register that grows while servers end all the time.
+func TestRegisterIsBounded(t *testing.T) {
+	g, now := &Register{}, time.Now()
+	for i := range 2 * maxRequests {
+		g.Note(now, Request(i), 1)
+	}
+	if got := len(g.suspects); got > maxRequests {
+		t.Errorf("%d requests are remembered, want at most %d", got, maxRequests)
+	}
+	if g.Note(now.Add(memoryTime+time.Second), Request(3*maxRequests), 1); g.suspects[Request(3*maxRequests)] == nil {
+		t.Error("a new request finds no room although the others are old")
+	}
+}
--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -333,7 +334,7 @@
 		return reply, result
 	}
 	outcome = a.outcome
-	reply.RetryAfterMillis = uint64(f.retryAfter(req).Milliseconds())
+	reply.RetryAfterMillis = uint64(cmp.Or(a.retryAfter, f.retryAfter(req)).Milliseconds())
 	return reply, result
 }
 
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -103,6 +103,12 @@
 	a := &attempts{request: req, tried: tried, counted: req.counted, delegable: req.entry == "" && len(req.call.Body) <= maxDelegatedBody,
 		outcome: tamarackrun.Refused(tamarackrun.NoHealthyServer)}
 	for a.mayContinue(time.Now()) && ctx.Err() == nil {
+		if left := f.refusedFor(req); left > 0 {
+			if a.delivered+a.undelivered == 0 {
+				a.outcome, a.retryAfter = tamarackrun.Refused(tamarackrun.EndsServers), left
+			}
+			break
+		}
 		if a.delegable && (f.links.ServersUnreachable() || a.undelivered == maxConnectFailures-1) {
 			if f.attemptByDelegate(ctx, a) {
 				break
@@ -228,6 +234,7 @@
 		f.history.Record(event.ServerReinstated, req.caller.ID, "server", choice.Server.Name)
 	}
 	f.logAttempt(req, choice, result, now)
+	f.noteResult(req, choice.Server, result)
 	return result
 }
 
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -23,6 +23,7 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/coldstart"
+	"tamarackrun/internal/coordination/crash"
 	"tamarackrun/internal/coordination/delegation"
 	"tamarackrun/internal/coordination/directory"
 	"tamarackrun/internal/coordination/follow"
@@ -102,6 +103,12 @@
 	// is the number of requests that it sends for others now.
 	delegates *delegation.Pool
 	delegated atomic.Int64
+	// crashes holds the requests under which servers have ended, and endChecks the checks whether
+	// servers have.
+	crashes   crash.Register
+	endChecks endChecks
+	// sendMessage sends a datagram to other instances.
+	sendMessage func(message *wire.InstanceMessage, addresses ...netip.AddrPort) int
 	// process identifies the process. It is random, and not 0.
 	process int64
 	// delegatedContext ends when the running requests of others are cancelled.
@@ -326,6 +333,7 @@
 	}
 	f.members.SpareTokens = func() map[string]float64 { return f.limiter.SpareTokens(time.Now()) }
 	f.loans = loan.New()
+	f.sendMessage = socket.Send
 	f.loans.FindLender, f.loans.Send = f.members.ChooseLender, socket.Send
 	f.loans.TakeToken = f.lend
 	f.loans.ReturnToken = func(organisation string) { f.limiter.Return(time.Now(), organisation) }
@@ -343,6 +351,10 @@
 		f.loans.HandleGrant(content.TokenGrant)
 	case *wire.InstanceMessage_TokenReturn:
 		f.limiter.Return(time.Now(), content.TokenReturn.Organisation)
+	case *wire.InstanceMessage_ServerEnded:
+		f.handleServerEnded(content.ServerEnded)
+	case *wire.InstanceMessage_RequestRefusal:
+		f.refuseFromNowOn(crash.Request(content.RequestRefusal.Request))
 	default:
 		f.members.Receive(message)
 	}
--- a/internal/program/front/traffic.go
+++ b/internal/program/front/traffic.go
@@ -51,6 +51,8 @@
 		kind = "domainDigest"
 	case *wire.InstanceMessage_FleetDigest:
 		kind = "fleetDigest"
+	case *wire.InstanceMessage_ServerEnded, *wire.InstanceMessage_RequestRefusal:
+		kind = "serverEnd"
 	}
 	f.scope.Tagged(map[string]string{"kind": kind}).Counter("datagram_bytes").Inc(int64(bytes))
 }
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -42,6 +42,7 @@
 	ServersUnreachable    tamarackrun.EventID = 1126
 	ServersReachable      tamarackrun.EventID = 1127
 	CollectionRead        tamarackrun.EventID = 1128
+	RequestSuspected      tamarackrun.EventID = 1129
 	PeerReachable         tamarackrun.EventID = 1201
 	PeerUnreachable       tamarackrun.EventID = 1202
 	PeerRefused           tamarackrun.EventID = 1203
@@ -63,6 +64,7 @@
 	AttemptResolved       tamarackrun.EventID = 2007
 	AttemptEnded          tamarackrun.EventID = 2008
 	RequestDelegated      tamarackrun.EventID = 2009
+	ServerEnded           tamarackrun.EventID = 2010
 	PartChanged           tamarackrun.EventID = 2320
 	TicketsIssued         tamarackrun.EventID = 2101
 	OrderForwarded        tamarackrun.EventID = 2102
@@ -132,6 +134,7 @@
 	{ServersUnreachable, "serversUnreachable", "warn", "the instance has lost its links to all backend servers; other instances send its requests"},
 	{ServersReachable, "serversReachable", "info", "the instance reaches backend servers again"},
 	{CollectionRead, "collectionRead", "info", "the instance has read a whole collection of the store's records"},
+	{RequestSuspected, "requestSuspected", "warn", "several backend servers have ended under the same request; it is refused for some time"},
 	{PeerReachable, "peerReachable", "info", "heartbeats with a peer succeed"},
 	{PeerUnreachable, "peerUnreachable", "warn", "a peer did not answer heartbeats"},
 	{PeerRefused, "peerRefused", "warn", "a connection of another process was refused because it did not prove that it is an instance of the fleet"},
@@ -153,6 +156,7 @@
 	{AttemptResolved, "attemptResolved", "info", "the outcome of an attempt was determined by asking its home instance"},
 	{AttemptEnded, "attemptEnded", "info", "one dispatch of a request to a backend server ended"},
 	{RequestDelegated, "requestDelegated", "info", "another instance was asked to send a request to a backend server"},
+	{ServerEnded, "serverEnded", "warn", "a backend server ended while a request was there; the identity is that of all attempts of the same request"},
 	{TicketsIssued, "ticketsIssued", "debug", "a caller got tickets"},
 	{OrderForwarded, "orderForwarded", "debug", "a request went to the instance that issued its ticket"},
 	{OrderRepeated, "orderRepeated", "info", "a request with a used ticket got the recorded outcome or a refusal"},
--- a/outcome.go
+++ b/outcome.go
@@ -38,6 +38,7 @@
 //     instance has used its parts of them.
 //   - ServerPaused, ServerEjected, ServerCold: most of the servers that may run the request have refused a
 //     connection lately, have failed requests, or are cold and have got as many requests as they may.
+//   - EndsServers: several servers have ended under the same request.
 //   - ServersUnreachable: the instance has lost its links to all servers, and no other instance has
 //     taken the request.
 //   - DelegateFull, DelegateChanged: the instance that was asked to send the request to a server has
@@ -80,6 +81,7 @@
 	DelegateFull       Reason = "delegateFull"
 	DelegateChanged    Reason = "delegateChanged"
 	ServerCold         Reason = "serverCold"
+	EndsServers        Reason = "endsServers"
 	ConnectFailed      Reason = "connectFailed"
 	ConnectionsFull    Reason = "connectionsFull"
 	HomeUnreachable    Reason = "homeUnreachable"
