--- a/fleet.go
+++ b/fleet.go
@@ -173,6 +173,9 @@
 	Signed bool
 	// NotRun reports whether the server did not run the request and never will.
 	NotRun bool
+	// StatusNotRun reports whether the status alone tells a caller that the request did not run.
+	// Only NotRun proves it.
+	StatusNotRun bool
 	// Misdirected reports whether another server has the address.
 	Misdirected bool
 	// Load is nil if the server reports none.
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -13,6 +13,7 @@
 	"tamarackrun/internal/coordination/retry"
 	"tamarackrun/internal/coordination/steer"
 	"tamarackrun/internal/protocol/event"
+	"tamarackrun/internal/protocol/hopheader"
 	"tamarackrun/internal/state/registry"
 	"tamarackrun/internal/transport/exchange"
 	"tamarackrun/internal/transport/pipeline"
@@ -196,6 +197,8 @@
 func (f *Front) send(ctx context.Context, req *request, choice steer.Choice) exchange.Result {
 	r, now := req.call.Request, time.Now()
 	header := r.Header.Clone()
+	// A caller's header Connection may name the fields that are set now.
+	hopheader.Remove(header)
 	f.HeaderCodec.RewriteRequest(header, tamarackrun.ForwardFields{Organisation: req.organisation.Name, Server: choice.Server.Name,
 		Remaining: req.deadline.Sub(now)})
 	result := f.backendClient.Do(ctx, choice.Server.Address, exchange.Request{
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -71,6 +71,9 @@
 
 	mu      sync.Mutex
 	servers map[string]*Server
+	// restoredAt is the position of the first page of the latest era of the store. Earlier
+	// records of that era may be from the copy.
+	restoredAt tamarackrun.Position
 	// missing holds the servers whose records were removed while a removal was not
 	// final.
 	missing map[string]bool
@@ -132,6 +135,9 @@
 	if reconnected {
 		r.removalsFinalFrom = now.Add(sla.LapsedRecordGrace)
 	}
+	if page.Position.Era > r.restoredAt.Era {
+		r.restoredAt = page.Position
+	}
 	listed := map[string]bool{}
 	for _, record := range page.Records {
 		listed[record.Name] = true
@@ -192,17 +198,22 @@
 	}
 }
 
-// isFromCopy reports whether the record is an earlier one of a server's process than one that was
-// seen in an earlier era of the store. The store has come back from a copy that is older.
+// isFromCopy reports whether the record is an earlier one of a server's process, or one of an earlier
+// process, than one that was seen in an earlier era of the store. The store has come back from a copy
+// that is older. A record that was written since is none, whatever the server's clock says.
 func (r *Registry) isFromCopy(record tamarackrun.Record, old *Server) bool {
 	if record.Server == nil || record.Server.StartMillis == 0 {
 		return false
 	}
+	start := record.Server.StartMillis
+	copied := !r.restoredAt.Before(record.Position)
 	if old != nil {
-		return old.Position.Era < record.Position.Era && old.StartMillis == record.Server.StartMillis && record.Server.Sequence < old.Sequence
+		return old.Position.Era < record.Position.Era &&
+			(start == old.StartMillis && record.Server.Sequence < old.Sequence || start < old.StartMillis && copied)
 	}
 	g, ok := r.gone[record.Name]
-	return ok && g.era < record.Position.Era && g.startMillis == record.Server.StartMillis && record.Server.Sequence <= g.sequence
+	return ok && g.era < record.Position.Era &&
+		(start == g.startMillis && record.Server.Sequence <= g.sequence || start < g.startMillis && copied)
 }
 
 // handleRemoval drops a server whose record was removed. If the removal is not
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -195,6 +195,21 @@
 			{servers: inEra(0, 21, changesPage(tamarackrun.Record{Name: "two", Position: tamarackrun.Position{Revision: 21}, Removed: true})), want: []string{"one"}},
 			{servers: inEra(1, 15, fullPage(one, two(3, 1, 12))), reconnected: true, want: []string{"one"}},
 		},
+		"an earlier process of a draining server": {
+			{servers: inEra(0, 20, fullPage(one, draining(two(5, 0, 20)))), want: []string{"one"}},
+			{servers: inEra(1, 15, fullPage(one, written(server("two", "b1", 0), 6, 9, 1, 12))), reconnected: true, want: []string{"one"}},
+			{at: time.Second, servers: inEra(1, 17, changesPage(two(6, 1, 17))), want: []string{"one", "two"}},
+		},
+		"an earlier process of a server that is gone": {
+			{servers: inEra(0, 20, fullPage(one, two(5, 0, 20))), want: []string{"one", "two"}},
+			{servers: inEra(0, 21, fullPage(one)), want: []string{"one"}},
+			{servers: inEra(1, 15, fullPage(one, written(server("two", "b1", 0), 6, 9, 1, 12))), reconnected: true, want: []string{"one"}},
+		},
+		"a process that starts by an earlier clock after the copy": {
+			{servers: inEra(0, 20, fullPage(one, two(5, 0, 20))), want: []string{"one", "two"}},
+			{servers: inEra(1, 15, fullPage(one, two(4, 1, 12))), reconnected: true, want: []string{"one", "two"}},
+			{at: time.Second, servers: inEra(1, 17, changesPage(draining(written(server("two", "b1", 0), 6, 1, 1, 17)))), want: []string{"one"}},
+		},
 		"a server that still writes": {
 			{servers: inEra(0, 20, fullPage(one, two(5, 0, 20))), want: []string{"one", "two"}},
 			{servers: inEra(1, 15, fullPage(one)), reconnected: true, want: []string{"one", "two"}},
--- a/internal/transport/bounded/bounded.go
+++ b/internal/transport/bounded/bounded.go
@@ -2,10 +2,12 @@
 package bounded
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 
 	"tamarackrun/internal/state/memory"
@@ -54,14 +56,44 @@
 	bytes  int64
 	lines  int
 	active bool
+	// line is the start of the present line, as far as it may name a length, and lengthSeen is true
+	// once a line has.
+	line       []byte
+	lengthSeen bool
 	// exceeded is the error of the latest read that failed since Begin; nil if none did.
 	exceeded error
 }
 
-// Begin starts to count. buffered is the number of bytes of the head that were read
-// before.
-func (h *HeadReader) Begin(buffered int) {
-	h.bytes, h.lines, h.active, h.exceeded = int64(buffered), 0, true, nil
+// Begin starts to count. The reader reads from h, and its buffer holds the bytes of the head that were
+// read before.
+func (h *HeadReader) Begin(reader *bufio.Reader) {
+	// Peek returns no error for bytes that are in the buffer.
+	buffered, _ := reader.Peek(reader.Buffered())
+	h.bytes, h.lines, h.active, h.exceeded = int64(len(buffered)), 0, true, nil
+	h.line, h.lengthSeen = h.line[:0], false
+	h.scan(buffered)
+}
+
+// lengthField is the start of a line that announces the length of a body.
+const lengthField = "content-length"
+
+// LengthSeen reports whether a line since Begin announces the length of a body. Parsers drop it beside
+// chunked encoding. Lines that were read together with the head count too.
+func (h *HeadReader) LengthSeen() bool { return h.lengthSeen }
+
+// scan looks for a line that announces a length.
+func (h *HeadReader) scan(p []byte) {
+	for len(p) > 0 && !h.lengthSeen {
+		line, rest, ended := bytes.Cut(p, []byte{'\n'})
+		if missing := len(lengthField) - len(h.line); missing > 0 {
+			h.line = append(h.line, line[:min(missing, len(line))]...)
+			h.lengthSeen = strings.EqualFold(string(h.line), lengthField)
+		}
+		if ended {
+			h.line = h.line[:0]
+		}
+		p = rest
+	}
 }
 
 // Exceeded returns the limit that was exceeded since Begin, or nil. Parsers that take the
@@ -88,6 +120,7 @@
 	n, err := h.Reader.Read(p)
 	h.bytes += int64(n)
 	h.lines += bytes.Count(p[:n], []byte{'\n'})
+	h.scan(p[:n])
 	return n, err
 }
 
--- a/internal/transport/bounded/bounded_test.go
+++ b/internal/transport/bounded/bounded_test.go
@@ -23,7 +23,7 @@
 		budget := &memory.Budget{Limit: 16 << 10}
 		head := &HeadReader{Reader: bytes.NewReader(text), MaxBytes: 256, MaxLines: 4}
 		reader := bufio.NewReaderSize(head, 16)
-		head.Begin(0)
+		head.Begin(reader)
 		response, err := http.ReadResponse(reader, nil)
 		head.End()
 		if err != nil {
--- a/internal/transport/exchange/connection.go
+++ b/internal/transport/exchange/connection.go
@@ -48,6 +48,7 @@
 var (
 	errOtherAnswers = errors.New("the server sent only answers to other requests")
 	errInterim      = fmt.Errorf("the server sent more than %d interim answers", maxInterimAnswers)
+	errUnproven     = errors.New("the status of the server's answer says that the request has not run, and its header doesn't")
 	errUnsigned     = errors.New("the server's 2xx answer has no signature or no request id")
 )
 
@@ -128,6 +129,9 @@
 	switch {
 	case fields.NotRun && response.StatusCode/100 != 2:
 		result.Outcome = tamarackrun.Refused(tamarackrun.ServerShed)
+	case fields.StatusNotRun && !r.Idempotent && !r.Probe:
+		// The caller would send the request again, although it may have run.
+		result.Outcome, result.Err = tamarackrun.Uncertain(tamarackrun.AnswerUnproven), errUnproven
 	case !r.Probe && response.StatusCode/100 == 2 && (!fields.Signed || fields.ID == ""):
 		c.broken = true
 		return Result{Outcome: tamarackrun.Uncertain(tamarackrun.AnswerTruncated), Sent: true, Err: errUnsigned}
@@ -153,7 +157,7 @@
 // readAnswer reads one answer and skips interim ones. The response is nil if its head
 // is incomplete. reserved is the memory that the body holds of c.bodies, in bytes.
 func (c *connection) readAnswer(r Request) (response *http.Response, body []byte, reserved int64, err error) {
-	c.head.Begin(c.reader.Buffered())
+	c.head.Begin(c.reader)
 	defer c.head.End()
 	for range maxInterimAnswers + 1 {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
--- a/internal/transport/pipeline/connection.go
+++ b/internal/transport/pipeline/connection.go
@@ -235,7 +235,7 @@
 	c.reading = true
 	c.mu.Unlock()
 	c.head.MaxBytes = int64(limits.HeaderBytes)
-	c.head.Begin(c.reader.Buffered())
+	c.head.Begin(c.reader)
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	r, err := http.ReadRequest(c.reader)
 	c.head.End()
@@ -268,8 +268,12 @@
 
 // readBody reads the body of a request. Its results are those of readRequest.
 func (c *connection) readBody(r *http.Request, maxBytes int64, timeout time.Duration) (Call, tamarackrun.Reason, error) {
-	// The body of a request with both a length and chunked encoding is read in
-	// chunks. That is safe, since backend servers only get bodies with a length.
+	if len(r.TransferEncoding) > 0 && c.head.LengthSeen() {
+		// A body with both a length and chunks is read in chunks, and its connection closes after the
+		// answer (RFC 9112, section 6.1): a sender that went by the length would mean what follows
+		// the last chunk as a part of the body, not as a request.
+		r.Close = true
+	}
 	if r.Header.Get("Upgrade") != "" {
 		return Call{}, tamarackrun.Malformed, nil
 	}
--- a/internal/transport/pipeline/pipeline.go
+++ b/internal/transport/pipeline/pipeline.go
@@ -98,9 +98,9 @@
 	requestContext context.Context
 	cancelRequests context.CancelFunc
 	mu             sync.Mutex
-	// connections holds all open connections.
+	// connections holds all open connections, and ended is signalled when one has ended.
 	connections map[*connection]struct{}
-	group       sync.WaitGroup
+	ended       *sync.Cond
 }
 
 // New listens on the address. The clean-up function closes the listener and all
@@ -113,6 +113,7 @@
 		return nil, nil, err
 	}
 	s := &Server{listener: listener, connections: map[*connection]struct{}{}}
+	s.ended = sync.NewCond(&s.mu)
 	s.Bodies.Limit = defaultMemory
 	s.requestContext, s.cancelRequests = context.WithCancel(context.Background())
 	return s, s.close, nil
@@ -133,12 +134,13 @@
 		s.mu.Lock()
 		s.connections[c] = struct{}{}
 		s.mu.Unlock()
-		s.group.Go(func() {
+		go func() {
 			c.run()
 			s.mu.Lock()
 			delete(s.connections, c)
+			s.ended.Broadcast()
 			s.mu.Unlock()
-		})
+		}()
 	}
 }
 
@@ -156,16 +158,18 @@
 // answers are written, and with them the finished answers that wait behind them.
 func (s *Server) CancelRequests() { s.cancelRequests() }
 
-// Wait waits until all connections are closed or the context ends.
+// Wait waits until all connections are closed or the context ends. Connections may be accepted
+// meanwhile, so a sync.WaitGroup can't count them.
 func (s *Server) Wait(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		s.group.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
+	defer context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.ended.Broadcast()
+	})()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.connections) > 0 && ctx.Err() == nil {
+		s.ended.Wait()
 	}
 }
 
--- a/internal/transport/pipeline/pipeline_test.go
+++ b/internal/transport/pipeline/pipeline_test.go
@@ -354,3 +354,59 @@
 		t.Errorf("answer %q, want bodiesFull", body)
 	}
 }
+
+// Guards against a request that is hidden in the body of another one. A proxy of the caller that goes by
+// the length passes on the whole body, of which only the part before the last chunk counts here (review,
+// UNASKED).
+func TestBodyWithLengthAndChunksEndsConnection(t *testing.T) {
+	const inner = "POST /inner HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+	tests := map[string]string{
+		"length first":          "POST /outer HTTP/1.1\r\nHost: h\r\ncontent-LENGTH: 65\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"chunks first":          "POST /outer HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 65\r\n\r\n0\r\n\r\n",
+		"behind other requests": "GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /outer HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 65\r\n\r\n0\r\n\r\n",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, g, c := startServer(t)
+			for _, path := range []string{"/a", "/outer", "/inner"} {
+				g.release(path)
+			}
+			c.send(t, text+inner)
+			answers, err := io.ReadAll(c.reader)
+			if err != nil || strings.Contains(string(answers), "/inner") || !strings.Contains(string(answers), "/outer") {
+				t.Errorf("answers %q, %v, want one to /outer as the last and then the end", answers, err)
+			}
+		})
+	}
+}
+
+// Guards against a panic at the end of a planned stop, when a caller connects just as the last connection
+// has ended (review: in 1 of 38 stops, "WaitGroup is reused before previous Wait has returned").
+func TestConnectionsArriveWhileServerWaits(t *testing.T) {
+	s, _, c := startServer(t)
+	_ = c.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for ctx.Err() == nil {
+				if conn, err := net.Dial("tcp", s.listener.Addr().String()); err == nil {
+					_ = conn.Close()
+				}
+			}
+		})
+		group.Go(func() {
+			for ctx.Err() == nil {
+				s.Wait(ctx)
+			}
+		})
+	}
+	group.Wait()
+	// The last connections may still be accepted.
+	for end := time.Now().Add(testTimeout); s.ConnectionCount() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections stay open", s.ConnectionCount())
+		}
+	}
+}
--- a/outcome.go
+++ b/outcome.go
@@ -116,6 +116,7 @@
 const (
 	AnswerLost      Reason = "answerLost"
 	AnswerTruncated Reason = "answerTruncated"
+	AnswerUnproven  Reason = "answerUnproven"
 	AnswerTooLarge  Reason = "answerTooLarge"
 	AnswersFull     Reason = "answersFull"
 	AnswerTimeout   Reason = "answerTimeout"
