--- a/internal/coordination/crash/crash.go
+++ b/internal/coordination/crash/crash.go
@@ -18,14 +18,16 @@
 	// requests that were at a server when it ended count too, and two of their servers may end by
 	// chance while servers are ending one after the other.
 	maxEnded = 3
-	// memoryTime is how long an end counts. RefusalTime is how long a request is refused after its
-	// latest server has ended; then it is tried once, and refused again if that ends one more.
-	memoryTime  = 10 * time.Minute
-	RefusalTime = 30 * time.Second
+	// memoryTime is how long an end counts.
+	memoryTime = 10 * time.Minute
 	// maxRequests bounds the number of requests that are remembered.
 	maxRequests = 4096
 )
 
+// RefusalTime is how long a request is refused after its latest server has ended; then it is tried once,
+// and refused again if that ends one more.
+const RefusalTime = 30 * time.Second
+
 // Request identifies what a caller asks for, whatever the attempt: a hash.
 type Request uint64
 
