Evacuate in the soak while no watch delivers it

A kind of its own random stream: watches fall silent, a failure domain is evacuated, and the history is dropped, so that waiting watches hear of it only at the next event of their kind. The store's stand-in has CompactSilently for that.

--- a/internal/standin/soak/kinds.go
+++ b/internal/standin/soak/kinds.go
@@ -32,6 +32,10 @@
 	// The same stream has fewer than maxRests servers that want rest, for minRest to maxRest.
 	maxRests         = 3
 	minRest, maxRest = 800 * time.Millisecond, 2500 * time.Millisecond
+	// evacuationStream is the random stream of the evacuations that no watch delivers, of which a
+	// seed has fewer than maxMissed.
+	evacuationStream = 1 << 22
+	maxMissed        = 3
 	// One seed in plannedOneIn has planned disturbances only, as many rules are
 	// stricter then.
 	plannedOneIn = 3
@@ -73,6 +77,10 @@
 	for range links.IntN(maxRests) {
 		schedule(links, serverKind(wantsRest, wantRest))
 	}
+	evacuations := rand.New(rand.NewPCG(seed, evacuationStream))
+	for range evacuations.IntN(maxMissed) {
+		schedule(evacuations, missEvacuation)
+	}
 }
 
 // sleep waits for the duration or until the context ends.
@@ -434,6 +442,23 @@
 	records.Wait()
 }
 
+// missEvacuation evacuates a failure domain while watches of the store hear nothing, and drops the
+// history: watches that wait never deliver the evacuation, and new ones are told that the history is
+// gone.
+func missEvacuation(ctx context.Context, h *harness, r *rand.Rand, duration time.Duration) {
+	const pause = 200 * time.Millisecond
+	d := h.disturbances.begin(disturbance{name: "missed evacuation", target: "store", scope: atStore})
+	h.store.SetFaults(standin.StoreFaults{SilentWatches: true})
+	sleep(ctx, pause)
+	var group sync.WaitGroup
+	group.Go(func() { evacuate(ctx, h, r, duration) })
+	sleep(ctx, pause)
+	h.store.CompactSilently()
+	h.store.SetFaults(standin.StoreFaults{})
+	h.disturbances.end(d)
+	group.Wait()
+}
+
 // changeConfiguration writes up to five desired states in quick succession.
 func changeConfiguration(ctx context.Context, h *harness, r *rand.Rand, _ time.Duration) {
 	d := h.disturbances.begin(disturbance{name: "desired states", target: "store", scope: atStore, planned: true})
