Send digests at half of the link's rate

Cause: a relay sends some 30 datagrams of several KB at once each half second. On links of 12 Mbit/s the last ones were dropped, always those to the same instances, as the order was fixed.

Messages to single instances don't wait behind them.

--- a/fleet.go
+++ b/fleet.go
@@ -111,6 +111,8 @@
 	FirstStart bool
 	// MemoryBytes is the memory that the process may use; 0 if it is not known.
 	MemoryBytes int64
+	// LinkBytes is the rate of the machine's link in bytes per second; 0 if it is not known.
+	LinkBytes int64
 }
 
 // RecordReader reads the records of the platform.
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -60,6 +60,9 @@
 	// withdrawInterval is the time between two searches for the records of
 	// instances that will not return.
 	withdrawInterval = time.Minute
+	// digestFraction is the part of the link's rate at which messages to many instances are sent.
+	// The rest is for requests.
+	digestFraction = 0.5
 	// bodiesFraction is the part of the machine's memory for the bodies of requests,
 	// and the part for the bodies of answers.
 	bodiesFraction = 0.125
@@ -264,6 +267,7 @@
 	}
 	cleanups = append(cleanups, closeSocket)
 	socket.OnSend = f.countMessage
+	socket.Rate = int64(digestFraction * float64(f.Identity.LinkBytes))
 	f.Store = &countingStore{f.Store, meter.Scope}
 	mesh, closeMesh, err := peer.New(f.Identity.ReportAddress)
 	if err != nil {
--- a/internal/transport/datagram/datagram.go
+++ b/internal/transport/datagram/datagram.go
@@ -6,8 +6,10 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -15,8 +17,21 @@
 	"tamarackrun/internal/protocol/wire"
 )
 
-// maxSize is the largest payload of a UDP datagram over IPv4, in bytes.
-const maxSize = 65507
+const (
+	// maxSize is the largest payload of a UDP datagram over IPv4, in bytes.
+	maxSize = 65507
+	// burst is how many bytes are sent without a pause. A link drops datagrams once its queue is
+	// full.
+	burst = 16 << 10
+	// maxQueued bounds the datagrams that wait to be sent.
+	maxQueued = 1024
+)
+
+// outgoing is a datagram that waits to be sent.
+type outgoing struct {
+	encoded []byte
+	to      netip.AddrPort
+}
 
 // Socket sends and receives messages.
 type Socket struct {
@@ -26,8 +41,14 @@
 	// OnSend is called with the number of bytes of each message, summed over its
 	// receivers. It may be nil. It is set before the first Send.
 	OnSend func(message *wire.InstanceMessage, bytes int)
+	// Rate is the rate at which messages to many instances are sent, in bytes per second; 0 means
+	// no limit. It is set before the first Send.
+	Rate int64
 
 	conn *net.UDPConn
+	// queue holds the datagrams that wait because of the rate, and closed is closed with the socket.
+	queue  chan outgoing
+	closed chan struct{}
 }
 
 // New binds the address. The clean-up function closes the socket.
@@ -40,7 +61,12 @@
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "report address")
 	}
-	return &Socket{conn: conn}, func() { _ = conn.Close() }, nil
+	s := &Socket{conn: conn, queue: make(chan outgoing, maxQueued), closed: make(chan struct{})}
+	go s.sendQueued()
+	return s, func() {
+		close(s.closed)
+		_ = conn.Close()
+	}, nil
 }
 
 // Run receives until the socket is closed.
@@ -65,7 +91,8 @@
 }
 
 // Send sends a message to the addresses and returns the number of addresses to which
-// it could not be sent.
+// it could not be sent. More bytes than a burst are sent at the rate, in random order: a narrow link
+// would drop the last ones each time, so that the same instances would never hear this one.
 func (s *Socket) Send(message *wire.InstanceMessage, addresses ...netip.AddrPort) int {
 	encoded, err := proto.Marshal(message)
 	if err != nil {
@@ -77,6 +104,16 @@
 		s.OnSend(message, len(encoded)*len(addresses))
 	}
 	failed := 0
+	if s.Rate > 0 && len(encoded)*len(addresses) > burst {
+		for _, i := range rand.Perm(len(addresses)) {
+			select {
+			case s.queue <- outgoing{encoded, addresses[i]}:
+			default:
+				failed++
+			}
+		}
+		return failed
+	}
 	for _, a := range addresses {
 		if _, err := s.conn.WriteToUDPAddrPort(encoded, a); err != nil {
 			failed++
@@ -84,3 +121,22 @@
 	}
 	return failed
 }
+
+// sendQueued sends the datagrams of the queue until the socket is closed.
+func (s *Socket) sendQueued() {
+	sent := int64(0)
+	for {
+		select {
+		case o := <-s.queue:
+			// The sender is not told: each message replaces the previous one of its kind.
+			_, _ = s.conn.WriteToUDPAddrPort(o.encoded, o.to)
+			sent += int64(len(o.encoded))
+		case <-s.closed:
+			return
+		}
+		if sent >= burst {
+			time.Sleep(time.Duration(sent * int64(time.Second) / s.Rate))
+			sent = 0
+		}
+	}
+}
