Keep a server's limit until a later request shows its end

Traced by the attemptEnded lines of the server: answers to requests of up to 0.8 s that had been sent before the limit began named none, and ended it for this instance. Only a request sent since the limit was named ends it now.

A case of TestRateLimitOfServer guards it.

--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -137,8 +137,10 @@
 	service     string
 	startMillis int64
 	// rateLimit is the number of requests per second that the server takes from all instances
-	// together; nil if its latest answer names no limit.
-	rateLimit *float64
+	// together; nil if it has named none since the limit ended. limitHeard is when an answer named
+	// a limit last.
+	rateLimit  *float64
+	limitHeard time.Time
 	// waiting and slots are from the latest load report, received at reportedAt.
 	waiting, slots int
 	reportedAt     time.Time
@@ -485,13 +487,19 @@
 	}
 }
 
-// ReportLimit records the rate limit that a server named in an answer, or nil if the answer names
-// none.
-func (b *Balancer) ReportLimit(server string, limit *float64) {
+// ReportLimit records the rate limit that a server named in the answer to a request that was sent at
+// the given time, or nil if the answer names none. A slow request may be answered without a limit that
+// began while it ran, so only a request that was sent since the limit was named shows that it has ended.
+func (b *Balancer) ReportLimit(now time.Time, server string, limit *float64, sent time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if st := b.servers[server]; st != nil {
-		st.rateLimit = limit
+	st := b.servers[server]
+	switch {
+	case st == nil:
+	case limit != nil:
+		st.rateLimit, st.limitHeard = limit, now
+	case sent.After(st.limitHeard):
+		st.rateLimit = nil
 	}
 }
 
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -274,7 +274,9 @@
 		}
 		return admits, time.Second
 	}
-	b.ReportLimit(first.Server.Name, &limit)
+	b.ReportLimit(now, first.Server.Name, &limit, now.Add(-time.Second))
+	// A slow request from before the limit is answered without one (the soak, LIMIT, seed 900031).
+	b.ReportLimit(now.Add(time.Second), first.Server.Name, nil, now.Add(-time.Second))
 	if c, _ := b.Choose(now, list, q); c.Server != first.Server {
 		t.Error("a server within its limit is not chosen")
 	}
@@ -298,7 +300,7 @@
 		t.Errorf("%d tokens of one request that reached the server and one that did not are given back, want 1", returned)
 	}
 	now = now.Add(time.Minute)
-	b.ReportLimit(first.Server.Name, nil)
+	b.ReportLimit(now, first.Server.Name, nil, now.Add(-time.Second))
 	if c, _ := b.Choose(now, list, q); c.Server != first.Server {
 		t.Error("a server whose limit has ended is not chosen")
 	}
--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -90,7 +90,7 @@
 		}
 		a.retryAfter = time.Duration(reply.RetryAfterMillis) * time.Millisecond
 		if result.Outcome == tamarackrun.Done {
-			f.learnFromAnswer(req.service, reply.Server, result)
+			f.learnFromAnswer(req.service, reply.Server, result, began)
 		}
 		return f.addResult(a, reply.Server, result) || result.Outcome.Reason != tamarackrun.DelegateLost
 	}
@@ -235,11 +235,12 @@
 }
 
 // learnFromAnswer records what a server has said in an answer that another instance has got. The
-// users' rules count from the moment at which this instance passes it on.
-func (f *Front) learnFromAnswer(service, name string, result exchange.Result) {
+// users' rules count from the moment at which this instance passes it on. The request was sent at the
+// given time or later.
+func (f *Front) learnFromAnswer(service, name string, result exchange.Result, sent time.Time) {
 	for _, server := range f.registry.ServersOf(service) {
 		if server.Name == name {
-			f.balancer.ReportLimit(name, result.Fields.RateLimit)
+			f.balancer.ReportLimit(time.Now(), name, result.Fields.RateLimit, sent)
 			f.noteNotice(server, tamarackrun.AnswerFields{Leaving: result.Fields.Leaving})
 		}
 	}
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -227,7 +227,7 @@
 		queues.Counter("server_waiting_requests").Inc(int64(l.Waiting))
 	}
 	if result.Outcome == tamarackrun.Done || result.Fields.NotRun && !result.Fields.Misdirected {
-		f.balancer.ReportLimit(choice.Server.Name, result.Fields.RateLimit)
+		f.balancer.ReportLimit(time.Now(), choice.Server.Name, result.Fields.RateLimit, now)
 		f.noteNotice(choice.Server, result.Fields)
 	}
 	if ejected {
