--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -92,7 +92,7 @@
 		page, err := f.fetch(ctx, position, complete, failing)
 		switch {
 		case err != nil && f.renewRequested.Load() && complete && !failing && ctx.Err() == nil:
-			// Renew cancelled the watch, or will cancel nothing.
+			// Renew cancelled the watch, which begins again from a later position.
 			continue
 		case f.resyncRequested.Load() && complete && !failing:
 			// Resync cancelled the watch; what the watch returned is read again.
