Forget requests under which no server has ended for two minutes

Found by reading: entries were dropped only when the register was full, so that every request was identified by a hash for ever after the first end of a server, and ends of long ago counted. TestRegisterIsBounded has the case.

--- a/internal/coordination/crash/crash.go
+++ b/internal/coordination/crash/crash.go
@@ -19,7 +19,7 @@
 	// chance while servers are ending one after the other.
 	maxEnded = 3
 	// memoryTime is how long an end counts.
-	memoryTime = 10 * time.Minute
+	memoryTime = 2 * time.Minute
 	// maxRequests bounds the number of requests that are remembered.
 	maxRequests = 4096
 )
@@ -93,9 +93,6 @@
 	if s := g.suspects[request]; s != nil {
 		return s
 	}
-	if len(g.suspects) >= maxRequests {
-		g.forget(now)
-	}
 	if len(g.suspects) >= maxRequests {
 		return nil
 	}
@@ -107,8 +104,10 @@
 	return s
 }
 
-// forget removes entries whose latest end was long ago. The caller holds g.mu.
-func (g *Register) forget(now time.Time) {
+// Forget removes the requests under which no server has ended for memoryTime.
+func (g *Register) Forget(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for request, s := range g.suspects {
 		if now.Sub(s.latest) > memoryTime {
 			delete(g.suspects, request)
--- a/internal/coordination/crash/crash_test.go
+++ b/internal/coordination/crash/crash_test.go
@@ -37,7 +37,8 @@
 	}
 }
 
-// Guards against a register that grows while servers end all the time.
+// Guards against a register that grows while servers end all the time, and against ends of long ago
+// that count.
 func TestRegisterIsBounded(t *testing.T) {
 	g, now := &Register{}, time.Now()
 	for i := range 2 * maxRequests {
@@ -46,7 +47,7 @@
 	if got := len(g.suspects); got > maxRequests {
 		t.Errorf("%d requests are remembered, want at most %d", got, maxRequests)
 	}
-	if g.Note(now.Add(memoryTime+time.Second), Request(3*maxRequests), 1); g.suspects[Request(3*maxRequests)] == nil {
-		t.Error("a new request finds no room although the others are old")
+	if g.Forget(now.Add(memoryTime + time.Second)); !g.Empty() {
+		t.Errorf("%d requests are remembered for too long", len(g.suspects))
 	}
 }
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -461,6 +461,7 @@
 		now := time.Now()
 		f.registry.Sweep(now)
 		f.coldLimiter.DropIdle(now)
+		f.crashes.Forget(now)
 		addresses := f.registry.Addresses()
 		f.backendClient.RetainOnly(addresses)
 		f.balancer.Forget(now, f.registry.Usable)
