Join groups of a failure domain that hear only themselves

Each had relays of its own, reported to them only, and never learned of the other: relays searched for silent failure domains, but not in their own, and the digests between failure domains hold only the sender's members.

Change: a relay reports to a third of the silent members of its failure domain in each interval, in turn, with the same code that searches other failure domains. A first trial, digests to members that are alive by another's word, was dropped: it joined groups of which one knew the other, and failed for two that did not.

--- a/internal/coordination/membership/relays.go
+++ b/internal/coordination/membership/relays.go
@@ -92,6 +92,28 @@
 	return relays, isRelay
 }
 
+// silentPeers returns some of the instances of the own failure domain that are not heard, in turn, for a
+// relay to report to. After many have stopped, those that are left may form groups that don't hear each
+// other, each with relays of its own; the report of one of them joins the groups. The caller holds m.mu.
+func (m *Membership) silentPeers(now time.Duration) []*peer {
+	var silent []*peer
+	for _, p := range m.peersOf(m.OwnRecord.FailureDomain) {
+		if !m.presumedAlive(p, now) {
+			silent = append(silent, p)
+		}
+	}
+	return m.inTurn(silent, (len(silent)+searchReports-1)/searchReports)
+}
+
+// inTurn returns some of the peers, other ones with each report. The caller holds m.mu.
+func (m *Membership) inTurn(peers []*peer, count int) []*peer {
+	var chosen []*peer
+	for i := range count {
+		chosen = append(chosen, peers[(int(m.sequence%uint64(len(peers)))*count+i)%len(peers)])
+	}
+	return chosen
+}
+
 // domainRelays returns the relays of another failure domain. If none of its instances is heard,
 // it returns others in turn, so that survivors find each other. The caller holds m.mu.
 func (m *Membership) domainRelays(domain string, now time.Duration) []*peer {
@@ -104,9 +126,7 @@
 	}
 	if len(relays) == 0 && len(peers) > 0 {
 		count := max(min(len(peers), relaysPerDomain), (len(peers)+searchReports-1)/searchReports)
-		for i := range count {
-			relays = append(relays, peers[(int(m.sequence%uint64(len(peers)))*count+i)%len(peers)])
-		}
+		relays = m.inTurn(peers, count)
 	}
 	return relays
 }
--- a/internal/coordination/membership/relays_test.go
+++ b/internal/coordination/membership/relays_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -205,3 +206,38 @@
 		t.Errorf("instances of a failure domain had different readers %d times in 200 intervals", differing)
 	}
 }
+
+// Guards against a failure domain that stays split: after many instances had stopped, two that heard only
+// each other took themselves for the relays, and nobody told them of the rest
+// (TestFleetSurvivesLossOfRelays, in some orders of reports).
+func TestSplitFailureDomainHeals(t *testing.T) {
+	f := newFleetIn(16, 2)
+	f.runLarge(3*time.Second, nil)
+	var island []int
+	for i, m := range f.members {
+		if _, isRelay := m.ownRelays(f.clock.now); !isRelay && f.domainOf(i) == f.domainOf(0) && len(island) < 2 {
+			island = append(island, i)
+		}
+	}
+	for k, i := range island {
+		other := instanceName(island[1-k])
+		for name, p := range f.members[i].peers {
+			heard := f.clock.now - removeAfter
+			if name == other {
+				heard = f.clock.now
+			}
+			p.lastReport, p.report.at, p.domain.at, p.fleet.at = heard, heard, f.clock.now-removeAfter, f.clock.now-removeAfter
+		}
+		for j, m := range f.members {
+			if p := m.peers[instanceName(i)]; p != nil && !slices.Contains(island, j) {
+				p.report.at = f.clock.now - removeAfter
+			}
+		}
+	}
+	f.runLarge(3*time.Second, nil)
+	for i := range f.members {
+		if got := f.countAlive(i); got != len(f.members) {
+			t.Errorf("instance %d counts %d instances as alive, want %d", i, got, len(f.members))
+		}
+	}
+}
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -64,6 +64,9 @@
 		Leaving: m.leaving.Load(), StoreAway: m.Verifier.StoreUnreachable(), ServersAway: m.serversUnreachable(), Era: s.era, Revisions: s.revisions,
 		VerifiedAge: s.ageMillis(), Demands: rateTable(s.demands), SpareTokens: rateTable(s.spareTokens),
 		HeardRelays: m.heardRelays(now), RequestRate: m.requestRate()}
+	if isRelay {
+		relays = append(relays, m.silentPeers(now)...)
+	}
 	messages := []outgoing{{&wire.InstanceMessage{Content: &wire.InstanceMessage_Report{Report: report}}, addressesOf(relays)}}
 	s.total, s.covered = m.totalDemand(now, s.demands)
 	reporters := m.reporters(now, m.recentAge())
