Log why ends of servers don't count and who sends a refused request again

The logs couldn't tell the incident's hypotheses: nothing was logged when an end was not proved, when a refused request was let through, and when an answer cleared a count; requestSuspected didn't say how many servers had ended, and the refusal didn't name the request's identity. New events endUnproven, suspectTried and suspicionCleared; new fields ended and identity. Tests of coordination/crash, protocol/event and platform pass.

--- a/internal/coordination/crash/crash.go
+++ b/internal/coordination/crash/crash.go
@@ -7,6 +7,7 @@
 package crash
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -31,6 +32,9 @@
 // Request identifies what a caller asks for, whatever the attempt: a hash.
 type Request uint64
 
+// String returns the identity as it is logged.
+func (r Request) String() string { return strconv.FormatUint(uint64(r), 16) }
+
 // Identify returns the identity of a request.
 func Identify(organisation, method, host, target string, body []byte) Request {
 	d := xxhash.New()
@@ -58,17 +62,21 @@
 	suspects map[Request]*suspect
 }
 
-// Note counts, as a holder, that a process of a server has ended under the request. It reports whether
-// the request must be refused by all instances from now on.
-func (g *Register) Note(now time.Time, request Request, process uint64) (refuse bool) {
+// Note counts, as a holder, that a process of a server has ended under the request. It returns the
+// number of servers that have, and reports whether the request must be refused by all instances from
+// now on.
+func (g *Register) Note(now time.Time, request Request, process uint64) (ended int, refuse bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.add(now, request)
-	if s == nil || s.ended[process] {
-		return false
+	if s == nil {
+		return 0, false
+	}
+	if s.ended[process] {
+		return len(s.ended), false
 	}
 	s.ended[process], s.latest = true, now
-	return len(s.ended) >= maxEnded
+	return len(s.ended), len(s.ended) >= maxEnded
 }
 
 // Remember keeps the request in mind, so that Answered shows if a server answers it later.
@@ -116,19 +124,19 @@
 }
 
 // Refused returns for how long the request is still refused, 0 if it is not. Once the time is over, it
-// lets one request through at a time.
-func (g *Register) Refused(now time.Time, request Request) time.Duration {
+// lets one request through at a time, for which try is true.
+func (g *Register) Refused(now time.Time, request Request) (left time.Duration, try bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.suspects[request]
 	if s == nil || s.refusedUntil.IsZero() {
-		return 0
+		return 0, false
 	}
 	if left := s.refusedUntil.Sub(now); left > 0 {
-		return left
+		return left, false
 	}
 	s.refusedUntil = now.Add(RefusalTime)
-	return 0
+	return 0, true
 }
 
 // Answered forgets a request that a server has answered: it did not end that one. It reports whether
--- a/internal/coordination/crash/crash_test.go
+++ b/internal/coordination/crash/crash_test.go
@@ -15,28 +15,34 @@
 	var got []bool
 	// The second end of process 1 was seen by another request there.
 	for _, process := range []uint64{1, 1, 2, 3, 4} {
-		got = append(got, g.Note(now, request, process))
+		_, refuse := g.Note(now, request, process)
+		got = append(got, refuse)
 	}
 	if diff := cmp.Diff([]bool{false, false, false, true, true}, got); diff != "" {
 		t.Errorf("refusals (-want +got):\n%s", diff)
 	}
-	if g.Refused(now, request) != 0 {
+	if refusedFor(g, now, request) != 0 {
 		t.Error("the request is refused before its holder has said so")
 	}
 	g.Refuse(now, request)
 	later := now.Add(RefusalTime + time.Second)
 	want := []time.Duration{RefusalTime, 0, RefusalTime, 0}
-	left := []time.Duration{g.Refused(now, request), g.Refused(later, request), g.Refused(later, request),
-		g.Refused(now, Identify("org", "GET", "h", "/y", nil))}
+	left := []time.Duration{refusedFor(g, now, request), refusedFor(g, later, request), refusedFor(g, later, request),
+		refusedFor(g, now, Identify("org", "GET", "h", "/y", nil))}
 	if diff := cmp.Diff(want, left); diff != "" {
 		t.Errorf("times of refusal at once, later, right after that, and of another request (-want +got):\n%s", diff)
 	}
 	g.Answered(request)
-	if g.Refused(now, request) != 0 || !g.Empty() {
+	if refusedFor(g, now, request) != 0 || !g.Empty() {
 		t.Error("a request that was answered is still refused")
 	}
 }
 
+func refusedFor(g *Register, now time.Time, request Request) time.Duration {
+	left, _ := g.Refused(now, request)
+	return left
+}
+
 // Guards against a register that grows while servers end all the time, and against ends of long ago
 // that count.
 func TestRegisterIsBounded(t *testing.T) {
--- a/internal/program/front/crash.go
+++ b/internal/program/front/crash.go
@@ -78,7 +78,15 @@
 	if f.crashes.Empty() {
 		return 0
 	}
-	return f.crashes.Refused(time.Now(), identify(req))
+	identity := identify(req)
+	left, try := f.crashes.Refused(time.Now(), identity)
+	if try {
+		f.history.Record(event.SuspectTried, req.caller.ID, "identity", identity.String())
+	}
+	if left > 0 {
+		req.identity = identity
+	}
+	return left
 }
 
 // noteResult watches for requests under which servers end. Other connections of the server tell an end
@@ -90,6 +98,7 @@
 			return
 		}
 		if request := identify(req); f.crashes.Answered(request) {
+			f.history.Record(event.SuspicionCleared, req.caller.ID, "server", server.Name, "identity", request.String())
 			f.tellHolders(&wire.ServerEnded{Request: uint64(request), Answered: true})
 		}
 	case result.Outcome.Reason == tamarackrun.AnswerLost &&
@@ -111,9 +120,11 @@
 	}
 	<-check.done
 	if !check.ended {
+		f.history.Record(event.EndUnproven, id, "server", server.Name, "identity", request.String(),
+			"serversUnreachable", strconv.FormatBool(f.links.ServersUnreachable()))
 		return
 	}
-	f.history.Record(event.ServerEnded, id, "server", server.Name, "identity", strconv.FormatUint(uint64(request), 16))
+	f.history.Record(event.ServerEnded, id, "server", server.Name, "identity", request.String())
 	f.crashes.Remember(time.Now(), request)
 	f.tellHolders(&wire.ServerEnded{Request: uint64(request), Process: process})
 }
@@ -143,10 +154,11 @@
 		f.crashes.Answered(request)
 		return
 	}
-	if !f.crashes.Note(time.Now(), request, message.Process) {
+	ended, refuse := f.crashes.Note(time.Now(), request, message.Process)
+	if !refuse {
 		return
 	}
-	f.refuseFromNowOn(request)
+	f.refuseFromNowOn(request, ended)
 	var addresses []netip.AddrPort
 	for _, m := range f.members.Members() {
 		if m.Name == f.Identity.Name || m.Region != f.Identity.Region {
@@ -159,8 +171,9 @@
 	f.sendMessage(&wire.InstanceMessage{Content: &wire.InstanceMessage_RequestRefusal{RequestRefusal: &wire.RequestRefusal{Request: message.Request}}}, addresses...)
 }
 
-// refuseFromNowOn makes this instance refuse a request.
-func (f *Front) refuseFromNowOn(request crash.Request) {
+// refuseFromNowOn makes this instance refuse a request under which a number of servers has ended. The
+// number is 0 if the holder has counted them.
+func (f *Front) refuseFromNowOn(request crash.Request, ended int) {
 	f.crashes.Refuse(time.Now(), request)
-	f.history.Record(event.RequestSuspected, "", "identity", strconv.FormatUint(uint64(request), 16), "for", crash.RefusalTime.String())
+	f.history.Record(event.RequestSuspected, "", "identity", request.String(), "ended", strconv.Itoa(ended), "for", crash.RefusalTime.String())
 }
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -358,7 +358,7 @@
 	case *wire.InstanceMessage_ServerEnded:
 		f.handleServerEnded(content.ServerEnded)
 	case *wire.InstanceMessage_RequestRefusal:
-		f.refuseFromNowOn(crash.Request(content.RequestRefusal.Request))
+		f.refuseFromNowOn(crash.Request(content.RequestRefusal.Request), 0)
 	default:
 		f.members.Receive(message)
 	}
--- a/internal/program/front/serve.go
+++ b/internal/program/front/serve.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/coordination/crash"
 	"tamarackrun/internal/coordination/loan"
 	"tamarackrun/internal/coordination/steer"
 	"tamarackrun/internal/protocol/event"
@@ -89,6 +90,8 @@
 	entry string
 	// counted is true if the entry instance has counted the request in its retry budget.
 	counted bool
+	// identity is set if the request is refused because servers have ended under it.
+	identity crash.Request
 	// overloaded holds the server whose load is the reason for the refusal, if
 	// any.
 	overloaded steer.Choice
@@ -189,6 +192,9 @@
 		fields = append(fields, "limit", formatRate(req.organisation.Rate), "part", formatRate(f.limiter.Share(req.organisation.Name)),
 			"loan", string(req.loan))
 	}
+	if req.identity != 0 {
+		fields = append(fields, "identity", req.identity.String())
+	}
 	if b := req.overloaded.Overload; b != nil {
 		fields = append(fields, "server", req.overloaded.Server.Name, "serverWaiting", strconv.Itoa(b.Waiting), "serverSlots", strconv.Itoa(b.Slots),
 			"reportAge", b.Age.Round(time.Millisecond).String(), "serverTook", b.ResponseTime.Round(time.Millisecond).String())
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -43,6 +43,7 @@
 	ServersReachable      tamarackrun.EventID = 1127
 	CollectionRead        tamarackrun.EventID = 1128
 	RequestSuspected      tamarackrun.EventID = 1129
+	SuspicionCleared      tamarackrun.EventID = 1130
 	PeerReachable         tamarackrun.EventID = 1201
 	PeerUnreachable       tamarackrun.EventID = 1202
 	PeerRefused           tamarackrun.EventID = 1203
@@ -65,6 +66,8 @@
 	AttemptEnded          tamarackrun.EventID = 2008
 	RequestDelegated      tamarackrun.EventID = 2009
 	ServerEnded           tamarackrun.EventID = 2010
+	EndUnproven           tamarackrun.EventID = 2011
+	SuspectTried          tamarackrun.EventID = 2012
 	PartChanged           tamarackrun.EventID = 2320
 	TicketsIssued         tamarackrun.EventID = 2101
 	OrderForwarded        tamarackrun.EventID = 2102
@@ -135,6 +138,7 @@
 	{ServersReachable, "serversReachable", "info", "the instance reaches backend servers again"},
 	{CollectionRead, "collectionRead", "info", "the instance has read a whole collection of the store's records"},
 	{RequestSuspected, "requestSuspected", "warn", "several backend servers have ended under the same request; it is refused for some time"},
+	{SuspicionCleared, "suspicionCleared", "info", "a backend server has answered a request under which others had ended"},
 	{PeerReachable, "peerReachable", "info", "heartbeats with a peer succeed"},
 	{PeerUnreachable, "peerUnreachable", "warn", "a peer did not answer heartbeats"},
 	{PeerRefused, "peerRefused", "warn", "a connection of another process was refused because it did not prove that it is an instance of the fleet"},
@@ -157,6 +161,8 @@
 	{AttemptEnded, "attemptEnded", "info", "one dispatch of a request to a backend server ended"},
 	{RequestDelegated, "requestDelegated", "info", "another instance was asked to send a request to a backend server"},
 	{ServerEnded, "serverEnded", "warn", "a backend server ended while a request was there; the identity is that of all attempts of the same request"},
+	{EndUnproven, "endUnproven", "info", "the connection of a request ended without an answer, but its backend server does not seem to have ended"},
+	{SuspectTried, "suspectTried", "warn", "a request that is refused because backend servers have ended under it is sent to one again"},
 	{TicketsIssued, "ticketsIssued", "debug", "a caller got tickets"},
 	{OrderForwarded, "orderForwarded", "debug", "a request went to the instance that issued its ticket"},
 	{OrderRepeated, "orderRepeated", "info", "a request with a used ticket got the recorded outcome or a refusal"},
