--- a/internal/coordination/crash/crash_test.go
+++ b/internal/coordination/crash/crash_test.go
@@ -57,3 +57,40 @@
 		t.Errorf("%d requests are remembered for too long", len(g.suspects))
 	}
 }
+
+// testFleet is the registers of instances that tell each other without delay which requests to refuse.
+// The first one holds all requests.
+type testFleet []*Register
+
+// send reports whether the instance would send the request to a server, which then ends.
+func (f testFleet) send(now time.Time, instance int, request Request, process uint64) bool {
+	if refusedFor(f[instance], now, request) > 0 {
+		return false
+	}
+	if _, refuse := f[0].Note(now, request, process); refuse {
+		for _, g := range f {
+			g.Refuse(now, request)
+		}
+	}
+	return true
+}
+
+// Guards against a request that each instance tries again by itself once its refusal is over, so that a
+// fleet ends as many servers as it has instances each time (BUDGET, hollowmere-run, crashing requests for
+// 110 s: sent 10 times more after the third end). At most three more are allowed.
+func TestFleetTriesRefusedRequestThreeTimes(t *testing.T) {
+	const instances, length, interval = 7, 20 * time.Minute, 100 * time.Millisecond
+	var f testFleet
+	for range instances {
+		f = append(f, &Register{})
+	}
+	start, request, sent := time.Now(), Identify("org", "GET", "h", "/x", nil), 0
+	for i := range int(length / interval) {
+		if f.send(start.Add(time.Duration(i)*interval), i%instances, request, uint64(i)) {
+			sent++
+		}
+	}
+	if sent < maxEnded || sent > maxEnded+3 {
+		t.Errorf("the request is sent %d times in %s, want %d and at most 3 more", sent, length, maxEnded)
+	}
+}
