Make refusals of requests that end servers facts that all instances know

Callers of a service lost a server with all its requests each time that such a request came again: once its refusal of 30 s was over, each instance sent it once more, and an instance that started later, or was not reached by the one datagram, had never heard of it. Ends were told once to an instance that counted them alone.

What is known of such a request is now a set of facts (ends, ends cleared by an answer, trials) that only grows. Holders send it once; reports and digests carry a hash of it, and an instance that sees another hash asks for the facts, also right after its start. Ends are told again until they are shared. An answer clears the ends that its instance knew, not later ones. An end is proved also by the server's record, when the server is back at once or another one has its address. An end doesn't count against a request if another one that was there has ended more servers. When the register is full, the request with the fewest ends goes.

--- a/internal/coordination/membership/holders.go
+++ b/internal/coordination/membership/holders.go
@@ -13,19 +13,19 @@
 // mayHold reports whether a member may hold limits: it is alive and has a configuration.
 func mayHold(member *Member) bool { return member.Alive && member.Ready && !member.Leaving }
 
-// Holder returns the instance that holds the limits of an organisation in the region: the
-// one with the highest rendezvous score. self is true if that is this instance. ok is false
-// if the region has no instance that may hold limits.
-func (m *Membership) Holder(organisation, region string) (address netip.AddrPort, self, ok bool) {
+// Holder returns the instance that holds the limits of an organisation, or what else the key names, in the
+// region, or in the whole fleet if the region is empty: the one with the highest rendezvous score. self is
+// true if that is this instance. ok is false if the region has no instance that may hold limits.
+func (m *Membership) Holder(key, region string) (address netip.AddrPort, self, ok bool) {
 	members := m.Members()
 	var holder *Member
 	best := uint64(0)
 	for i := range members {
 		member := &members[i]
-		if member.Region != region || !mayHold(member) {
+		if region != "" && member.Region != region || !mayHold(member) {
 			continue
 		}
-		if score := rendezvous.Score(organisation, member.Name); holder == nil || score > best {
+		if score := rendezvous.Score(key, member.Name); holder == nil || score > best {
 			holder, best = member, score
 		}
 	}
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -204,6 +204,11 @@
 	// records of the instances; before, it would know only itself. totalDemand returns
 	// the demand of an organisation summed over all instances that are not silent.
 	OnReport func(reachability Reachability, totalDemand func(organisation string) float64)
+	// Suspects returns the hash of the facts about refused requests that this instance knows, 0 if it
+	// knows none, and OnSuspects is called with the hash that another instance has reported, unless that
+	// is 0, and the instance's report address. They may be nil.
+	Suspects   func() uint64
+	OnSuspects func(address string, hash uint64)
 	// OnRecordMissing is called when the store does not hold this instance's record.
 	OnRecordMissing func()
 
@@ -391,6 +396,14 @@
 	return m.ServersUnreachable != nil && m.ServersUnreachable()
 }
 
+// suspects returns the hash of the facts about refused requests that this instance knows.
+func (m *Membership) suspects() uint64 {
+	if m.Suspects == nil {
+		return 0
+	}
+	return m.Suspects()
+}
+
 // boundFraction returns the given fraction of DetectionBound.
 func (m *Membership) boundFraction(fraction float64) time.Duration {
 	return time.Duration(fraction * float64(m.DetectionBound))
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -12,22 +12,32 @@
 // Receive processes a report or digest of another instance. It ignores messages of unknown
 // instances and of the process before a restart, and those that arrive out of order.
 func (m *Membership) Receive(message *wire.InstanceMessage) {
+	var sender *peer
+	var suspects uint64
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	switch content := message.Content.(type) {
 	case *wire.InstanceMessage_Report:
-		m.receiveReport(content.Report)
+		sender, suspects = m.receiveReport(content.Report), content.Report.GetSuspects()
 	case *wire.InstanceMessage_DomainDigest:
-		m.receiveDomainDigest(content.DomainDigest)
+		sender, suspects = m.receiveDomainDigest(content.DomainDigest), content.DomainDigest.GetSuspects()
 	case *wire.InstanceMessage_FleetDigest:
-		m.receiveFleetDigest(content.FleetDigest)
+		sender, suspects = m.receiveFleetDigest(content.FleetDigest), content.FleetDigest.GetSuspects()
+	}
+	address := ""
+	if sender != nil {
+		address = sender.record.ReportAddress
+	}
+	m.mu.Unlock()
+	if address != "" && suspects != 0 && m.OnSuspects != nil {
+		m.OnSuspects(address, suspects)
 	}
 }
 
-func (m *Membership) receiveReport(r *wire.InstanceReport) {
+// receiveReport returns the sender, or nil if the report is ignored. The caller holds m.mu.
+func (m *Membership) receiveReport(r *wire.InstanceReport) *peer {
 	p := m.peers[r.GetName()]
 	if p == nil || !p.report.accept(r.Incarnation, r.Sequence) {
-		return
+		return nil
 	}
 	now := m.Clock.Now()
 	p.report.at, p.report.demands, p.report.spareTokens = now, readTable(r.Demands), readTable(r.SpareTokens)
@@ -41,12 +51,14 @@
 		p.lastMutual = now
 	}
 	m.mergePositions(r.Era, r.Revisions, r.VerifiedAge)
+	return p
 }
 
-func (m *Membership) receiveDomainDigest(d *wire.DomainDigest) {
+// receiveDomainDigest returns the sender, or nil if the digest is ignored. The caller holds m.mu.
+func (m *Membership) receiveDomainDigest(d *wire.DomainDigest) *peer {
 	p := m.peers[d.GetRelay()]
 	if p == nil || !p.domain.accept(d.Incarnation, d.Sequence) {
-		return
+		return nil
 	}
 	now := m.Clock.Now()
 	p.domain.at, p.domain.demands, p.domain.members = now, readTable(d.Demands), int(d.Covered)
@@ -56,12 +68,14 @@
 	}
 	m.mergeMembers(now, d.Members, d.Lenders, mutual)
 	m.mergePositions(d.Era, d.Revisions, d.VerifiedAge)
+	return p
 }
 
-func (m *Membership) receiveFleetDigest(d *wire.FleetDigest) {
+// receiveFleetDigest returns the sender, or nil if the digest is ignored. The caller holds m.mu.
+func (m *Membership) receiveFleetDigest(d *wire.FleetDigest) *peer {
 	p := m.peers[d.GetRelay()]
 	if p == nil || !p.fleet.accept(d.Incarnation, d.Sequence) {
-		return
+		return nil
 	}
 	now := m.Clock.Now()
 	p.fleet.at, p.fleet.demands, p.fleet.members = now, readTable(d.Demands), int(d.Covered)
@@ -73,6 +87,7 @@
 	}
 	m.mergeMembers(now, d.Members, d.Lenders, mutual)
 	m.mergePositions(d.Era, d.Revisions, d.VerifiedAge)
+	return p
 }
 
 // mergeMembers updates the peers from a relay's member table. mutual is until when messages
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -43,6 +43,8 @@
 	era         int64
 	revisions   []int64
 	verifiedAge time.Duration
+	// suspects is the hash of the facts about refused requests.
+	suspects uint64
 }
 
 func (s *ownState) ageMillis() uint32 { return uint32(s.verifiedAge.Milliseconds()) }
@@ -51,6 +53,7 @@
 // OnReport unless the records of the instances are still unknown.
 func (m *Membership) sendReport() {
 	var s ownState
+	s.suspects = m.suspects()
 	s.demands, s.spareTokens = hashKeys(m.Demands(), minReportedDemand), hashKeys(m.SpareTokens(), 1)
 	var positions verify.Positions
 	positions, s.verifiedAge = m.Verifier.OwnReport(time.Now())
@@ -63,7 +66,7 @@
 	report := &wire.InstanceReport{Name: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Ready: m.ready.Load(),
 		Leaving: m.leaving.Load(), StoreAway: m.Verifier.StoreUnreachable(), ServersAway: m.serversUnreachable(), Era: s.era, Revisions: s.revisions,
 		VerifiedAge: s.ageMillis(), Demands: rateTable(s.demands), SpareTokens: rateTable(s.spareTokens),
-		HeardRelays: m.heardRelays(now), RequestRate: m.requestRate()}
+		HeardRelays: m.heardRelays(now), RequestRate: m.requestRate(), Suspects: s.suspects}
 	if isRelay {
 		relays = append(relays, m.silentPeers(now)...)
 	}
@@ -127,7 +130,7 @@
 	digest := func(withLenders bool) *wire.InstanceMessage {
 		d := &wire.DomainDigest{Relay: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Members: domainMembers,
 			Demands: rateTable(domainDemands), HeardRelays: m.heardRelays(now), Era: s.era, Revisions: s.revisions,
-			VerifiedAge: s.ageMillis(), Covered: uint32(1 + len(counted))}
+			VerifiedAge: s.ageMillis(), Covered: uint32(1 + len(counted)), Suspects: s.suspects}
 		if withLenders {
 			d.Lenders = lenderTable(spares)
 		}
@@ -161,7 +164,7 @@
 	}
 	fleet := &wire.FleetDigest{Relay: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Members: m.memberTable(now, all),
 		Demands: rateTable(s.total), Covered: uint32(s.covered), Lenders: lenderTable(spares), Era: s.era, Revisions: s.revisions,
-		VerifiedAge: s.ageMillis()}
+		VerifiedAge: s.ageMillis(), Suspects: s.suspects}
 	return append(messages, outgoing{&wire.InstanceMessage{Content: &wire.InstanceMessage_FleetDigest{FleetDigest: fleet}}, addressesOf(reporters)})
 }
 
--- a/internal/program/front/crash.go
+++ b/internal/program/front/crash.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"io"
-	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -26,6 +26,11 @@
 	endCheckTimeout = 500 * time.Millisecond
 	// endCheckAge is how long its result serves for all requests that were at the server.
 	endCheckAge = time.Second
+	// lossMemory is how long a lost answer is remembered of which the check doesn't show that the server
+	// has ended. The record of a server that has ended lapses or is replaced within it.
+	lossMemory = 5 * time.Second
+	// maxLosses bounds the number of these lost answers.
+	maxLosses = 1024
 )
 
 // endCheck is the check whether a process of a server has ended.
@@ -36,10 +41,45 @@
 	done  chan struct{}
 }
 
+// loss is an answer that was lost while its server still took connections.
+type loss struct {
+	at      time.Time
+	id      string
+	request crash.Request
+	server  *registry.Server
+}
+
 // endChecks holds the latest checks by the server's process.
 type endChecks struct {
 	mu     sync.Mutex
 	checks map[uint64]*endCheck
+	// losses holds the lost answers that may still prove to be ends, the oldest first.
+	losses []loss
+}
+
+// addLoss remembers a lost answer.
+func (e *endChecks) addLoss(l loss) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.losses) < maxLosses {
+		e.losses = append(e.losses, l)
+	}
+}
+
+// takeEnded removes and returns the lost answers whose servers have ended, as ended reports, and removes
+// those of long ago.
+func (e *endChecks) takeEnded(now time.Time, ended func(*registry.Server) bool) []loss {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var proven []loss
+	e.losses = slices.DeleteFunc(e.losses, func(l loss) bool {
+		if ended(l.server) {
+			proven = append(proven, l)
+			return true
+		}
+		return now.Sub(l.at) > lossMemory
+	})
+	return proven
 }
 
 // begin returns the check of the process, and whether the caller must make it.
@@ -73,20 +113,24 @@
 	return crash.Identify(req.organisation.Name, r.Method, r.Host, r.RequestURI, req.call.Body)
 }
 
-// refusedFor returns for how long the request is refused because servers have ended under it, or 0.
-func (f *Front) refusedFor(req *request) time.Duration {
+// refusedFor returns for how long the request is refused because servers have ended under it, or 0. trial is
+// true if it may be sent to one server all the same.
+func (f *Front) refusedFor(ctx context.Context, req *request) (left time.Duration, trial bool) {
 	if f.crashes.Empty() {
-		return 0
+		return 0, false
 	}
 	identity := identify(req)
-	left, try := f.crashes.Refused(time.Now(), identity)
-	if try {
-		f.history.Record(event.SuspectTried, req.caller.ID, "identity", identity.String())
+	refused, left := f.crashes.Refused(time.Now(), identity)
+	if !refused {
+		return 0, false
 	}
-	if left > 0 {
-		req.identity = identity
+	// A delegate can't tell whether its answer arrives, so the entry instance decides.
+	if req.entry == "" && !f.links.ServersUnreachable() && f.obtainTrial(ctx, identity, left) {
+		f.history.Record(event.SuspectTried, req.caller.ID, "identity", identity.String())
+		return 0, true
 	}
-	return left
+	req.identity = identity
+	return max(left, maxRetryAfter), false
 }
 
 // noteResult watches for requests under which servers end. Other connections of the server tell an end
@@ -94,39 +138,76 @@
 func (f *Front) noteResult(req *request, server *registry.Server, result exchange.Result) {
 	switch {
 	case result.Outcome == tamarackrun.Done:
-		if f.crashes.Empty() {
-			return
-		}
-		if request := identify(req); f.crashes.Answered(request) {
-			f.history.Record(event.SuspicionCleared, req.caller.ID, "server", server.Name, "identity", request.String())
-			f.tellHolders(&wire.ServerEnded{Request: uint64(request), Answered: true})
-		}
+		f.noteAnswer(req, server)
 	case result.Outcome.Reason == tamarackrun.AnswerLost &&
 		(errors.Is(result.Err, io.EOF) || errors.Is(result.Err, io.ErrUnexpectedEOF) || errors.Is(result.Err, syscall.ECONNRESET)):
-		go f.checkEnd(req.caller.ID, identify(req), server)
+		go f.checkEnd(loss{time.Now(), req.caller.ID, identify(req), server})
 	}
 }
 
-// checkEnd tells the holders of the request if the server does not take connections any more.
-func (f *Front) checkEnd(id string, request crash.Request, server *registry.Server) {
+// noteAnswer clears the ends under a request that a server has answered.
+func (f *Front) noteAnswer(req *request, server *registry.Server) {
+	if f.crashes.Empty() {
+		return
+	}
+	identity := identify(req)
+	known, shared := f.crashes.Answered(time.Now(), identity)
+	if known == nil {
+		return
+	}
+	f.history.Record(event.SuspicionCleared, req.caller.ID, "server", server.Name, "identity", identity.String())
+	if shared {
+		f.sendToMembers(&wire.InstanceMessage{Content: &wire.InstanceMessage_Suspect{Suspect: known}}, "")
+		return
+	}
+	f.tellHolders(&wire.ServerEnded{Request: uint64(identity), Answered: true, Cleared: known.Cleared})
+}
+
+// checkEnd tells the holders of the request if the server does not take connections any more. A server that
+// does may be back already, or another one may have its address, which its record will show.
+func (f *Front) checkEnd(l loss) {
 	defer f.recoverPanic("check of a server's end", nil)
-	process := processOf(server)
-	check, fresh := f.endChecks.begin(time.Now(), process)
+	check, fresh := f.endChecks.begin(l.at, processOf(l.server))
 	if fresh {
 		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
-		check.ended = f.backendClient.Connect(ctx, server.Address) != nil && !f.links.ServersUnreachable()
+		check.ended = f.backendClient.Connect(ctx, l.server.Address) != nil && !f.links.ServersUnreachable()
 		cancel()
 		close(check.done)
 	}
 	<-check.done
-	if !check.ended {
-		f.history.Record(event.EndUnproven, id, "server", server.Name, "identity", request.String(),
-			"serversUnreachable", strconv.FormatBool(f.links.ServersUnreachable()))
+	if check.ended {
+		f.noteEnd(l, "connect")
 		return
 	}
-	f.history.Record(event.ServerEnded, id, "server", server.Name, "identity", request.String())
-	f.crashes.Remember(time.Now(), request)
-	f.tellHolders(&wire.ServerEnded{Request: uint64(request), Process: process})
+	f.history.Record(event.EndUnproven, l.id, "server", l.server.Name, "identity", l.request.String(),
+		"serversUnreachable", strconv.FormatBool(f.links.ServersUnreachable()))
+	f.endChecks.addLoss(l)
+}
+
+// noteEnd records that a server has ended and tells the holders of the request. proof names what shows it.
+func (f *Front) noteEnd(l loss, proof string) {
+	process := processOf(l.server)
+	f.history.Record(event.ServerEnded, l.id, "server", l.server.Name, "identity", l.request.String(), "proof", proof)
+	if known := f.crashes.Note(time.Now(), l.request, process, true); known != nil {
+		f.tellRegion(known)
+	}
+	f.tellHolders(&wire.ServerEnded{Request: uint64(l.request), Process: process})
+}
+
+// repeatEnds tells the holders again of ends that are not yet known to all instances, and of those whose
+// proof has come late.
+func (f *Front) repeatEnds(now time.Time) {
+	for _, l := range f.endChecks.takeEnded(now, f.registry.Replaced) {
+		f.noteEnd(l, "record")
+	}
+	for _, known := range f.crashes.ToRepeat(now, f.members.HoldersChanged()) {
+		for _, process := range known.Ended {
+			f.tellHolders(&wire.ServerEnded{Request: known.Request, Process: process})
+		}
+		if len(known.Cleared) > 0 {
+			f.tellHolders(&wire.ServerEnded{Request: known.Request, Answered: true, Cleared: known.Cleared})
+		}
+	}
 }
 
 // tellHolders sends a message to the holder of its request in each region.
@@ -135,7 +216,7 @@
 	for _, region := range f.Identity.Regions {
 		regions[region] = true
 	}
-	key := strconv.FormatUint(message.Request, 16)
+	key := crash.Request(message.Request).String()
 	for region := range regions {
 		switch holder, self, ok := f.members.Holder(key, region); {
 		case self:
@@ -151,29 +232,17 @@
 func (f *Front) handleServerEnded(message *wire.ServerEnded) {
 	request := crash.Request(message.Request)
 	if message.Answered {
-		f.crashes.Answered(request)
+		f.crashes.Clear(time.Now(), request, message.Cleared)
 		return
 	}
-	ended, refuse := f.crashes.Note(time.Now(), request, message.Process)
-	if !refuse {
-		return
-	}
-	f.refuseFromNowOn(request, ended)
-	var addresses []netip.AddrPort
-	for _, m := range f.members.Members() {
-		if m.Name == f.Identity.Name || m.Region != f.Identity.Region {
-			continue
-		}
-		if address, err := netip.ParseAddrPort(m.ReportAddress); err == nil {
-			addresses = append(addresses, address)
-		}
+	if known := f.crashes.Note(time.Now(), request, message.Process, false); known != nil {
+		f.tellRegion(known)
 	}
-	f.sendMessage(&wire.InstanceMessage{Content: &wire.InstanceMessage_RequestRefusal{RequestRefusal: &wire.RequestRefusal{Request: message.Request}}}, addresses...)
 }
 
-// refuseFromNowOn makes this instance refuse a request under which a number of servers has ended. The
-// number is 0 if the holder has counted them.
-func (f *Front) refuseFromNowOn(request crash.Request, ended int) {
-	f.crashes.Refuse(time.Now(), request)
-	f.history.Record(event.RequestSuspected, "", "identity", request.String(), "ended", strconv.Itoa(ended), "for", crash.RefusalTime.String())
+// tellRegion tells the instances of the region to refuse a request.
+func (f *Front) tellRegion(known *wire.Suspect) {
+	f.logSuspect(known)
+	f.sendToMembers(&wire.InstanceMessage{Content: &wire.InstanceMessage_RequestRefusal{
+		RequestRefusal: &wire.RequestRefusal{Request: known.Request, Suspect: known}}}, f.Identity.Region)
 }
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -36,6 +36,8 @@
 	// delivered counts the servers that got the request; undelivered counts those
 	// that did not, or whose address belongs to another server now.
 	delivered, undelivered int
+	// sent counts the servers that may have got a part of the request.
+	sent int
 	// counted is true if the request counts in the retry budget.
 	counted bool
 	// delegates are the names of the instances that were asked to send the request, and delegable is
@@ -61,6 +63,9 @@
 // is final, so that no other server may get the request.
 func (a *attempts) add(server string, result exchange.Result) bool {
 	a.tried = append(a.tried, server)
+	if result.Sent {
+		a.sent++
+	}
 	if result.Sent && !result.Fields.Misdirected {
 		a.delivered++
 	} else {
@@ -104,12 +109,17 @@
 	a := &attempts{request: req, tried: tried, counted: req.counted, delegable: req.entry == "" && len(req.call.Body) <= maxDelegatedBody,
 		outcome: tamarackrun.Refused(tamarackrun.NoHealthyServer)}
 	for a.mayContinue(time.Now()) && ctx.Err() == nil {
-		if left := f.refusedFor(req); left > 0 {
+		left, trial := f.refusedFor(ctx, req)
+		if left > 0 {
 			if a.delivered+a.undelivered == 0 {
 				a.outcome, a.retryAfter = tamarackrun.Refused(tamarackrun.EndsServers), left
 			}
 			break
 		}
+		if trial {
+			f.attemptTrial(ctx, a)
+			break
+		}
 		if a.delegable && (f.links.ServersUnreachable() || a.undelivered == maxConnectFailures-1) {
 			if f.attemptByDelegate(ctx, a) {
 				break
@@ -124,6 +134,17 @@
 	return a
 }
 
+// attemptTrial sends a refused request to one server and no other. If no server gets it, the trial is kept
+// for the next time that the request comes.
+func (f *Front) attemptTrial(ctx context.Context, a *attempts) {
+	sent := a.sent
+	a.delegable = false
+	f.attemptDirectly(ctx, a)
+	if a.sent == sent {
+		f.crashes.Permit(identify(a.request))
+	}
+}
+
 // attemptDirectly sends the request to one server, or to a delegate if the servers do not take
 // connections. It reports whether no other server may get it.
 func (f *Front) attemptDirectly(ctx context.Context, a *attempts) bool {
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -106,10 +106,11 @@
 	// is the number of requests that it sends for others now.
 	delegates *delegation.Pool
 	delegated atomic.Int64
-	// crashes holds the requests under which servers have ended, and endChecks the checks whether
-	// servers have.
-	crashes   crash.Register
-	endChecks endChecks
+	// crashes holds the requests under which servers have ended, endChecks the checks whether servers
+	// have, and suspectReads the questions to other instances for refused requests.
+	crashes      crash.Register
+	endChecks    endChecks
+	suspectReads suspectReads
 	// sendMessage sends a datagram to other instances.
 	sendMessage func(message *wire.InstanceMessage, addresses ...netip.AddrPort) int
 	// process identifies the process. It is random, and not 0.
@@ -316,6 +317,7 @@
 	f.members.RequestRate = func() float64 { return f.requestRate.value(time.Now()) }
 	f.members.OnRecordMissing = f.requestAnnounce
 	f.members.ServersUnreachable = f.links.ServersUnreachable
+	f.members.Suspects, f.members.OnSuspects = f.crashes.Hash, f.compareSuspects
 	f.delegates = &delegation.Pool{Name: f.Identity.Name, Region: f.Identity.Region, Clock: boottime.Clock{}, Members: f.members.Members}
 	var latest membership.Reachability
 	f.members.OnReport = func(reachability membership.Reachability, totalDemand func(organisation string) float64) {
@@ -358,7 +360,9 @@
 	case *wire.InstanceMessage_ServerEnded:
 		f.handleServerEnded(content.ServerEnded)
 	case *wire.InstanceMessage_RequestRefusal:
-		f.refuseFromNowOn(crash.Request(content.RequestRefusal.Request), 0)
+		f.handleRefusal(content.RequestRefusal)
+	case *wire.InstanceMessage_Suspect:
+		f.learnSuspect(content.Suspect)
 	default:
 		f.members.Receive(message)
 	}
@@ -462,6 +466,7 @@
 		f.registry.Sweep(now)
 		f.coldLimiter.DropIdle(now)
 		f.crashes.Forget(now)
+		f.repeatEnds(now)
 		addresses := f.registry.Addresses()
 		f.backendClient.RetainOnly(addresses)
 		f.balancer.Forget(now, f.registry.Usable)
--- a/internal/program/front/reading.go
+++ b/internal/program/front/reading.go
@@ -77,6 +77,10 @@
 	case *wire.Envelope_ClockQuery:
 		// An error means that the asking instance has gone.
 		_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_ProcessClock{ProcessClock: f.processClock()}})
+	case *wire.Envelope_SuspectQuery:
+		f.serveSuspects(stream)
+	case *wire.Envelope_TrialQuery:
+		f.serveTrial(kind.TrialQuery, stream)
 	case *wire.Envelope_Delegate:
 		f.serveDelegate(ctx, kind.Delegate, stream)
 	}
--- a/internal/program/front/traffic.go
+++ b/internal/program/front/traffic.go
@@ -51,7 +51,7 @@
 		kind = "domainDigest"
 	case *wire.InstanceMessage_FleetDigest:
 		kind = "fleetDigest"
-	case *wire.InstanceMessage_ServerEnded, *wire.InstanceMessage_RequestRefusal:
+	case *wire.InstanceMessage_ServerEnded, *wire.InstanceMessage_RequestRefusal, *wire.InstanceMessage_Suspect:
 		kind = "serverEnd"
 	}
 	f.scope.Tagged(map[string]string{"kind": kind}).Counter("datagram_bytes").Inc(int64(bytes))
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -44,6 +44,8 @@
 	CollectionRead        tamarackrun.EventID = 1128
 	RequestSuspected      tamarackrun.EventID = 1129
 	SuspicionCleared      tamarackrun.EventID = 1130
+	TrialUndecided        tamarackrun.EventID = 1131
+	SuspectsUnread        tamarackrun.EventID = 1132
 	PeerReachable         tamarackrun.EventID = 1201
 	PeerUnreachable       tamarackrun.EventID = 1202
 	PeerRefused           tamarackrun.EventID = 1203
@@ -137,8 +139,10 @@
 	{ServersUnreachable, "serversUnreachable", "warn", "the instance has lost its links to all backend servers; other instances send its requests"},
 	{ServersReachable, "serversReachable", "info", "the instance reaches backend servers again"},
 	{CollectionRead, "collectionRead", "info", "the instance has read a whole collection of the store's records"},
-	{RequestSuspected, "requestSuspected", "warn", "several backend servers have ended under the same request; it is refused for some time"},
+	{RequestSuspected, "requestSuspected", "warn", "several backend servers have ended under the same request; it is refused for the time that is named, or not any more if that is 0"},
 	{SuspicionCleared, "suspicionCleared", "info", "a backend server has answered a request under which others had ended"},
+	{TrialUndecided, "trialUndecided", "warn", "the instance that decides whether a refused request may be sent once more has not answered"},
+	{SuspectsUnread, "suspectsUnread", "warn", "another instance knows other refused requests and has not answered the question for them"},
 	{PeerReachable, "peerReachable", "info", "heartbeats with a peer succeed"},
 	{PeerUnreachable, "peerUnreachable", "warn", "a peer did not answer heartbeats"},
 	{PeerRefused, "peerRefused", "warn", "a connection of another process was refused because it did not prove that it is an instance of the fleet"},
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -53,6 +53,7 @@
 type goneServer struct {
 	startMillis, sequence int64
 	era                   int64
+	draining              bool
 	until                 time.Time
 }
 
@@ -123,6 +124,24 @@
 // Usable reports whether the server may get requests.
 func (r *Registry) Usable(name string) bool { return r.view.Load().names[name] }
 
+// Replaced reports whether the process of a server, as it was known before, has ended: another one has its
+// name or its address, or its record has lapsed. It is false for a server that was to leave, which ends
+// without a fault.
+func (r *Registry) Replaced(server *Server) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if g, ok := r.gone[server.Name]; ok && r.servers[server.Name] == nil {
+		return !g.draining
+	}
+	for _, s := range r.servers {
+		if s.Name == server.Name && s.StartMillis > server.StartMillis ||
+			s.Name != server.Name && s.Address == server.Address && s.ReceivedAt.After(server.ReceivedAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // Addresses returns the addresses of all usable servers. The map is shared and must
 // not be changed.
 func (r *Registry) Addresses() map[string]bool { return r.view.Load().addresses }
@@ -246,7 +265,7 @@
 		return
 	}
 	delete(r.servers, name)
-	r.gone[name] = goneServer{startMillis: s.StartMillis, sequence: s.Sequence, era: s.Position.Era, until: now.Add(goneMemory)}
+	r.gone[name] = goneServer{startMillis: s.StartMillis, sequence: s.Sequence, era: s.Position.Era, draining: s.Draining, until: now.Add(goneMemory)}
 	r.Recorder.Record(event.ServerGone, "", "server", name, "reason", reason)
 }
 
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -261,3 +261,43 @@
 		t.Error("a newer record does not make the server cold")
 	}
 }
+
+// Guards against servers that count as running although they have ended under a request, because they are
+// back, or another server has their address, before a connection is refused (BUDGET); and against servers
+// that leave as planned and count as ended under a request.
+func TestReplacedServers(t *testing.T) {
+	now := time.Now()
+	started := func(r tamarackrun.Record, millis int64) tamarackrun.Record {
+		r.Server.StartMillis = millis
+		return r
+	}
+	at := func(r tamarackrun.Record, address string) tamarackrun.Record {
+		r.Server.Address = address
+		return r
+	}
+	removed := func(name string) tamarackrun.Record {
+		return tamarackrun.Record{Name: name, Removed: true, Position: tamarackrun.Position{Revision: 3}}
+	}
+	for _, c := range []struct {
+		name  string
+		later []tamarackrun.Record
+		want  bool
+	}{
+		{"unchanged", []tamarackrun.Record{started(server("x", "a1", 2), 10)}, false},
+		{"another server", []tamarackrun.Record{at(server("y", "a1", 2), "127.0.0.1:2")}, false},
+		{"started again", []tamarackrun.Record{started(server("x", "a1", 2), 20)}, true},
+		{"address of another server", []tamarackrun.Record{started(server("y", "a1", 2), 20)}, true},
+		{"record lapsed", []tamarackrun.Record{removed("x")}, true},
+		{"left", []tamarackrun.Record{draining(started(server("x", "a1", 2), 10)), removed("x")}, false},
+	} {
+		r := newTestRegistry()
+		r.ApplyServers(now, tamarackrun.Page{Full: true, Records: []tamarackrun.Record{started(server("x", "a1", 1), 10)}}, false)
+		before := r.ServersOf("s")[0]
+		for i, record := range c.later {
+			r.ApplyServers(now.Add(time.Duration(i+1)*time.Second), tamarackrun.Page{Records: []tamarackrun.Record{record}}, false)
+		}
+		if got := r.Replaced(before); got != c.want {
+			t.Errorf("%s: replaced %t, want %t", c.name, got, c.want)
+		}
+	}
+}
