Know refused requests before an instance is ready

It now asks the instance that reads the store for it, or reads the store, before it is ready, and waits 1.5 s at most. The soak learns requests that end each server that runs them, and checks that they are hardly sent once three have ended.

--- a/internal/coordination/crash/crash_test.go
+++ b/internal/coordination/crash/crash_test.go
@@ -64,6 +64,16 @@
 	}
 }
 
+// Guards against an instance that sends what an instance of an earlier version asks it to refuse without
+// naming the servers.
+func TestRefusalOfEarlierVersion(t *testing.T) {
+	g, now, request := &Register{}, time.Now(), Request(1)
+	g.Merge(now, &wire.Suspect{Request: uint64(request), Ended: UnnamedEnds(request)})
+	if !isRefused(g, now, request) {
+		t.Error("the request is not refused")
+	}
+}
+
 // Guards against requests that are refused because they were at servers which another request has ended
 // (hollowmere-run, crashing requests: an answerable request was refused that had run beside one on three
 // servers).
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -144,8 +144,9 @@
 	// since 1970.
 	configurationSince atomic.Int64
 	// serversKnown, evacuationsKnown and instancesKnown report whether the collections were
-	// read, and partKnown whether this instance has since computed its part of the limits.
-	serversKnown, evacuationsKnown, instancesKnown, partKnown atomic.Bool
+	// read, partKnown whether this instance has since computed its part of the limits, and
+	// suspectsKnown whether it has learned of the requests that were refused before its start.
+	serversKnown, evacuationsKnown, instancesKnown, partKnown, suspectsKnown atomic.Bool
 	// leaving reports whether look-ups no longer return the instance, and
 	// refusingRequests whether new requests are refused.
 	leaving, refusingRequests atomic.Bool
--- a/internal/program/front/records.go
+++ b/internal/program/front/records.go
@@ -239,9 +239,9 @@
 }
 
 // updateReady marks the instance as ready once it has a configuration, has read the servers and
-// the evacuations, and knows its part of the limits.
+// the evacuations, and knows its part of the limits and the refused requests.
 func (f *Front) updateReady() {
-	ready := f.snapshot.Load() != nil && f.serversKnown.Load() && f.evacuationsKnown.Load() && f.partKnown.Load()
+	ready := f.snapshot.Load() != nil && f.serversKnown.Load() && f.evacuationsKnown.Load() && f.partKnown.Load() && f.suspectsKnown.Load()
 	if ready && !f.members.IsReady() {
 		f.history.Record(event.Ready, "", "version", strconv.FormatInt(f.configurationVersion(), 10))
 	}
--- a/internal/program/front/suspectrecords.go
+++ b/internal/program/front/suspectrecords.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"tamarackrun"
@@ -16,28 +17,59 @@
 	suspectInterval = 250 * time.Millisecond
 	// maxSuspectWrites bounds the writes of a round. The store limits the calls of the whole fleet.
 	maxSuspectWrites = 2
+	// earlierWait bounds the time for which an instance that starts is not ready because it doesn't know
+	// the requests that were refused before, and earlierPeerWait the part of it in which it asks only
+	// another instance. earlierPause is the time between two tries.
+	earlierWait     = 1500 * time.Millisecond
+	earlierPeerWait = 500 * time.Millisecond
+	earlierPause    = 100 * time.Millisecond
 )
 
+// errSuspectsIncomplete is the error of a question for refused requests to an instance that doesn't know
+// those of before its own start.
+var errSuspectsIncomplete = errors.New("the instance has not yet learned of earlier refused requests")
+
 // keepSuspects keeps the refused requests in the platform's store, so that a fleet that has stopped as a
-// whole knows them again. The instances that read the store for their failure domains read them once, and
-// the others learn of them by reports. The holder of a request in the fleet writes its record.
+// whole knows them again. The holder of a request in the fleet writes its record. Records are read only
+// at the start, as instances tell each other of changes.
 func (f *Front) keepSuspects(ctx context.Context) {
 	waitFor(ctx, f.instancesRead)
-	for read := false; ctx.Err() == nil; waiting.Pause(ctx, suspectInterval) {
+	f.learnEarlierSuspects(ctx)
+	for ; ctx.Err() == nil; waiting.Pause(ctx, suspectInterval) {
 		if f.source.StoreUnreachable() {
 			continue
 		}
+		if err := f.writeSuspects(ctx); err != nil {
+			f.history.Record(event.SuspectsNotStored, "", "error", err.Error())
+			waiting.Pause(ctx, announceRetryDelay)
+		}
+	}
+}
+
+// learnEarlierSuspects learns the requests that were refused before the instance started: from the instance
+// that reads the store for it or, if there is none or it does not know them itself, from the store. The
+// instance is ready then, or after earlierWait.
+func (f *Front) learnEarlierSuspects(ctx context.Context) {
+	defer func() {
+		f.suspectsKnown.Store(true)
+		f.updateReady()
+	}()
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, earlierWait)
+	defer cancel()
+	for ; ; waiting.Pause(ctx, earlierPause) {
 		var err error
-		if !read && f.source.ReadsStore(tamarackrun.Evacuations) {
+		if reader := f.members.Reader(); reader != "" && time.Since(began) < earlierPeerWait {
+			err = f.askForSuspects(ctx, reader, true)
+		} else {
 			err = f.readSuspects(ctx)
-			read = err == nil
 		}
 		if err == nil {
-			err = f.writeSuspects(ctx)
+			return
 		}
-		if err != nil {
+		if ctx.Err() != nil {
 			f.history.Record(event.SuspectsNotStored, "", "error", err.Error())
-			waiting.Pause(ctx, announceRetryDelay)
+			return
 		}
 	}
 }
--- a/internal/program/front/suspects.go
+++ b/internal/program/front/suspects.go
@@ -130,22 +130,35 @@
 	}
 	go func() {
 		defer f.recoverPanic("read of refused requests", nil)
-		reply, err := f.mesh.Call(context.Background(), address, &wire.Envelope{Kind: &wire.Envelope_SuspectQuery{SuspectQuery: &wire.SuspectQuery{}}})
-		if err != nil {
+		if err := f.askForSuspects(context.Background(), address, false); err != nil {
 			f.suspectReads.failed(address)
 			f.history.Record(event.SuspectsUnread, "", "peer", address, "error", err.Error())
-			return
-		}
-		for _, known := range reply.GetSuspectList().GetSuspects() {
-			f.learnSuspect(known)
 		}
 	}()
 }
 
+// askForSuspects learns what another instance knows of refused requests, or of those that were refused before
+// it started too if complete is true.
+func (f *Front) askForSuspects(ctx context.Context, address string, complete bool) error {
+	reply, err := f.mesh.Call(ctx, address, &wire.Envelope{Kind: &wire.Envelope_SuspectQuery{SuspectQuery: &wire.SuspectQuery{}}})
+	if err != nil {
+		return err
+	}
+	list := reply.GetSuspectList()
+	for _, known := range list.GetSuspects() {
+		f.learnSuspect(known)
+	}
+	if complete && !list.GetComplete() {
+		return errSuspectsIncomplete
+	}
+	return nil
+}
+
 // serveSuspects answers another instance's question for the refused requests.
 func (f *Front) serveSuspects(stream tamarackrun.Stream) {
+	list := &wire.SuspectList{Suspects: f.crashes.Shared(time.Now()), Complete: f.suspectsKnown.Load()}
 	// An error means that the asking instance has gone.
-	_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_SuspectList{SuspectList: &wire.SuspectList{Suspects: f.crashes.Shared(time.Now())}}})
+	_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_SuspectList{SuspectList: list}})
 }
 
 // serveTrial answers another instance's question for a trial.
--- a/internal/standin/soak/harness.go
+++ b/internal/standin/soak/harness.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -199,6 +200,11 @@
 // its cancellation.
 func (h *harness) execute(x standin.Execution) {
 	h.history.recordExecution(x, h.instanceAt(x.From))
+	if strings.HasPrefix(x.Target, crashPrefix) {
+		go h.endServer(x.Server)
+		<-x.Cancelled
+		return
+	}
 	duration := time.Duration(5+rand.IntN(20)) * time.Millisecond
 	if rand.IntN(slowOneIn) == 0 {
 		duration = time.Duration(rand.Int64N(int64(maxWorkTime)))
--- a/internal/standin/soak/kinds.go
+++ b/internal/standin/soak/kinds.go
@@ -81,6 +81,10 @@
 	for range evacuations.IntN(maxMissed) {
 		schedule(evacuations, missEvacuation)
 	}
+	crashes := rand.New(rand.NewPCG(seed, crashStream))
+	for range crashes.IntN(maxCrashing) {
+		schedule(crashes, crashServers)
+	}
 }
 
 // sleep waits for the duration or until the context ends.
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -76,6 +76,20 @@
 			h.add(readCall, 0, "books-1", "books-2")
 			h.add(orderCall, 0, "parcels-1")
 		}, nil},
+		"a request goes on ending servers": {func(h *harness) {
+			c := readCall
+			c.status, c.Target = 502, crashPrefix+"1"
+			for i := range 4 + allowedEnds {
+				h.add(c, time.Duration(i)*(bounds.DetectionBound+time.Second), fmt.Sprint("books-", i))
+			}
+		}, []string{"BUDGET"}},
+		"a request that ended servers is tried three times": {func(h *harness) {
+			c := readCall
+			c.status, c.Target = 502, crashPrefix+"1"
+			for i := range 3 + allowedEnds {
+				h.add(c, time.Duration(i)*(bounds.DetectionBound+time.Second), fmt.Sprint("books-", i))
+			}
+		}, nil},
 		"an order runs twice": {func(h *harness) { h.add(orderCall, 0, "parcels-1", "parcels-2") }, []string{"TWICE"}},
 		"a refused order runs": {func(h *harness) {
 			c := orderCall
