Prove the end of a server by a health probe

A connection that opens doesn't show that the server runs: another process may have its address, the server may be back, or a proxy takes connections for it. After a lost answer the server is now asked by a health probe on a new connection: refused, answered by another server, or reset twice proves the end.

--- a/internal/program/front/cold.go
+++ b/internal/program/front/cold.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"tamarackrun"
 	"tamarackrun/internal/coordination/probe"
 	"tamarackrun/internal/state/registry"
 	"tamarackrun/internal/transport/exchange"
@@ -75,18 +76,32 @@
 	return float64(f.coldLimiter.SentSince(now, server.Name, since)) > limit/float64(max(1, len(f.members.Members())))
 }
 
-// askServer sends a health probe to a server and returns how long the server stays cold.
+// healthPath returns the path of a service's health probes; empty if it has none.
+func (f *Front) healthPath(service string) string {
+	if c := f.snapshot.Load(); c != nil {
+		return c.Services[service].HealthPath
+	}
+	return ""
+}
+
+// askServer asks a server by a health probe how long it stays cold.
 func (f *Front) askServer(ctx context.Context, server *registry.Server) (coldFor time.Duration, ok bool) {
 	defer f.recoverPanic("health probe", nil)
-	c := f.snapshot.Load()
-	if c == nil || c.Services[server.Service].HealthPath == "" {
+	path := f.healthPath(server.Service)
+	if path == "" {
 		return 0, false
 	}
-	result := f.backendClient.Do(ctx, server.Address, exchange.Request{Method: http.MethodGet, Target: c.Services[server.Service].HealthPath,
-		Host: server.Address, Header: http.Header{}, Idempotent: true, Probe: true})
-	defer f.backendClient.Release(result)
+	result, fields := f.probe(ctx, server.Address, path)
 	f.noteNotice(server, result.Fields)
-	fields := f.HeaderCodec.DecodeHealth(result.Header)
-	f.scope.Counter("health_probes").Inc(1)
 	return fields.ColdFor, fields.OK && fields.Server == server.Name
 }
+
+// probe sends a health probe to an address. It returns the result, without a body, and what the answer
+// says.
+func (f *Front) probe(ctx context.Context, address, path string) (exchange.Result, tamarackrun.HealthFields) {
+	result := f.backendClient.Do(ctx, address, exchange.Request{Method: http.MethodGet, Target: path, Host: address, Header: http.Header{},
+		Idempotent: true, Probe: true})
+	f.backendClient.Release(result)
+	f.scope.Counter("health_probes").Inc(1)
+	return result, f.HeaderCodec.DecodeHealth(result.Header)
+}
--- a/internal/program/front/crash.go
+++ b/internal/program/front/crash.go
@@ -21,9 +21,10 @@
 )
 
 const (
-	// endCheckTimeout bounds the connection that shows whether a server has ended. A round trip
-	// between regions takes 0.11 s.
+	// endCheckTimeout bounds the health probes that show whether a server has ended, of which there are
+	// endProbes at most. A round trip between regions takes 0.11 s.
 	endCheckTimeout = 500 * time.Millisecond
+	endProbes       = 2
 	// endCheckAge is how long its result serves for all requests that were at the server.
 	endCheckAge = time.Second
 	// lossMemory is how long a lost answer is remembered of which the check doesn't show that the server
@@ -36,8 +37,8 @@
 // endCheck is the check whether a process of a server has ended.
 type endCheck struct {
 	began time.Time
-	// ended is set when done is closed.
-	ended bool
+	// proof is set when done is closed; empty if the server has not ended, or may not have.
+	proof string
 	done  chan struct{}
 }
 
@@ -139,8 +140,7 @@
 	switch {
 	case result.Outcome == tamarackrun.Done:
 		f.noteAnswer(req, server)
-	case result.Outcome.Reason == tamarackrun.AnswerLost &&
-		(errors.Is(result.Err, io.EOF) || errors.Is(result.Err, io.ErrUnexpectedEOF) || errors.Is(result.Err, syscall.ECONNRESET)):
+	case endedConnection(result):
 		go f.checkEnd(loss{time.Now(), req.caller.ID, identify(req), server})
 	}
 }
@@ -163,20 +163,18 @@
 	f.tellHolders(&wire.ServerEnded{Request: uint64(identity), Answered: true, Cleared: known.Cleared})
 }
 
-// checkEnd tells the holders of the request if the server does not take connections any more. A server that
-// does may be back already, or another one may have its address, which its record will show.
+// checkEnd tells the holders of the request if the server has ended. If that is not seen at once, the server's
+// record may show it later.
 func (f *Front) checkEnd(l loss) {
 	defer f.recoverPanic("check of a server's end", nil)
 	check, fresh := f.endChecks.begin(l.at, processOf(l.server))
 	if fresh {
-		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
-		check.ended = f.backendClient.Connect(ctx, l.server.Address) != nil && !f.links.ServersUnreachable()
-		cancel()
+		check.proof = f.findEnd(l.server)
 		close(check.done)
 	}
 	<-check.done
-	if check.ended {
-		f.noteEnd(l, "connect")
+	if check.proof != "" && !f.links.ServersUnreachable() {
+		f.noteEnd(l, check.proof)
 		return
 	}
 	f.history.Record(event.EndUnproven, l.id, "server", l.server.Name, "identity", l.request.String(),
@@ -184,6 +182,38 @@
 	f.endChecks.addLoss(l)
 }
 
+// findEnd returns what shows that a server has ended, or "": it takes no connections, ends them, or another
+// server answers at its address. A connection that is reset once proves nothing.
+func (f *Front) findEnd(server *registry.Server) (proof string) {
+	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	defer cancel()
+	path := f.healthPath(server.Service)
+	if path == "" {
+		if f.backendClient.Connect(ctx, server.Address) != nil {
+			return "connect"
+		}
+		return ""
+	}
+	for range endProbes {
+		result, fields := f.probe(ctx, server.Address, path)
+		switch {
+		case !result.Sent:
+			return "connect"
+		case result.Outcome == tamarackrun.Done && fields.Server != "" && fields.Server != server.Name:
+			return "otherServer"
+		case !endedConnection(result):
+			return ""
+		}
+	}
+	return "reset"
+}
+
+// endedConnection reports whether the answer was lost because the connection has ended.
+func endedConnection(result exchange.Result) bool {
+	return result.Outcome.Reason == tamarackrun.AnswerLost &&
+		(errors.Is(result.Err, io.EOF) || errors.Is(result.Err, io.ErrUnexpectedEOF) || errors.Is(result.Err, syscall.ECONNRESET))
+}
+
 // noteEnd records that a server has ended and tells the holders of the request. proof names what shows it.
 func (f *Front) noteEnd(l loss, proof string) {
 	process := processOf(l.server)
