--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -89,6 +89,10 @@
 			continue
 		}
 		a.retryAfter = time.Duration(reply.RetryAfterMillis) * time.Millisecond
+		if shareReasons[result.Outcome.Reason] {
+			a.outcome = outcomeAfter(a.outcome, result.Outcome)
+			continue
+		}
 		if result.Outcome == tamarackrun.Done {
 			f.learnFromAnswer(req.service, reply.Server, result, began)
 		}
@@ -105,6 +109,10 @@
 var unreachedReasons = map[tamarackrun.Reason]bool{tamarackrun.ConnectFailed: true, tamarackrun.ServerPaused: true,
 	tamarackrun.ServersUnreachable: true}
 
+// shareReasons are the reasons for which a delegate refuses because its own share of the servers' limits is
+// used up. Another one may have some left.
+var shareReasons = map[tamarackrun.Reason]bool{tamarackrun.ServerCold: true, tamarackrun.ServerLimited: true}
+
 // refusedDelegation returns the reply of an instance that has not taken a request.
 func refusedDelegation(reason tamarackrun.Reason) *wire.Delegated {
 	return &wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(reason), Refused: true}
