--- a/internal/coordination/crash/crash_test.go
+++ b/internal/coordination/crash/crash_test.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -227,3 +228,69 @@
 		t.Errorf("the request is sent %d times in %s, want %d and at most 3 more", sent, length, maxEnded)
 	}
 }
+
+// Guards against requests of one organisation that get those of another one refused by naming them alike.
+func TestOrganisationsDoNotBarEachOther(t *testing.T) {
+	g, now := &Register{}, time.Now()
+	note(g, now, Identify("org", "GET", "h", "/x", nil), 1, 2, 3)
+	if isRefused(g, now, Identify("other", "GET", "h", "/x", nil)) {
+		t.Error("the same request of another organisation is refused")
+	}
+}
+
+// Guards against innocent requests that are refused while servers end for other reasons. Each of 40 servers ends
+// every 5 s, as with a bad release, and all that run there come again at other servers until they are answered.
+// At most one request in 10,000 may be refused.
+func TestInnocentRequestsAreHardlyRefused(t *testing.T) {
+	const (
+		servers, length, step = 40, 5 * time.Minute, 10 * time.Millisecond
+		requestsPerStep       = 5
+		runSteps              = 10
+		endOneIn              = 500
+	)
+	type running struct {
+		request Request
+		until   int
+	}
+	r := rand.New(rand.NewPCG(1, 0))
+	g, start := &Register{}, time.Now()
+	at := make([][]running, servers)
+	process := uint64(0)
+	sent, refused := 0, map[Request]bool{}
+	send := func(request Request, now int) {
+		s := r.IntN(servers)
+		at[s] = append(at[s], running{request, now + 1 + r.IntN(2*runSteps)})
+	}
+	for i := range int(length / step) {
+		now := start.Add(time.Duration(i) * step)
+		for range requestsPerStep {
+			sent++
+			send(Request(sent), i)
+		}
+		for s, list := range at {
+			ends := r.IntN(endOneIn) == 0
+			at[s] = nil
+			process++
+			for _, run := range list {
+				switch {
+				case ends:
+					g.Note(now, run.request, process, true)
+					if isRefused(g, now, run.request) {
+						refused[run.request] = true
+						continue
+					}
+					send(run.request, i)
+				case run.until <= i:
+					g.Answered(now, run.request)
+				default:
+					at[s] = append(at[s], run)
+				}
+			}
+		}
+		g.Forget(now)
+	}
+	if most := sent / 10_000; len(refused) > most {
+		t.Errorf("%d of %d innocent requests are refused, want at most %d", len(refused), sent, most)
+	}
+	t.Logf("%d of %d innocent requests are refused", len(refused), sent)
+}
