--- a/internal/coordination/crash/crash.go
+++ b/internal/coordination/crash/crash.go
@@ -27,9 +27,10 @@
 	// requests that were at a server when it ended count too, and two of their servers may end by
 	// chance while servers are ending one after the other.
 	maxEnded = 3
-	// maxKept bounds the ends that are kept of one request. More than maxEnded come from attempts that
-	// are under way when the request is refused.
-	maxKept = 16
+	// maxKept bounds the ends, and the trials, that are kept of one request. More than maxEnded come from
+	// attempts that are under way when the request is refused, and from a request that ends only some of
+	// its servers. A description of a request with that many fits in one datagram of 1.5 KB.
+	maxKept = 64
 	// memoryTime is how long an end counts while the request is not refused.
 	memoryTime = 2 * time.Minute
 	// maxRequests bounds the number of requests that are remembered.
