--- a/fleet.go
+++ b/fleet.go
@@ -175,6 +175,8 @@
 // ForwardFields are the values that the system sends to a backend server in the
 // header of a request.
 type ForwardFields struct {
+	// ID is the id of the request.
+	ID string
 	// Organisation is empty on open routes.
 	Organisation string
 	// Server is the name of the only server that may run the request.
--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -185,7 +185,7 @@
 	r := req.call.Request
 	header := r.Header.Clone()
 	// The key is removed; the delegate sets the fields again.
-	f.HeaderCodec.RewriteRequest(header, tamarackrun.ForwardFields{Organisation: req.organisation.Name})
+	f.HeaderCodec.RewriteRequest(header, tamarackrun.ForwardFields{ID: req.caller.ID, Organisation: req.organisation.Name})
 	return &wire.Delegate{
 		Process: process, DeadlineMillis: uint64(max(0, deadline.Milliseconds())), Entry: f.Identity.Name, Id: req.caller.ID,
 		Route: req.route.Name, Service: req.service, Organisation: req.organisation.Name, Method: r.Method, Target: r.RequestURI,
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -220,7 +220,7 @@
 	header := r.Header.Clone()
 	// A caller's header Connection may name the fields that are set now.
 	hopheader.Remove(header)
-	f.HeaderCodec.RewriteRequest(header, tamarackrun.ForwardFields{Organisation: req.organisation.Name, Server: choice.Server.Name,
+	f.HeaderCodec.RewriteRequest(header, tamarackrun.ForwardFields{ID: req.caller.ID, Organisation: req.organisation.Name, Server: choice.Server.Name,
 		Remaining: req.deadline.Sub(now)})
 	result := f.backendClient.Do(ctx, choice.Server.Address, exchange.Request{
 		ID:         req.caller.ID,
