Read a server's answer without the fields of its connection

The fields of the connection are removed before anything is read from the header.

TestRequestResults has the case; it failed before (the answer was passed on).

--- a/internal/transport/exchange/connection.go
+++ b/internal/transport/exchange/connection.go
@@ -107,6 +107,9 @@
 			c.broken = true
 			return Result{Outcome: tamarackrun.Uncertain(reasonOf(response, err)), Sent: true, Err: err}
 		}
+		c.setUsableUntil(response)
+		// What the server names in Connection does not reach the caller, and proves nothing.
+		hopheader.Remove(response.Header)
 		fields := codec.DecodeAnswer(response.StatusCode, response.Header)
 		if fields.ID != r.ID && (fields.ID != "" || mayBeEarlier) {
 			// The answer belongs to an earlier request, and more of them may follow.
@@ -124,7 +127,6 @@
 
 // resultOf checks a complete answer to the request and returns the result.
 func (c *connection) resultOf(r Request, response *http.Response, body []byte, fields tamarackrun.AnswerFields) Result {
-	c.setUsableUntil(response)
 	result := Result{Outcome: tamarackrun.Done, Status: response.StatusCode, Header: response.Header, Body: body, Fields: fields, Sent: true}
 	switch {
 	case fields.NotRun && response.StatusCode/100 != 2:
--- a/internal/transport/exchange/exchange_test.go
+++ b/internal/transport/exchange/exchange_test.go
@@ -135,6 +135,9 @@
 		// requests is the number of requests that reach the server.
 		requests int
 	}{
+		"an answer whose signature is a field of its connection": {
+			[][]string{{"HTTP/1.1 200 OK\r\nConnection: Signature\r\nId: a\r\nSignature: s\r\nContent-Length: 1\r\n\r\n1"}},
+			[]resultSummary{{truncated, "", false}}, 1},
 		"a connection is used again": {
 			[][]string{{answerText("a", "1"), answerText("b", "2")}},
 			[]resultSummary{{tamarackrun.Done, "1", false}, {tamarackrun.Done, "2", true}}, 2},
