Read refused requests from the store later if it was away at the start

An instance that could not read them within 1.5 s of its start never did. requestSuspected now has what is known after a message, not what the message had.

--- a/internal/coordination/crash/crash.go
+++ b/internal/coordination/crash/crash.go
@@ -163,11 +163,12 @@
 	return true
 }
 
-// Merge adds what another instance knows of a request. It reports whether any of it is new.
-func (g *Register) Merge(now time.Time, known *wire.Suspect) bool {
+// Merge adds what another instance knows of a request. It returns what is known then, or nil if nothing of it
+// is new.
+func (g *Register) Merge(now time.Time, known *wire.Suspect) *wire.Suspect {
 	age := time.Duration(min(known.GetAgeMillis(), uint64(RefusalMemory.Milliseconds()))) * time.Millisecond
 	if age >= RefusalMemory || len(known.GetEnded()) == 0 {
-		return false
+		return nil
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -191,10 +192,11 @@
 	if at := now.Add(-age); learned && at.After(s.latest) {
 		s.latest = at
 	}
-	if learned || changed {
-		g.hashKnown = false
+	if !learned && !changed {
+		return nil
 	}
-	return learned || changed
+	g.hashKnown = false
+	return describe(now, Request(known.Request), s)
 }
 
 // add returns the entry of the request. If there is no room for another one, the request that is forgotten
--- a/internal/program/front/crash.go
+++ b/internal/program/front/crash.go
@@ -42,7 +42,7 @@
 	done  chan struct{}
 }
 
-// loss is an answer that was lost while its server still took connections.
+// loss is an answer that was lost because its connection ended.
 type loss struct {
 	at      time.Time
 	id      string
--- a/internal/program/front/suspectrecords.go
+++ b/internal/program/front/suspectrecords.go
@@ -30,16 +30,24 @@
 var errSuspectsIncomplete = errors.New("the instance has not yet learned of earlier refused requests")
 
 // keepSuspects keeps the refused requests in the platform's store, so that a fleet that has stopped as a
-// whole knows them again. The holder of a request in the fleet writes its record. Records are read only
-// at the start, as instances tell each other of changes.
+// whole knows them again. The holder of a request in the fleet writes its record. Records are read once,
+// as instances tell each other of changes.
 func (f *Front) keepSuspects(ctx context.Context) {
 	waitFor(ctx, f.instancesRead)
-	f.learnEarlierSuspects(ctx)
+	learned := f.learnEarlierSuspects(ctx)
 	for ; ctx.Err() == nil; waiting.Pause(ctx, suspectInterval) {
 		if f.source.StoreUnreachable() {
 			continue
 		}
-		if err := f.writeSuspects(ctx); err != nil {
+		var err error
+		if !learned {
+			err = f.readSuspects(ctx)
+			learned = err == nil
+		}
+		if err == nil {
+			err = f.writeSuspects(ctx)
+		}
+		if err != nil {
 			f.history.Record(event.SuspectsNotStored, "", "error", err.Error())
 			waiting.Pause(ctx, announceRetryDelay)
 		}
@@ -48,8 +56,8 @@
 
 // learnEarlierSuspects learns the requests that were refused before the instance started: from the instance
 // that reads the store for it or, if there is none or it does not know them itself, from the store. The
-// instance is ready then, or after earlierWait.
-func (f *Front) learnEarlierSuspects(ctx context.Context) {
+// instance is ready then, or after earlierWait. learnEarlierSuspects reports whether it knows them.
+func (f *Front) learnEarlierSuspects(ctx context.Context) bool {
 	defer func() {
 		f.suspectsKnown.Store(true)
 		f.updateReady()
@@ -65,11 +73,11 @@
 			err = f.readSuspects(ctx)
 		}
 		if err == nil {
-			return
+			return true
 		}
 		if ctx.Err() != nil {
 			f.history.Record(event.SuspectsNotStored, "", "error", err.Error())
-			return
+			return false
 		}
 	}
 }
--- a/internal/program/front/suspects.go
+++ b/internal/program/front/suspects.go
@@ -79,11 +79,11 @@
 // learnSuspect adds what another instance knows of a request, or what is in the store. It reports whether
 // any of it is new.
 func (f *Front) learnSuspect(known *wire.Suspect) bool {
-	if !f.crashes.Merge(time.Now(), known) {
-		return false
+	merged := f.crashes.Merge(time.Now(), known)
+	if merged != nil {
+		f.logSuspect(merged)
 	}
-	f.logSuspect(known)
-	return true
+	return merged != nil
 }
 
 // logSuspect records what is known of a request.
