--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -12,9 +12,18 @@
 // Receive processes a report or digest of another instance. It ignores messages of unknown
 // instances and of the process before a restart, and those that arrive out of order.
 func (m *Membership) Receive(message *wire.InstanceMessage) {
-	var sender *peer
-	var suspects uint64
+	address, suspects := m.process(message)
+	if address != "" && suspects != 0 && m.OnSuspects != nil {
+		m.OnSuspects(address, suspects)
+	}
+}
+
+// process processes a message and returns the report address of its sender, or "" if the message is ignored, and
+// the hash of the facts about refused requests that the sender knows.
+func (m *Membership) process(message *wire.InstanceMessage) (address string, suspects uint64) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
+	var sender *peer
 	switch content := message.Content.(type) {
 	case *wire.InstanceMessage_Report:
 		sender, suspects = m.receiveReport(content.Report), content.Report.GetSuspects()
@@ -23,14 +32,10 @@
 	case *wire.InstanceMessage_FleetDigest:
 		sender, suspects = m.receiveFleetDigest(content.FleetDigest), content.FleetDigest.GetSuspects()
 	}
-	address := ""
 	if sender != nil {
 		address = sender.record.ReportAddress
 	}
-	m.mu.Unlock()
-	if address != "" && suspects != 0 && m.OnSuspects != nil {
-		m.OnSuspects(address, suspects)
-	}
+	return address, suspects
 }
 
 // receiveReport returns the sender, or nil if the report is ignored. The caller holds m.mu.
