Log answers that are dropped and the connection of each attempt

attemptEnded has the server's address, the connection's number and age, and how many requests it had carried. New event answerDropped and counter dropped_answers{kind,notRun} for answers with another id or none, bytes behind an answer and bytes on an idle connection.

--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -291,7 +291,7 @@
 		contact = string(result.Outcome.Reason)
 	}
 	f.scope.Tagged(map[string]string{"failureDomain": server.FailureDomain, "result": contact,
-		"reused": strconv.FormatBool(result.Reused)}).Counter("server_contacts").Inc(1)
+		"reused": strconv.FormatBool(result.Carried > 0)}).Counter("server_contacts").Inc(1)
 }
 
 // noteNotice records what a server has said in an answer about further requests.
@@ -324,7 +324,11 @@
 		"recordAge", time.Since(choice.Server.ReceivedAt).Round(time.Millisecond).String(),
 		"configuration", strconv.FormatInt(req.configuration.Version, 10),
 		"waited", sent.Sub(req.call.Arrived).Round(time.Millisecond).String(), "took", time.Since(sent).Round(time.Millisecond).String(),
-		"outcome", result.Outcome.String(), "status", strconv.Itoa(result.Status), "reused", strconv.FormatBool(result.Reused)}
+		"outcome", result.Outcome.String(), "status", strconv.Itoa(result.Status), "reused", strconv.FormatBool(result.Carried > 0)}
+	if result.Connection != 0 {
+		fields = append(fields, "address", choice.Server.Address, "connection", strconv.FormatUint(result.Connection, 10),
+			"carried", strconv.Itoa(result.Carried), "connectionAge", result.Age.Round(time.Millisecond).String())
+	}
 	if result.Err != nil {
 		fields = append(fields, "error", result.Err.Error())
 	}
@@ -349,3 +353,14 @@
 	f.history.Record(event.AttemptEnded, req.caller.ID, fields...)
 	f.history.CountOutcome("attempt", result.Outcome)
 }
+
+// noteDropped records bytes of a server that are the answer to no request.
+func (f *Front) noteDropped(d exchange.Dropped) {
+	f.scope.Tagged(map[string]string{"kind": string(d.Kind), "notRun": strconv.FormatBool(d.NotRun)}).Counter("dropped_answers").Inc(1)
+	fields := []string{"kind", string(d.Kind), "address", d.Address, "connection", strconv.FormatUint(d.Connection, 10),
+		"carried", strconv.Itoa(d.Carried), "connectionAge", d.Age.Round(time.Millisecond).String()}
+	if d.Status != 0 {
+		fields = append(fields, "answerRequest", d.AnswerID, "status", strconv.Itoa(d.Status), "notRun", strconv.FormatBool(d.NotRun))
+	}
+	f.history.Record(event.AnswerDropped, d.Request, fields...)
+}
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -244,7 +244,7 @@
 	client, closeClient := exchange.New()
 	cleanups = append(cleanups, closeClient)
 	dials := meter.Scope.Counter("server_connections")
-	client.HeaderCodec, client.OnDial = f.HeaderCodec, func() { dials.Inc(1) }
+	client.HeaderCodec, client.OnDial, client.OnDrop = f.HeaderCodec, func() { dials.Inc(1) }, f.noteDropped
 	f.backendClient = client
 	if f.BindServerConnections {
 		own, err := netip.ParseAddrPort(f.Identity.CallerAddress)
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -71,6 +71,7 @@
 	ServerEnded           tamarackrun.EventID = 2010
 	EndUnproven           tamarackrun.EventID = 2011
 	SuspectTried          tamarackrun.EventID = 2012
+	AnswerDropped         tamarackrun.EventID = 2013
 	PartChanged           tamarackrun.EventID = 2320
 	TicketsIssued         tamarackrun.EventID = 2101
 	OrderForwarded        tamarackrun.EventID = 2102
@@ -169,6 +170,7 @@
 	{ServerEnded, "serverEnded", "warn", "a backend server ended while a request was there; the identity is that of all attempts of the same request"},
 	{EndUnproven, "endUnproven", "info", "the connection of a request ended without an answer, but its backend server does not seem to have ended"},
 	{SuspectTried, "suspectTried", "warn", "a request that is refused because backend servers have ended under it is sent to one again"},
+	{AnswerDropped, "answerDropped", "info", "a backend server sent bytes that are the answer to no request under way on their connection"},
 	{TicketsIssued, "ticketsIssued", "debug", "a caller got tickets"},
 	{OrderForwarded, "orderForwarded", "debug", "a request went to the instance that issued its ticket"},
 	{OrderRepeated, "orderRepeated", "info", "a request with a used ticket got the recorded outcome or a refusal"},
--- a/internal/transport/exchange/connection.go
+++ b/internal/transport/exchange/connection.go
@@ -26,10 +26,18 @@
 // connection is a connection to a server. It carries one request at a time.
 type connection struct {
 	net.Conn
-	reader *bufio.Reader
-	head   *bounded.HeadReader
+	// number is unique in the process.
+	number   uint64
+	address  string
+	openedAt time.Time
+	reader   *bufio.Reader
+	head     *bounded.HeadReader
 	// bodies is the memory that all connections share for the bodies of answers.
 	bodies *memory.Budget
+	// onDrop is called for bytes that are dropped. It may be nil.
+	onDrop func(Dropped)
+	// carried is the number of requests that the connection has carried, with the one under way.
+	carried int
 	// lastAnswer is when the latest answer was complete, and usableUntil until
 	// when the connection may carry another request.
 	lastAnswer, usableUntil time.Time
@@ -37,9 +45,30 @@
 	broken bool
 }
 
-func newConnection(conn net.Conn, bodies *memory.Budget) *connection {
+func newConnection(conn net.Conn, number uint64, address string, bodies *memory.Budget, onDrop func(Dropped)) *connection {
 	head := &bounded.HeadReader{Reader: conn, MaxBytes: maxHeadBytes, MaxLines: maxHeadLines}
-	return &connection{Conn: conn, reader: bufio.NewReader(head), head: head, bodies: bodies}
+	return &connection{Conn: conn, number: number, address: address, openedAt: time.Now(), reader: bufio.NewReader(head), head: head,
+		bodies: bodies, onDrop: onDrop}
+}
+
+// beginUse counts a request and returns the connection's state before it.
+func (c *connection) beginUse() Use {
+	use := c.use()
+	c.carried++
+	return use
+}
+
+func (c *connection) use() Use {
+	return Use{Connection: c.number, Carried: c.carried, Age: time.Since(c.openedAt)}
+}
+
+// reportDrop reports bytes that are dropped.
+func (c *connection) reportDrop(d Dropped) {
+	if c.onDrop == nil {
+		return
+	}
+	d.Address, d.Use = c.address, c.use()
+	c.onDrop(d)
 }
 
 func (c *connection) close() { _ = c.Close() }
@@ -114,9 +143,19 @@
 		if fields.ID != r.ID && (fields.ID != "" || mayBeEarlier) {
 			// The answer belongs to an earlier request, and more of them may follow.
 			c.broken = true
+			kind := OtherID
+			if fields.ID == "" {
+				kind = NoID
+			}
+			c.reportDrop(Dropped{Kind: kind, Request: r.ID, AnswerID: fields.ID, Status: response.StatusCode, NotRun: fields.NotRun})
 			c.bodies.Release(reserved)
 			continue
 		}
+		if c.reader.Buffered() > 0 {
+			// Bytes after an answer belong to no request.
+			c.broken = true
+			c.reportDrop(Dropped{Kind: Surplus, Request: r.ID})
+		}
 		result := c.resultOf(r, response, body, fields)
 		result.reserved = reserved
 		return result
@@ -195,10 +234,6 @@
 			keep = time.Duration(n)*time.Second - idleMargin
 		}
 	}
-	if c.reader.Buffered() > 0 {
-		// Bytes after an answer belong to no request.
-		c.broken = true
-	}
 	if keep <= 0 {
 		c.broken = true
 	}
--- a/internal/transport/exchange/endless_test.go
+++ b/internal/transport/exchange/endless_test.go
@@ -257,7 +257,7 @@
 	var got []resultSummary
 	for _, id := range []string{"a", "b", "c"} {
 		result := c.Do(t.Context(), s.listener.Addr().String(), testRequest(id, true))
-		got = append(got, resultSummary{result.Outcome, string(result.Body), result.Reused})
+		got = append(got, resultSummary{result.Outcome, string(result.Body), result.Carried > 0})
 	}
 	want := []resultSummary{{tamarackrun.Done, "1", false}, {tamarackrun.Done, "2", true}, {tamarackrun.Done, "3", false}}
 	if diff := cmp.Diff(want, got); diff != "" {
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -10,11 +10,10 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 
 	"tamarackrun"
 	"tamarackrun/internal/state/memory"
@@ -81,8 +80,8 @@
 	Header  http.Header
 	Body    []byte
 	Fields  tamarackrun.AnswerFields
-	// Reused reports whether the connection had carried other requests before.
-	Reused bool
+	// Use says on which connection the request was sent. Its zero value means none.
+	Use
 	// Sent reports whether the server may have got at least a part of the request.
 	Sent bool
 	// Err is the error that led to the outcome, for logs.
@@ -92,6 +91,46 @@
 	reserved int64
 }
 
+// Use identifies the connection on which a request was sent.
+type Use struct {
+	// Connection is the number of the connection, which is unique in the process.
+	Connection uint64
+	// Carried is the number of requests that the connection had carried before.
+	Carried int
+	// Age is how long the connection had been open.
+	Age time.Duration
+}
+
+// Dropped describes bytes of a server that are the answer to no request under way on their connection.
+type Dropped struct {
+	Kind DropKind
+	// Address is the address of the server.
+	Address string
+	// Request is the id of the request under way; empty if there is none.
+	Request string
+	// AnswerID is the id in the answer, Status its status, and NotRun what it says of its request. They
+	// are set if the answer was read.
+	AnswerID string
+	Status   int
+	NotRun   bool
+	Use
+}
+
+// DropKind says why bytes of a server are no answer to a request.
+type DropKind string
+
+// Kinds of dropped bytes.
+const (
+	// OtherID is an answer with the id of another request.
+	OtherID DropKind = "otherId"
+	// NoID is an answer without an id on a connection that has carried other requests.
+	NoID DropKind = "noId"
+	// Idle stands for bytes that came while no request was under way.
+	Idle DropKind = "idle"
+	// Surplus stands for bytes that came together with the end of an answer.
+	Surplus DropKind = "surplus"
+)
+
 // ErrNoConnection is the error of a request with OpenOnly for which no connection is open.
 var ErrNoConnection = errors.New("no connection to the server is open")
 
@@ -103,6 +142,9 @@
 	// OnDial is called for each new connection. It may be nil. It is set before
 	// the first request.
 	OnDial func()
+	// OnDrop is called for bytes of a server that are dropped. It may be nil. It is set before the first
+	// request.
+	OnDrop func(Dropped)
 	// Source is the address from which connections are opened. If it is not valid, the
 	// operating system chooses. It is set before the first request.
 	Source netip.Addr
@@ -111,6 +153,8 @@
 	Bodies memory.Budget
 
 	dialer net.Dialer
+	// dialed is the number of connections that were opened.
+	dialed atomic.Uint64
 	mu     sync.Mutex
 	// idle holds the idle connections to each address, the most recently used one
 	// last.
@@ -169,7 +213,6 @@
 // the server can stop working on the request.
 func (c *Client) Do(ctx context.Context, address string, r Request) Result {
 	conn := c.takeIdle(address, r.Idempotent)
-	reused := conn != nil
 	if conn == nil && r.OpenOnly {
 		return Result{Outcome: tamarackrun.Refused(tamarackrun.ConnectFailed), Err: ErrNoConnection}
 	}
@@ -185,9 +228,10 @@
 	}
 	stop := context.AfterFunc(ctx, conn.close)
 	c.setRunning(conn, r.Idempotent)
+	use := conn.beginUse()
 	result := conn.roundTrip(c.HeaderCodec, r)
 	c.setRunning(conn, false)
-	result.Reused = reused
+	result.Use = use
 	if !stop() {
 		// The context has ended, so the connection is closed or is about to be.
 		conn.broken = true
@@ -242,27 +286,37 @@
 	if c.OnDial != nil {
 		c.OnDial()
 	}
-	return newConnection(conn, &c.Bodies), nil
+	return newConnection(conn, c.dialed.Add(1), address, &c.Bodies, c.OnDrop), nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil if none
 // can carry the request.
 func (c *Client) takeIdle(address string, idempotent bool) *connection {
+	conn, unusable := c.searchIdle(address, idempotent)
+	for _, u := range unusable {
+		u.reportIdleBytes()
+		u.close()
+	}
+	return conn
+}
+
+// searchIdle removes the connection that takeIdle returns, and those that can't carry a request any more.
+func (c *Client) searchIdle(address string, idempotent bool) (found *connection, unusable []*connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	for list := c.idle[address]; len(list) > 0; list = c.idle[address] {
 		conn := list[len(list)-1]
 		if !idempotent && now.Sub(conn.lastAnswer) > provenTime {
-			return nil
+			return nil, unusable
 		}
 		c.idle[address] = list[:len(list)-1]
 		if now.Before(conn.usableUntil) && conn.isUsable() {
-			return conn
+			return conn, unusable
 		}
-		conn.close()
+		unusable = append(unusable, conn)
 	}
-	return nil
+	return nil, unusable
 }
 
 // putIdle keeps the connection for later requests, or closes it if it is broken.
@@ -281,45 +335,3 @@
 	}
 	c.idle[address] = list
 }
-
-// hasUnacknowledged reports whether the server has not acknowledged all bytes that were sent.
-func (c *connection) hasUnacknowledged() bool {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unacknowledged := 0
-	err = raw.Control(func(fd uintptr) {
-		// Without the value, the connection counts as working.
-		unacknowledged, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
-	})
-	return err == nil && unacknowledged > 0
-}
-
-// isUsable reports whether the server has neither closed the connection nor sent
-// bytes that belong to no request.
-func (c *connection) isUsable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	usable := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		usable = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && usable
-}
--- a/internal/transport/exchange/exchange_test.go
+++ b/internal/transport/exchange/exchange_test.go
@@ -76,7 +76,12 @@
 			return
 		}
 		text, closes := strings.CutSuffix(script[i], thenClose)
+		text, later, _ := strings.Cut(text, thenLater)
 		_, _ = io.WriteString(conn, text)
+		if later != "" {
+			time.Sleep(laterDelay)
+			_, _ = io.WriteString(conn, later)
+		}
 		if closes {
 			_ = conn.Close()
 			return
@@ -96,6 +101,9 @@
 	// thenClose at the end of a text makes the server close the connection after
 	// it.
 	thenClose = "thenClose"
+	// thenLater within a text makes the server write what follows after laterDelay.
+	thenLater  = "thenLater"
+	laterDelay = 50 * time.Millisecond
 )
 
 func answerText(id, body string) string {
@@ -189,7 +197,7 @@
 				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 				result := c.Do(ctx, s.listener.Addr().String(), testRequest(string(rune('a'+i)), true))
 				cancel()
-				got = append(got, resultSummary{result.Outcome, string(result.Body), result.Reused})
+				got = append(got, resultSummary{result.Outcome, string(result.Body), result.Carried > 0})
 				// Gives the server time to send further bytes.
 				time.Sleep(10 * time.Millisecond)
 			}
@@ -226,8 +234,8 @@
 	c.mu.Lock()
 	c.idle[address][0].lastAnswer = time.Now().Add(-provenTime - time.Millisecond)
 	c.mu.Unlock()
-	if result := c.Do(t.Context(), address, testRequest("b", false)); string(result.Body) != "3" || result.Reused {
-		t.Errorf("body %q, reused %v; want body 3 over a new connection", result.Body, result.Reused)
+	if result := c.Do(t.Context(), address, testRequest("b", false)); string(result.Body) != "3" || result.Carried > 0 {
+		t.Errorf("body %q, reused %v; want body 3 over a new connection", result.Body, result.Carried > 0)
 	}
 }
 
--- /dev/null
+++ b/internal/transport/exchange/socket.go
@@ -0,0 +1,74 @@
+package exchange
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// rawConnection returns access to the socket of a TCP connection. tcp is false for other connections, and raw
+// is nil if the socket can't be accessed.
+func (c *connection) rawConnection() (raw syscall.RawConn, tcp bool) {
+	conn, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return nil, false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil, true
+	}
+	return raw, true
+}
+
+// hasUnacknowledged reports whether the server has not acknowledged all bytes that were sent.
+func (c *connection) hasUnacknowledged() bool {
+	raw, _ := c.rawConnection()
+	if raw == nil {
+		return false
+	}
+	unacknowledged := 0
+	err := raw.Control(func(fd uintptr) {
+		// Without the value, the connection counts as working.
+		unacknowledged, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
+	})
+	return err == nil && unacknowledged > 0
+}
+
+// isUsable reports whether the server has neither closed the connection nor sent
+// bytes that belong to no request.
+func (c *connection) isUsable() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, tcp := c.rawConnection()
+	if !tcp {
+		return true
+	}
+	_, err := peek(raw)
+	return err == syscall.EAGAIN
+}
+
+// reportIdleBytes reports the bytes that the server has sent while no request was under way, if there are any.
+func (c *connection) reportIdleBytes() {
+	raw, _ := c.rawConnection()
+	if n, err := peek(raw); err == nil && n > 0 {
+		c.reportDrop(Dropped{Kind: Idle})
+	}
+}
+
+// peek returns the number of bytes that can be read, at most 1 and 0 at the end of the connection, or an error.
+// The error is EAGAIN if the connection is open and there are no bytes.
+func peek(raw syscall.RawConn) (n int, err error) {
+	if raw == nil {
+		return 0, syscall.EBADF
+	}
+	if failure := raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	}); failure != nil {
+		return 0, failure
+	}
+	return n, err
+}
