--- /dev/null
+++ b/internal/transport/exchange/copies_test.go
@@ -0,0 +1,78 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"tamarackrun"
+)
+
+// refusalText returns a server's answer that it has not run the request.
+func refusalText(id string) string {
+	return fmt.Sprintf("HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+}
+
+// Guards against an answer that the server writes once more and that is taken for the answer to a later attempt of the
+// same request: the copy has the id of both. The later attempt must go on a connection that has not carried the
+// request.
+func TestCopiedAnswerIsNotTakenForLaterAttempt(t *testing.T) {
+	failure := "HTTP/1.1 500 X\r\nId: a\r\nContent-Length: 0\r\n\r\n"
+	refused := tamarackrun.Refused(tamarackrun.ServerShed)
+	tests := map[string]struct {
+		// ids are the ids of the requests in turn.
+		ids     []string
+		scripts [][]string
+		want    []resultSummary
+	}{
+		"a refusal, then the answer": {[]string{"a", "a"}, [][]string{{refusalText("a"), refusalText("a") + answerText("a", "1")}, {answerText("a", "2")}},
+			[]resultSummary{{refused, "", false}, {tamarackrun.Done, "2", false}}},
+		"a refusal and nothing else": {[]string{"a", "a"}, [][]string{{refusalText("a"), refusalText("a") + thenClose}, {answerText("a", "2")}},
+			[]resultSummary{{refused, "", false}, {tamarackrun.Done, "2", false}}},
+		"a refusal, with a served request between": {[]string{"a", "b", "a"},
+			[][]string{{refusalText("a"), answerText("b", "1"), refusalText("a") + answerText("a", "1")}, {answerText("a", "2")}},
+			[]resultSummary{{refused, "", false}, {tamarackrun.Done, "1", true}, {tamarackrun.Done, "2", false}}},
+		"a refusal, with a refused request between": {[]string{"a", "b", "a"},
+			[][]string{{refusalText("a"), refusalText("b"), refusalText("a") + answerText("a", "1")}, {answerText("a", "2")}},
+			[]resultSummary{{refused, "", false}, {refused, "", true}, {tamarackrun.Done, "2", false}}},
+		"a success": {[]string{"a", "a"}, [][]string{{answerText("a", "1"), answerText("a", "1")}, {answerText("a", "2")}},
+			[]resultSummary{{tamarackrun.Done, "1", false}, {tamarackrun.Done, "2", false}}},
+		"a failure": {[]string{"a", "a"}, [][]string{{failure, failure + answerText("a", "1")}, {answerText("a", "2")}},
+			[]resultSummary{{tamarackrun.Done, "", false}, {tamarackrun.Done, "2", false}}},
+		"an answer to a health probe": {[]string{"", ""}, [][]string{{probeAnswer("1"), probeAnswer("1")}, {probeAnswer("2")}},
+			[]resultSummary{{tamarackrun.Done, "1", false}, {tamarackrun.Done, "2", false}}},
+		"an answer to a health probe, with a request between": {[]string{"", "a", ""},
+			[][]string{{probeAnswer("1"), answerText("a", "1"), probeAnswer("1")}, {probeAnswer("2")}},
+			[]resultSummary{{tamarackrun.Done, "1", false}, {tamarackrun.Done, "1", true}, {tamarackrun.Done, "2", false}}},
+		"an answer without an id, before a health probe": {[]string{"a", ""},
+			[][]string{{"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"}, {probeAnswer("2")}},
+			[]resultSummary{{tamarackrun.Done, "", false}, {tamarackrun.Done, "2", false}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, c := newScriptedServer(t, test.scripts...), newClient(t)
+			var got []resultSummary
+			for _, id := range test.ids {
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				r := testRequest(id, true)
+				r.Probe = id == ""
+				result := c.Do(ctx, s.listener.Addr().String(), r)
+				cancel()
+				got = append(got, resultSummary{result.Outcome, string(result.Body), result.Carried > 0})
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("results (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// probeAnswer returns a server's answer to a health probe, which has no id.
+func probeAnswer(body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d OK\r\nContent-Length: %d\r\n\r\n%s", http.StatusOK, len(body), body)
+}
