Send each request id at most once on a connection to a server

Callers saw orders that ran twice, and orders that ran after a 503. A server may write a refusal once more, at any later time; the copy has the id of the refused request. If that request is under way again on the same connection, the copy counted as the answer of an attempt that ran.

Cause: the id in an answer names the request, and the client took it for the attempt. Nothing in transport/exchange kept a request from a connection that had carried it; callers of the client excluded servers by name, while connections are kept by address. A server that has replaced another one at its address has two names until the old record lapses.

Change: a connection remembers the hashes of the ids that it has carried (8 bytes each, 1,000 requests at most, then it is closed) and never carries an id twice, so that the id in an answer names one attempt whatever the layers above do. The same holds for the empty id of health probes, whose answers have none, and a connection that has brought an answer without an id is not used again. Closing connections after refusals instead would open a connection for each of them, and refusals come in masses under overload.

TestRefusalsKeepConnections: 2,001 refusals take 3 connections. TestHungRequestsEnd sent the same id twice on one connection, which the client does not do any more; its two requests have ids of their own now.

--- a/internal/transport/exchange/connection.go
+++ b/internal/transport/exchange/connection.go
@@ -36,8 +36,10 @@
 	bodies *memory.Budget
 	// onDrop is called for bytes that are dropped. It may be nil.
 	onDrop func(Dropped)
-	// carried is the number of requests that the connection has carried, with the one under way.
-	carried int
+	// carried holds the hashes of the ids of all requests that the connection has carried, with the one
+	// under way. No id is in it twice: a server may write an answer again at any later time, and the id
+	// does not tell the copy from the answer to another attempt of the request.
+	carried []uint64
 	// lastAnswer is when the latest answer was complete, and usableUntil until
 	// when the connection may carry another request.
 	lastAnswer, usableUntil time.Time
@@ -51,15 +53,15 @@
 		bodies: bodies, onDrop: onDrop}
 }
 
-// beginUse counts a request and returns the connection's state before it.
-func (c *connection) beginUse() Use {
+// beginUse adds the hash of a request's id and returns the connection's state before it.
+func (c *connection) beginUse(id uint64) Use {
 	use := c.use()
-	c.carried++
+	c.carried = append(c.carried, id)
 	return use
 }
 
 func (c *connection) use() Use {
-	return Use{Connection: c.number, Carried: c.carried, Age: time.Since(c.openedAt)}
+	return Use{Connection: c.number, Carried: len(c.carried), Age: time.Since(c.openedAt)}
 }
 
 // reportDrop reports bytes that are dropped.
@@ -126,10 +128,7 @@
 
 // readResult reads answers until one belongs to the request.
 func (c *connection) readResult(codec tamarackrun.HeaderCodec, r Request) Result {
-	// On a connection that carried requests before, an answer without an id may be an earlier one
-	// that the server has written once more. A refusal would then say of a request that runs that
-	// it has not run.
-	mayBeEarlier := !c.lastAnswer.IsZero() && !r.Probe
+	first := len(c.carried) == 1
 	for range maxLateAnswers {
 		response, body, reserved, err := c.readAnswer(r) //nolint:bodyclose // readAnswer reads and closes the body.
 		if err != nil {
@@ -140,7 +139,9 @@
 		// What the server names in Connection does not reach the caller, and proves nothing.
 		hopheader.Remove(response.Header)
 		fields := codec.DecodeAnswer(response.StatusCode, response.Header)
-		if fields.ID != r.ID && (fields.ID != "" || mayBeEarlier) {
+		// On a connection that has carried other requests, an answer without an id may be an earlier one that
+		// the server has written once more. A refusal would then say of a request that runs that it has not run.
+		if fields.ID != r.ID && (fields.ID != "" || !first) {
 			// The answer belongs to an earlier request, and more of them may follow.
 			c.broken = true
 			kind := OtherID
@@ -151,6 +152,10 @@
 			c.bodies.Release(reserved)
 			continue
 		}
+		if fields.ID != r.ID {
+			// A copy of the answer could not be told from one to a later request without an id.
+			c.broken = true
+		}
 		if c.reader.Buffered() > 0 {
 			// Bytes after an answer belong to no request.
 			c.broken = true
--- a/internal/transport/exchange/copies_test.go
+++ b/internal/transport/exchange/copies_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -76,3 +78,27 @@
 func probeAnswer(body string) string {
 	return fmt.Sprintf("HTTP/1.1 %d OK\r\nContent-Length: %d\r\n\r\n%s", http.StatusOK, len(body), body)
 }
+
+// Guards against a new connection after each refusal, which overloaded servers send in masses, and against connections
+// whose memory of request ids grows without bound.
+func TestRefusalsKeepConnections(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	c, dials := newClient(t), 0
+	c.OnDial = func() { dials++ }
+	for i := range 2*maxCarried + 1 {
+		id := strconv.Itoa(i)
+		result := c.Do(t.Context(), server.Listener.Addr().String(), Request{ID: id, Method: http.MethodGet, Target: "/", Host: "h",
+			Header: http.Header{"Id": {id}}})
+		if diff := cmp.Diff(tamarackrun.Refused(tamarackrun.ServerShed), result.Outcome); diff != "" || result.Carried >= maxCarried {
+			t.Fatalf("request %d on a connection that had carried %d (-want +got):\n%s", i, result.Carried, diff)
+		}
+	}
+	if dials != 3 {
+		t.Errorf("%d connections were opened, want 3", dials)
+	}
+}
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -1,14 +1,17 @@
 // Package exchange is an HTTP/1 client for backend servers. It sends one request at a
 // time on a connection, and accepts an answer only if it is complete and belongs to
-// the request. Unlike net/http, it never sends a request again by itself.
+// the request. A connection carries each request id at most once, so that the id in an
+// answer names one attempt. Unlike net/http, it never sends a request again by itself.
 package exchange
 
 import (
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +52,9 @@
 	provenTime = 2 * time.Second
 	// maxIdle bounds the number of idle connections to one address.
 	maxIdle = 32
+	// maxCarried bounds the number of requests of one connection, whose ids it remembers in 8 bytes
+	// each.
+	maxCarried = 1000
 )
 
 // Request is a request to one server.
@@ -153,6 +159,8 @@
 	Bodies memory.Budget
 
 	dialer net.Dialer
+	// seed is that of the hashes of request ids, which callers choose.
+	seed maphash.Seed
 	// dialed is the number of connections that were opened.
 	dialed atomic.Uint64
 	mu     sync.Mutex
@@ -166,7 +174,7 @@
 
 // New returns a client. The clean-up function closes idle connections.
 func New() (*Client, func()) {
-	c := &Client{idle: map[string][]*connection{}, running: map[*connection]time.Time{}, dialer: *dialer.New(dialTimeout)}
+	c := &Client{idle: map[string][]*connection{}, running: map[*connection]time.Time{}, seed: maphash.MakeSeed(), dialer: *dialer.New(dialTimeout)}
 	c.Bodies.Limit = defaultMemory
 	return c, func() { c.RetainOnly(nil) }
 }
@@ -212,7 +220,8 @@
 // Do sends the request once. When the context ends, Do closes the connection, so that
 // the server can stop working on the request.
 func (c *Client) Do(ctx context.Context, address string, r Request) Result {
-	conn := c.takeIdle(address, r.Idempotent)
+	id := maphash.String(c.seed, r.ID)
+	conn := c.takeIdle(address, id, r.Idempotent)
 	if conn == nil && r.OpenOnly {
 		return Result{Outcome: tamarackrun.Refused(tamarackrun.ConnectFailed), Err: ErrNoConnection}
 	}
@@ -228,7 +237,7 @@
 	}
 	stop := context.AfterFunc(ctx, conn.close)
 	c.setRunning(conn, r.Idempotent)
-	use := conn.beginUse()
+	use := conn.beginUse(id)
 	result := conn.roundTrip(c.HeaderCodec, r)
 	c.setRunning(conn, false)
 	result.Use = use
@@ -289,10 +298,10 @@
 	return newConnection(conn, c.dialed.Add(1), address, &c.Bodies, c.OnDrop), nil
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil if none
-// can carry the request.
-func (c *Client) takeIdle(address string, idempotent bool) *connection {
-	conn, unusable := c.searchIdle(address, idempotent)
+// takeIdle removes and returns the most recently used idle connection that can carry the request, whose
+// id has the given hash, or nil if there is none.
+func (c *Client) takeIdle(address string, id uint64, idempotent bool) *connection {
+	conn, unusable := c.searchIdle(address, id, idempotent)
 	for _, u := range unusable {
 		u.reportIdleBytes()
 		u.close()
@@ -301,16 +310,21 @@
 }
 
 // searchIdle removes the connection that takeIdle returns, and those that can't carry a request any more.
-func (c *Client) searchIdle(address string, idempotent bool) (found *connection, unusable []*connection) {
+func (c *Client) searchIdle(address string, id uint64, idempotent bool) (found *connection, unusable []*connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	for list := c.idle[address]; len(list) > 0; list = c.idle[address] {
-		conn := list[len(list)-1]
+	list := c.idle[address]
+	defer func() { c.idle[address] = list }()
+	for i := len(list) - 1; i >= 0; i-- {
+		conn := list[i]
 		if !idempotent && now.Sub(conn.lastAnswer) > provenTime {
 			return nil, unusable
 		}
-		c.idle[address] = list[:len(list)-1]
+		if slices.Contains(conn.carried, id) {
+			continue
+		}
+		list = slices.Delete(list, i, i+1)
 		if now.Before(conn.usableUntil) && conn.isUsable() {
 			return conn, unusable
 		}
@@ -321,7 +335,7 @@
 
 // putIdle keeps the connection for later requests, or closes it if it is broken.
 func (c *Client) putIdle(address string, conn *connection) {
-	if conn.broken {
+	if conn.broken || len(conn.carried) >= maxCarried {
 		conn.close()
 		return
 	}
--- a/internal/transport/exchange/exchange_test.go
+++ b/internal/transport/exchange/exchange_test.go
@@ -282,7 +282,7 @@
 				if r.URL.Path == "/slow" {
 					<-r.Context().Done()
 				}
-				w.Header().Set("Id", "a")
+				w.Header().Set("Id", r.Header.Get("Id"))
 				w.Header().Set("Signature", "s")
 			})}
 			go func() { _ = server.Serve(listener) }()
@@ -291,8 +291,8 @@
 			defer cleanup()
 			client.HeaderCodec = testCodec{}
 			send := func(ctx context.Context, target string) Result {
-				return client.Do(ctx, listener.Addr().String(), Request{ID: "a", Method: http.MethodGet, Target: target, Host: "h", Header: http.Header{},
-					Idempotent: test.idempotent})
+				return client.Do(ctx, listener.Addr().String(), Request{ID: target, Method: http.MethodGet, Target: target, Host: "h",
+					Header: http.Header{"Id": {target}}, Idempotent: test.idempotent})
 			}
 			if r := send(t.Context(), "/"); r.Outcome != tamarackrun.Done {
 				t.Fatalf("outcome %v of the first request: %v", r.Outcome, r.Err)
