Keep HEAD requests and others apart on connections to servers

A request's answer is read in the frame of the request under way: the answer to HEAD has no body. A copy of another request's answer left its body behind on the connection, and the body's bytes were then read as the next answer; a copy of an answer to HEAD took bytes of the next answer as its body.

A connection carries either HEAD requests only or none.

--- a/internal/transport/exchange/connection.go
+++ b/internal/transport/exchange/connection.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -36,6 +37,9 @@
 	bodies *memory.Budget
 	// onDrop is called for bytes that are dropped. It may be nil.
 	onDrop func(Dropped)
+	// headOnly reports whether the connection carries only HEAD requests, and otherwise none. Their answers have
+	// no bodies, so that an answer to another request could not be read as a whole.
+	headOnly bool
 	// carried holds the hashes of the ids of all requests that the connection has carried, with the one
 	// under way. No id is in it twice: a server may write an answer again at any later time, and the id
 	// does not tell the copy from the answer to another attempt of the request.
@@ -47,10 +51,14 @@
 	broken bool
 }
 
-func newConnection(conn net.Conn, number uint64, address string, bodies *memory.Budget, onDrop func(Dropped)) *connection {
+func newConnection(conn net.Conn, bodies *memory.Budget) *connection {
 	head := &bounded.HeadReader{Reader: conn, MaxBytes: maxHeadBytes, MaxLines: maxHeadLines}
-	return &connection{Conn: conn, number: number, address: address, openedAt: time.Now(), reader: bufio.NewReader(head), head: head,
-		bodies: bodies, onDrop: onDrop}
+	return &connection{Conn: conn, openedAt: time.Now(), reader: bufio.NewReader(head), head: head, bodies: bodies}
+}
+
+// mayCarry reports whether the connection may carry a request with the method, whose id has the given hash.
+func (c *connection) mayCarry(method string, id uint64) bool {
+	return c.headOnly == (method == http.MethodHead) && !slices.Contains(c.carried, id)
 }
 
 // beginUse adds the hash of a request's id and returns the connection's state before it.
--- a/internal/transport/exchange/copies_test.go
+++ b/internal/transport/exchange/copies_test.go
@@ -102,3 +102,40 @@
 		t.Errorf("%d connections were opened, want 3", dials)
 	}
 }
+
+// Guards against a part of another request's answer that is read as an answer. The answer to a HEAD request has no body, so that
+// a copy of another answer would leave its body behind, and the copy of an answer to HEAD would take bytes of the next one.
+func TestCopiedAnswerIsReadAsAWhole(t *testing.T) {
+	refusal := refusalText("b")
+	headAnswer := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\nContent-Length: %d\r\n\r\n", len(answerText("b", refusal))-len(refusal))
+	tests := map[string]struct {
+		methods []string
+		scripts [][]string
+		want    []resultSummary
+	}{
+		"HEAD after GET": {[]string{http.MethodGet, http.MethodHead}, [][]string{{answerText("a", refusal), answerText("a", refusal)}, {answerText("b", "")}},
+			[]resultSummary{{tamarackrun.Done, refusal, false}, {tamarackrun.Done, "", false}}},
+		"GET after HEAD": {[]string{http.MethodHead, http.MethodGet}, [][]string{{headAnswer, headAnswer + answerText("b", refusal)}, {answerText("b", "2")}},
+			[]resultSummary{{tamarackrun.Done, "", false}, {tamarackrun.Done, "2", false}}},
+		"HEAD after HEAD": {[]string{http.MethodHead, http.MethodHead}, [][]string{{headAnswer, headAnswer + answerText("b", "")}},
+			[]resultSummary{{tamarackrun.Done, "", false}, {tamarackrun.Done, "", true}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, c := newScriptedServer(t, test.scripts...), newClient(t)
+			var got []resultSummary
+			for i, method := range test.methods {
+				r := testRequest(string(rune('a'+i)), true)
+				r.Method, r.Body = method, nil
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				result := c.Do(ctx, s.listener.Addr().String(), r)
+				cancel()
+				got = append(got, resultSummary{result.Outcome, string(result.Body), result.Carried > 0})
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("results (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -194,7 +194,7 @@
 
 // Connect opens a connection to the address and closes it.
 func (c *Client) Connect(ctx context.Context, address string) error {
-	conn, err := c.dial(ctx, address)
+	conn, err := c.dial(ctx, address, "")
 	if err != nil {
 		return err
 	}
@@ -221,13 +221,13 @@
 // the server can stop working on the request.
 func (c *Client) Do(ctx context.Context, address string, r Request) Result {
 	id := maphash.String(c.seed, r.ID)
-	conn := c.takeIdle(address, id, r.Idempotent)
+	conn := c.takeIdle(address, r, id)
 	if conn == nil && r.OpenOnly {
 		return Result{Outcome: tamarackrun.Refused(tamarackrun.ConnectFailed), Err: ErrNoConnection}
 	}
 	if conn == nil {
 		var err error
-		if conn, err = c.dial(ctx, address); err != nil {
+		if conn, err = c.dial(ctx, address, r.Method); err != nil {
 			reason := tamarackrun.ConnectFailed
 			if ctx.Err() != nil {
 				reason = tamarackrun.DeadlinePassed
@@ -282,8 +282,8 @@
 	return n
 }
 
-// dial opens a connection to the address and calls OnDial.
-func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
+// dial opens a connection to the address for requests with the method and calls OnDial.
+func (c *Client) dial(ctx context.Context, address, method string) (*connection, error) {
 	d := c.dialer
 	if c.Source.IsValid() {
 		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.Source, 0))
@@ -295,13 +295,15 @@
 	if c.OnDial != nil {
 		c.OnDial()
 	}
-	return newConnection(conn, c.dialed.Add(1), address, &c.Bodies, c.OnDrop), nil
+	opened := newConnection(conn, &c.Bodies)
+	opened.number, opened.address, opened.onDrop, opened.headOnly = c.dialed.Add(1), address, c.OnDrop, method == http.MethodHead
+	return opened, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection that can carry the request, whose
 // id has the given hash, or nil if there is none.
-func (c *Client) takeIdle(address string, id uint64, idempotent bool) *connection {
-	conn, unusable := c.searchIdle(address, id, idempotent)
+func (c *Client) takeIdle(address string, r Request, id uint64) *connection {
+	conn, unusable := c.searchIdle(address, r, id)
 	for _, u := range unusable {
 		u.reportIdleBytes()
 		u.close()
@@ -310,7 +312,7 @@
 }
 
 // searchIdle removes the connection that takeIdle returns, and those that can't carry a request any more.
-func (c *Client) searchIdle(address string, id uint64, idempotent bool) (found *connection, unusable []*connection) {
+func (c *Client) searchIdle(address string, r Request, id uint64) (found *connection, unusable []*connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -318,10 +320,10 @@
 	defer func() { c.idle[address] = list }()
 	for i := len(list) - 1; i >= 0; i-- {
 		conn := list[i]
-		if !idempotent && now.Sub(conn.lastAnswer) > provenTime {
+		if !r.Idempotent && now.Sub(conn.lastAnswer) > provenTime {
 			return nil, unusable
 		}
-		if slices.Contains(conn.carried, id) {
+		if !conn.mayCarry(r.Method, id) {
 			continue
 		}
 		list = slices.Delete(list, i, i+1)
