Give each attempt an id of its own at backend servers

A server may write an answer once more, at any later time. On the product's own interface the id in Tamarackrun-Request-Id was that of the request, and all its attempts shared it. Attempts of one request reach one pooled connection if two records of servers have one address, or if a request comes to one home again. A copy of the earlier answer then counted as that of the later attempt: a refusal as "not run" of an attempt that ran, a 200 or 500 with the earlier one's body as its answer.

Change: the id is that of the attempt, with a number that the client gives once, so that no two requests on its connections have the same. Servers that repeat the header go on being recognised, and those that don't are treated as before. No page promised the servers what the id holds, and nothing used it to find repeats.

TestSecondCopyOfAnswerReachesNoOtherCaller had its server guess the id; the server repeats what it got now.

--- a/internal/transport/backend/backend.go
+++ b/internal/transport/backend/backend.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -33,8 +34,9 @@
 // request.
 var notRunHeaders = []string{"Tamarackrun-Not-Run", "X-Not-Run"}
 
-// requestIDHeader names the request, in the request and in the answers of servers that say to
-// which request an answer belongs.
+// requestIDHeader names one dispatch of a request, in the request and in the answers of servers that say
+// to which request an answer belongs. A server may write an answer again at any later time, and an id that all
+// attempts of a request share would not tell the copy from the answer to a later attempt.
 const requestIDHeader = "Tamarackrun-Request-Id"
 
 // DrainingHeader is the header by which a backend server announces that it is
@@ -57,6 +59,9 @@
 	pooled *http.Transport
 	// naming holds the servers whose latest answer named its request.
 	naming sync.Map
+	// dispatched is the number of dispatches, from which each gets an id that no other one has on the
+	// client's connections.
+	dispatched atomic.Uint64
 }
 
 // New returns a client with at most the given number of pooled connections to each
@@ -83,7 +88,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	outgoing, err := newRequest(ctx, address, request)
+	id := fmt.Sprintf("%s-%d", request.Attempt, c.dispatched.Add(1))
+	outgoing, err := newRequest(ctx, address, id, request)
 	if err != nil {
 		return tamarackrun.Refused(tamarackrun.Malformed)
 	}
@@ -103,8 +109,8 @@
 		return outcomeOfError(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	switch id := response.Header.Get(requestIDHeader); id {
-	case request.ID:
+	switch response.Header.Get(requestIDHeader) {
+	case id:
 		c.naming.Store(request.Server, true)
 	case "":
 		c.naming.Delete(request.Server)
@@ -152,8 +158,8 @@
 // GetBody, by which http.Transport would be able to send the body again.
 type plainReader struct{ io.Reader }
 
-// newRequest returns the request to send to a backend server.
-func newRequest(ctx context.Context, address string, request tamarackrun.Request) (*http.Request, error) {
+// newRequest returns the request to send to a backend server, with the id of the dispatch.
+func newRequest(ctx context.Context, address, id string, request tamarackrun.Request) (*http.Request, error) {
 	var body io.Reader
 	if len(request.Body) > 0 {
 		body = plainReader{bytes.NewReader(request.Body)}
@@ -174,7 +180,7 @@
 		outgoing.Header.Del("X-Idempotency-Key")
 	}
 	outgoing.Header.Set("Tamarackrun-Organisation", request.Organisation)
-	outgoing.Header.Set(requestIDHeader, request.ID)
+	outgoing.Header.Set(requestIDHeader, id)
 	return outgoing, nil
 }
 
--- a/internal/transport/backend/backend_test.go
+++ b/internal/transport/backend/backend_test.go
@@ -30,6 +30,12 @@
 // listenRaw serves raw connections. It calls serve after it has read a whole request,
 // with the number of requests so far.
 func listenRaw(t *testing.T, serve func(conn net.Conn, n int64)) (address string, executions *atomic.Int64) {
+	t.Helper()
+	return listenRequests(t, func(conn net.Conn, _ *http.Request, n int64) { serve(conn, n) })
+}
+
+// listenRequests is listenRaw with the request.
+func listenRequests(t *testing.T, serve func(conn net.Conn, request *http.Request, n int64)) (address string, executions *atomic.Int64) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -54,7 +60,7 @@
 					if _, err := io.Copy(io.Discard, request.Body); err != nil {
 						return
 					}
-					serve(conn, executions.Add(1))
+					serve(conn, request, executions.Add(1))
 				}
 			}()
 		}
--- a/internal/transport/backend/late_test.go
+++ b/internal/transport/backend/late_test.go
@@ -32,11 +32,11 @@
 			// earlier holds the latest answer on each connection.
 			var mu sync.Mutex
 			earlier := map[net.Conn]string{}
-			address, _ := listenRaw(t, func(conn net.Conn, n int64) {
+			address, _ := listenRequests(t, func(conn net.Conn, request *http.Request, n int64) {
 				id := fmt.Sprint("id-", n)
 				header := ""
 				if echoes {
-					header = "Tamarackrun-Request-Id: " + id + "\r\n"
+					header = "Tamarackrun-Request-Id: " + request.Header.Get("Tamarackrun-Request-Id") + "\r\n"
 				}
 				text := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(id), id)
 				mu.Lock()
