Report no request as not run that had a connection

net/http's Transport sends an idempotent request without a body again by itself if a reused connection fails, and dials for it. If that dial failed too, the outcome was "not run: connectFailed", although the server may have run the request that came on the first connection. A failed dial counts as proof only if the request had no connection before.

--- a/internal/transport/backend/backend.go
+++ b/internal/transport/backend/backend.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -104,9 +105,12 @@
 		defer func() { _ = conn.Close() }()
 		transport = singleConnectionTransport(conn)
 	}
+	var gotConnection atomic.Bool
+	outgoing = outgoing.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { gotConnection.Store(true) }}))
 	response, err := transport.RoundTrip(outgoing)
 	if err != nil {
-		return outcomeOfError(ctx, err)
+		return outcomeOfError(ctx, err, gotConnection.Load())
 	}
 	defer func() { _ = response.Body.Close() }()
 	switch response.Header.Get(requestIDHeader) {
@@ -195,11 +199,12 @@
 }
 
 // outcomeOfError returns the outcome after an error without an answer. Only a failed
-// dial proves that the request did not run. An error on an open connection does not,
-// even while the request is being written.
-func outcomeOfError(ctx context.Context, err error) tamarackrun.Outcome {
+// dial proves that the request did not run, if the request had no connection before:
+// http.Transport dials to send a request again by itself. An error on an open connection
+// does not, even while the request is being written.
+func outcomeOfError(ctx context.Context, err error, gotConnection bool) tamarackrun.Outcome {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if errors.As(err, &op) && op.Op == "dial" && !gotConnection {
 		return tamarackrun.Refused(tamarackrun.ConnectFailed)
 	}
 	switch {
@@ -235,7 +240,7 @@
 		}
 		if err != nil {
 			if ctx.Err() != nil {
-				return outcomeOfError(ctx, err)
+				return outcomeOfError(ctx, err, true)
 			}
 			return tamarackrun.Uncertain(tamarackrun.AnswerTruncated)
 		}
--- a/internal/transport/backend/copies_test.go
+++ b/internal/transport/backend/copies_test.go
@@ -61,3 +61,33 @@
 		})
 	}
 }
+
+// Guards against the outcome "not run" of a request that was sent. http.Transport sends an idempotent
+// request again by itself if a reused connection fails, and returns the error of the second dial, although the
+// server may have run the request that came on the first connection.
+func TestFailedDialAfterSendingIsNoRefusal(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/last" {
+			_ = listener.Close()
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Tamarackrun-Request-Id", r.Header.Get("Tamarackrun-Request-Id"))
+	})}
+	defer func() { _ = server.Close() }()
+	go func() { _ = server.Serve(listener) }()
+	c := newClient(t, listener.Addr().String())
+	var got []tamarackrun.Outcome
+	for _, target := range []string{"/first", "/pooled", "/last", "/later"} {
+		got = append(got, c.Dispatch(t.Context(), tamarackrun.Request{ID: "id", Attempt: "id.1", Method: "GET", Target: target, Idempotent: true,
+			Deadline: c.Clock.Now() + 5*time.Second}, discardAnswer{}))
+	}
+	want := []tamarackrun.Outcome{tamarackrun.Done, tamarackrun.Done, tamarackrun.Uncertain(tamarackrun.AnswerLost),
+		tamarackrun.Refused(tamarackrun.ConnectFailed)}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("outcomes (-want +got):\n%s", diff)
+	}
+}
