Keep the outcome unknown if a later attempt was refused

An idempotent request may be sent again after an attempt that may have run. If the later attempt was refused, the outcome was that of the refusal: the caller was told "not run", although the first attempt had run. The outcome of such a request is now that of the attempt that may have run. Requests that run at most once are not sent again after such an attempt and are not affected.

--- a/internal/program/instance/attempt.go
+++ b/internal/program/instance/attempt.go
@@ -40,16 +40,23 @@
 
 // dispatchWithRetries dispatches a request until it ran or no further attempt
 // is allowed.
-func (in *Instance) dispatchWithRetries(ctx context.Context, c *configuration.Snapshot, route configuration.Route, request tamarackrun.Request, answer tamarackrun.AnswerWriter) tamarackrun.Outcome {
+func (in *Instance) dispatchWithRetries(ctx context.Context, c *configuration.Snapshot, route configuration.Route, request tamarackrun.Request, answer tamarackrun.AnswerWriter) (outcome tamarackrun.Outcome) {
 	tried := map[string]bool{}
-	outcome := tamarackrun.Refused(tamarackrun.NoHealthyServer)
+	outcome = tamarackrun.Refused(tamarackrun.NoHealthyServer)
+	var uncertain tamarackrun.Outcome
+	defer func() {
+		if outcome.Kind == tamarackrun.NotRun && uncertain.Kind == tamarackrun.Unknown {
+			// A refusal says nothing about an earlier attempt, which may have run.
+			outcome = uncertain
+		}
+	}()
 	tracked := &answerStart{AnswerWriter: answer}
 	in.dispatchState.retryBudget.CountRequest(in.clock.Now())
 	for n := 1; n <= route.MaxAttempts; n++ {
 		chosen, refusal := in.chooseServer(c, request, tried)
 		if refusal != "" {
 			if n == 1 {
-				outcome = tamarackrun.Refused(refusal)
+				return tamarackrun.Refused(refusal)
 			}
 			return outcome
 		}
@@ -58,19 +65,16 @@
 		}
 		tried[chosen.server] = true
 		if !in.renewToken(ctx, &request) {
-			if outcome.Kind != tamarackrun.Unknown {
-				outcome = tamarackrun.Refused(tamarackrun.HeldTooLong)
-			}
-			return outcome
+			return tamarackrun.Refused(tamarackrun.HeldTooLong)
 		}
 		if reason := in.recheckKey(request); reason != "" {
-			if outcome.Kind != tamarackrun.Unknown {
-				outcome = tamarackrun.Refused(reason)
-			}
-			return outcome
+			return tamarackrun.Refused(reason)
 		}
 		request.Server, request.Attempt = chosen.server, fmt.Sprintf("%s.%d", request.ID, n)
 		outcome = in.dispatchOnce(ctx, c, chosen, request, tracked)
+		if outcome.Kind == tamarackrun.Unknown {
+			uncertain = outcome
+		}
 		in.recordCapacityRefusal(c, request, outcome)
 		if outcome.Reason == tamarackrun.HomeUnreachable {
 			in.dispatchState.avoid(chosen.home, in.clock.Now()+avoidDuration)
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -17,6 +17,8 @@
 	Draining bool `json:"draining"`
 	// FailAll answers every request with status 500.
 	FailAll bool `json:"failAll"`
+	// ShedAll makes the server refuse every request as if all slots were taken.
+	ShedAll bool `json:"shedAll"`
 	// MisleadHealth makes the health check report "ready" and load 0 in any case.
 	MisleadHealth bool `json:"misleadHealth"`
 	// DropAnswers is the number of requests that run but whose connection is
@@ -131,7 +133,7 @@
 func (s *Server) acquireSlot(r *http.Request, body string) (Faults, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.inFlight >= s.Slots {
+	if s.inFlight >= s.Slots || s.faults.ShedAll {
 		s.record.Shed++
 		return s.faults, false
 	}
