Let a late reply of the home count only for the run that it is about

The attempt behind an unknown outcome was kept by ticket, and its later result replaced whatever unknown outcome the ticket then had. Two repeats of one ticket may ask the home about a lost run at the same time. If the first reply says that it did not run, the caller may try again; if that run is lost too and the second reply comes then, it counted as "not run" for the second run, and a further try ran the order twice. A reply could also meet a run without an outcome, and the zero outcome was returned.

Change: unresolved attempts are kept by run, and Ledger.Amend changes only the run that it is given.

--- a/internal/program/instance/orders.go
+++ b/internal/program/instance/orders.go
@@ -59,9 +59,9 @@
 	// latest holds the latest attempt of each running request that went to another
 	// instance, by request id.
 	latest map[string]sentAttempt
-	// unresolved holds the attempt of each ticket whose outcome is unknown, by the
-	// ticket's sequence number, for as long as the home can be asked about it.
-	unresolved map[uint64]sentAttempt
+	// unresolved holds the attempt of each run whose outcome is unknown, for as long as
+	// the home can be asked about it. A ticket may have several runs, one after the other.
+	unresolved map[*ledger.Run]sentAttempt
 }
 
 // sentAttempt is an attempt that was sent to a home in another instance.
@@ -88,7 +88,7 @@
 		attempts:   ledger.NewAttempts(),
 		sealed:     newSealedLedgers(in),
 		latest:     map[string]sentAttempt{},
-		unresolved: map[uint64]sentAttempt{},
+		unresolved: map[*ledger.Run]sentAttempt{},
 	}
 }
 
@@ -306,7 +306,7 @@
 	sent := tr.latest[request.ID]
 	delete(tr.latest, request.ID)
 	if outcome.Kind == tamarackrun.Unknown && sent.id != "" {
-		tr.unresolved[t.Sequence] = sent
+		tr.unresolved[run] = sent
 	}
 	tr.mu.Unlock()
 	stored := rec.ledgerAnswer(sent.status)
@@ -358,7 +358,7 @@
 	}
 	outcome, stored := run.Outcome()
 	if outcome.Kind == tamarackrun.Unknown {
-		outcome, stored = tr.resolveLate(ctx, t.Sequence, outcome)
+		outcome, stored = tr.resolveLate(ctx, t.Sequence, run)
 	}
 	tr.in.history.Record(event.OrderRepeated, request.ID, "sequence", strconv.FormatUint(t.Sequence, 10), "outcome", outcome.String())
 	if outcome.Kind != tamarackrun.Ran {
@@ -368,25 +368,25 @@
 }
 
 // resolveLate asks the home of an unresolved attempt once more, because a home
-// that was paused or unreachable may be back. It returns the given outcome if
+// that was paused or unreachable may be back. It returns the outcome of the run if
 // the home cannot tell.
-func (tr *ticketedRequests) resolveLate(ctx context.Context, sequence uint64, before tamarackrun.Outcome) (tamarackrun.Outcome, *ledger.Answer) {
+func (tr *ticketedRequests) resolveLate(ctx context.Context, sequence uint64, run *ledger.Run) (tamarackrun.Outcome, *ledger.Answer) {
 	tr.mu.Lock()
-	sent, ok := tr.unresolved[sequence]
+	sent, ok := tr.unresolved[run]
 	tr.mu.Unlock()
 	if !ok {
-		return before, nil
+		return run.Outcome()
 	}
 	outcome, status := tr.askHome(ctx, sent)
 	if outcome.Kind == tamarackrun.Unknown {
-		return before, nil
+		return run.Outcome()
 	}
 	tr.in.history.Record(event.OrderAmended, sent.id, "outcome", outcome.String())
-	run := tr.ledger.Amend(sequence, outcome, &ledger.Answer{Status: status, StatusOnly: true})
+	amended, stored := tr.ledger.Amend(sequence, run, outcome, &ledger.Answer{Status: status, StatusOnly: true})
 	tr.mu.Lock()
-	delete(tr.unresolved, sequence)
+	delete(tr.unresolved, run)
 	tr.mu.Unlock()
-	return run.Outcome()
+	return amended, stored
 }
 
 // expireUnresolved drops unresolved attempts that are so old that their homes
@@ -395,9 +395,9 @@
 	for ctx.Err() == nil {
 		now := tr.in.clock.Now()
 		tr.mu.Lock()
-		for sequence, s := range tr.unresolved {
+		for run, s := range tr.unresolved {
 			if now-s.sentAt >= ledger.ResolveLimit {
-				delete(tr.unresolved, sequence)
+				delete(tr.unresolved, run)
 			}
 		}
 		tr.mu.Unlock()
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -241,19 +241,22 @@
 	}
 }
 
-// Amend replaces the outcome Unknown of a ticket by the result of a later query
-// to the home instance. It returns the ticket's current run.
-func (l *Ledger) Amend(sequence uint64, outcome tamarackrun.Outcome, answer *Answer) *Run {
+// Amend replaces the outcome Unknown of a run by the result of a later query to
+// the home instance, and returns the ticket's outcome. If the ticket has another run
+// by now, Amend changes nothing: the query says nothing of that one, which may have run.
+func (l *Ledger) Amend(sequence uint64, run *Run, outcome tamarackrun.Outcome, answer *Answer) (tamarackrun.Outcome, *Answer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.records[sequence]
-	if r == nil {
-		return settledRun(tamarackrun.Uncertain(tamarackrun.RecordDropped), nil)
-	}
-	if !r.running() && r.run.outcome.Kind == tamarackrun.Unknown {
+	switch {
+	case r == nil:
+		return tamarackrun.Uncertain(tamarackrun.RecordDropped), nil
+	case r.running():
+		return tamarackrun.Uncertain(tamarackrun.StillRunning), nil
+	case r.run == run && run.outcome.Kind == tamarackrun.Unknown:
 		r.run = settledRun(outcome, answer)
 	}
-	return r.run
+	return r.run.Outcome()
 }
 
 // advance returns the later of now and the latest time that was passed before. A
--- a/internal/state/ledger/ledger_test.go
+++ b/internal/state/ledger/ledger_test.go
@@ -143,7 +143,9 @@
 		t.Skip("not unknown")
 	}
 	outcome := rapid.SampledFrom([]tamarackrun.Outcome{tamarackrun.Done, tamarackrun.Refused(tamarackrun.AttemptCancelled)}).Draw(t, "outcome")
-	m.ledger.Amend(ticket.request.Sequence, outcome, &Answer{Status: 200, StatusOnly: true})
+	if got, _ := m.ledger.Amend(ticket.request.Sequence, ticket.ended, outcome, &Answer{Status: 200, StatusOnly: true}); got != outcome {
+		t.Fatalf("amended outcome %s, want %s", got, outcome)
+	}
 	ticket.outcome, ticket.mayHaveRun = outcome, outcome.Kind != tamarackrun.NotRun
 }
 
@@ -203,6 +205,32 @@
 	})
 }
 
+// Guards against an outcome of an earlier run that counts for a later one, which may have run, or which runs.
+func TestAmendConcernsOnlyItsRun(t *testing.T) {
+	l := New()
+	request := Request{Sequence: 1, Expiry: time.Minute, Try: 1}
+	lost, notRun := tamarackrun.Uncertain(tamarackrun.HomeLost), tamarackrun.Refused(tamarackrun.AttemptCancelled)
+	first, _ := l.Begin(0, request)
+	l.Finish(1, first, lost, nil)
+	var got []tamarackrun.Outcome
+	amendFirst := func() {
+		outcome, _ := l.Amend(1, first, notRun, nil)
+		got = append(got, outcome)
+	}
+	amendFirst()
+	request.Try = 2
+	second, _ := l.Begin(0, request)
+	amendFirst()
+	l.Finish(1, second, lost, nil)
+	amendFirst()
+	request.Try = 3
+	_, started := l.Begin(0, request)
+	want := []tamarackrun.Outcome{notRun, tamarackrun.Uncertain(tamarackrun.StillRunning), lost}
+	if diff := cmp.Diff(want, got); diff != "" || started {
+		t.Errorf("the order runs a third time: %v; outcomes (-want +got):\n%s", started, diff)
+	}
+}
+
 // Guards against one organisation that fills the ledger for the others, and against
 // a full ledger that drops the record of an order that ran instead of refusing.
 func TestLedgerLimitsRecords(t *testing.T) {
--- a/spec/ticket.pml
+++ b/spec/ticket.pml
@@ -229,7 +229,8 @@
 amend:
 	atomic {
 		if
-		:: alive && record == UNKNOWN && got != UNKNOWN -> record = got
+		/* The reply concerns only the run of its attempt. */
+		:: alive && record == UNKNOWN && doubtful == a && got != UNKNOWN -> record = got
 		:: else
 		fi;
 		if
