Open a connection for each health check of a backend server

The answers to health checks on the product's own interface name no request. On the kept connection of the client, a second copy of an earlier answer counted as the answer to the next check: a server that had begun to leave stayed in use, or one that had restarted did not return. A dial that times out no longer counts as a restart of a server whose answers say that it is leaving, since checks without a kept connection meet full backlogs.

--- a/internal/program/instance/homes.go
+++ b/internal/program/instance/homes.go
@@ -67,13 +67,20 @@
 }
 
 func newHomeServers(in *Instance) *homeServers {
-	h := &homeServers{in: in, healthClient: &http.Client{Timeout: healthTimeout}, started: in.clock.Now(),
+	h := &homeServers{in: in, healthClient: newHealthClient(), started: in.clock.Now(),
 		servers: map[string]*homeServer{}, reporters: map[string]string{}, listedLeaving: map[string]bool{},
 		leavingRecorded: map[string]bool{}, wakeup: make(chan struct{}, 1)}
 	h.drainTargets.Store(&drain.Targets{})
 	return h
 }
 
+// newHealthClient returns a client that opens a connection for each health check. The
+// answers name no request, so on a kept connection a second copy of an earlier one, which may
+// come at any later time, would count as the next one.
+func newHealthClient() *http.Client {
+	return &http.Client{Timeout: healthTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
 // run updates the servers of this home and polls them until ctx ends.
 func (h *homeServers) run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/program/instance/homes_leaving.go
+++ b/internal/program/instance/homes_leaving.go
@@ -121,8 +121,9 @@
 	}
 	response, err := h.healthClient.Do(request)
 	if err != nil {
+		// A dial that times out may have met a busy server that has not restarted.
 		var op *net.OpError
-		if errors.As(err, &op) && op.Op == "dial" {
+		if errors.As(err, &op) && op.Op == "dial" && !op.Timeout() {
 			s.resetLeavingHeader()
 		}
 		return
