Satisfy the linter in transport/exchange

make lint found a spelling of the house's dictionary (dialed) and a comparison of errors by == in the code of the last commits, which had not been linted. No change of behaviour; make lint finds nothing.

--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -161,8 +161,8 @@
 	dialer net.Dialer
 	// seed is that of the hashes of request ids, which callers choose.
 	seed maphash.Seed
-	// dialed is the number of connections that were opened.
-	dialed atomic.Uint64
+	// opened is the number of connections that were opened.
+	opened atomic.Uint64
 	mu     sync.Mutex
 	// idle holds the idle connections to each address, the most recently used one
 	// last.
@@ -295,9 +295,9 @@
 	if c.OnDial != nil {
 		c.OnDial()
 	}
-	opened := newConnection(conn, &c.Bodies)
-	opened.number, opened.address, opened.onDrop, opened.headOnly = c.dialed.Add(1), address, c.OnDrop, method == http.MethodHead
-	return opened, nil
+	fresh := newConnection(conn, &c.Bodies)
+	fresh.number, fresh.address, fresh.onDrop, fresh.headOnly = c.opened.Add(1), address, c.OnDrop, method == http.MethodHead
+	return fresh, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection that can carry the request, whose
--- a/internal/transport/exchange/socket.go
+++ b/internal/transport/exchange/socket.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"errors"
 	"net"
 	"syscall"
 
@@ -46,7 +47,7 @@
 		return true
 	}
 	_, err := peek(raw)
-	return err == syscall.EAGAIN
+	return errors.Is(err, syscall.EAGAIN)
 }
 
 // reportIdleBytes reports the bytes that the server has sent while no request was under way, if there are any.
