Write no answer behind one that was given up on a caller's connection

A caller could get the answer to its second request in the place of the first one, or the bytes of the second answer inside the first one. Each answer was written if it was ready, even when the one before it had been skipped because the connection counted as lost, or had been cut by the timeout of a write. A caller that has closed its sending side, or that reads slowly, still reads on such a connection.

Cause: when the context of the connection had ended, the choice between a ready answer and the end of the context was made anew, at random, for each answer.

Change: after the first answer that can't be written, no other is written.

--- a/internal/transport/pipeline/connection.go
+++ b/internal/transport/pipeline/connection.go
@@ -323,31 +323,48 @@
 	return t.reader.Read(p)
 }
 
-// writeAnswers writes the answers in the order of their requests.
+// writeAnswers writes the answers in the order of their requests, up to the first one that can't be written. The
+// caller would take the next one, or its first bytes, for that.
 func (c *connection) writeAnswers() {
+	lost := false
 	for pending := range c.pendingAnswers {
-		var answer Answer
-		select {
-		case answer = <-pending.answer:
-		case <-c.ctx.Done():
-			c.markLost()
-			// The handler returns soon, because its context has ended.
-			(<-pending.answer).release()
-			continue
-		}
-		closes := c.decideClose(pending)
-		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		err := c.write(answer, pending, closes)
-		answer.release()
-		if err != nil {
-			c.cancel()
-			c.markLost()
-			continue
+		if lost {
+			c.dropAnswer(pending)
+		} else {
+			lost = !c.writeNext(pending)
 		}
-		c.answerWritten(closes)
 	}
 }
 
+// writeNext writes the answer to the earliest unanswered request and reports whether that succeeded.
+func (c *connection) writeNext(pending *pendingAnswer) bool {
+	var answer Answer
+	select {
+	case answer = <-pending.answer:
+	case <-c.ctx.Done():
+		c.dropAnswer(pending)
+		return false
+	}
+	closes := c.decideClose(pending)
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	err := c.write(answer, pending, closes)
+	answer.release()
+	if err != nil {
+		c.cancel()
+		c.markLost()
+		return false
+	}
+	c.answerWritten(closes)
+	return true
+}
+
+// dropAnswer counts an answer that can't be written because the connection is lost.
+func (c *connection) dropAnswer(pending *pendingAnswer) {
+	c.markLost()
+	// The handler returns soon, because its context has ended.
+	(<-pending.answer).release()
+}
+
 // write writes an answer. A large body is not copied behind its head: copies are not in the memory
 // that the body has reserved.
 func (c *connection) write(answer Answer, pending *pendingAnswer, closes bool) error {
--- a/internal/transport/pipeline/pipeline_test.go
+++ b/internal/transport/pipeline/pipeline_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -410,3 +411,68 @@
 		}
 	}
 }
+
+// Guards against an answer that is written in the place of an earlier one that was given up (MIXED). A caller that has
+// sent all its requests may close its sending side and go on reading; the running request is then cancelled, while the
+// answer to the one behind it is ready.
+func TestNoAnswerIsWrittenBehindOneThatWasGivenUp(t *testing.T) {
+	for range 20 {
+		_, g, c := startServer(t)
+		g.release("/second")
+		c.send(t, get("/first")+get("/second"))
+		<-g.arrived
+		<-g.arrived
+		// The answer to the second request is ready.
+		time.Sleep(time.Millisecond)
+		if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		answers, err := io.ReadAll(c.reader)
+		if err != nil || strings.Contains(string(answers), "/second") && !strings.Contains(string(answers), "/first") {
+			t.Fatalf("answers %q, %v, want none to the second request without one to the first", answers, err)
+		}
+	}
+}
+
+// stalledConn takes the first bytes of the first write and fails it, like a connection whose caller doesn't read
+// for as long as a write may take.
+type stalledConn struct {
+	net.Conn
+	once sync.Once
+	// taken is the number of bytes that the first write takes.
+	taken int
+}
+
+func (s *stalledConn) Write(p []byte) (n int, err error) {
+	s.once.Do(func() {
+		n, err = s.Conn.Write(p[:s.taken])
+		err = errors.Join(err, os.ErrDeadlineExceeded)
+	})
+	if err != nil {
+		return n, err
+	}
+	return s.Conn.Write(p)
+}
+
+// Guards against the bytes of one answer inside another one (MIXED): the write of an answer times out half-way
+// because the caller doesn't read, and the answer to the request behind it is ready.
+func TestNoAnswerIsWrittenBehindOneThatWasCut(t *testing.T) {
+	for range 20 {
+		s, g, _ := startServer(t)
+		near, far := net.Pipe()
+		_ = far.SetDeadline(time.Now().Add(testTimeout))
+		c := newConnection(s, &stalledConn{Conn: near, taken: 20})
+		go c.run()
+		caller := &client{far, bufio.NewReader(far)}
+		caller.send(t, get("/1")+get("/2"))
+		<-g.arrived
+		<-g.arrived
+		g.release("/2")
+		// The answer to the second request is ready.
+		time.Sleep(time.Millisecond)
+		g.release("/1")
+		if answers, err := io.ReadAll(caller.reader); err != nil || len(answers) != 20 {
+			t.Fatalf("answers %q, %v, want the first 20 bytes of one answer", answers, err)
+		}
+	}
+}
