Close a caller's connection after an answer that is written early

Cause: the reader removes the deadline of its reads to wait for the caller's close. If the answer was written just before, that also removed the past deadline by which the writer ends the reads.

Change: the reader keeps the deadline once the connection is closing.

--- a/internal/transport/pipeline/connection.go
+++ b/internal/transport/pipeline/connection.go
@@ -200,7 +200,12 @@
 // served, and then cancels the request. What the caller sends is discarded.
 func (c *connection) awaitClose() {
 	c.head.End()
-	_ = c.conn.SetReadDeadline(time.Time{})
+	c.mu.Lock()
+	if !c.closing {
+		// The mutex keeps this from following the stopReading after the last answer.
+		_ = c.conn.SetReadDeadline(time.Time{})
+	}
+	c.mu.Unlock()
 	_, _ = io.Copy(io.Discard, c.reader)
 	if !c.isClosing() {
 		c.cancel()
--- a/internal/transport/pipeline/pipeline_test.go
+++ b/internal/transport/pipeline/pipeline_test.go
@@ -476,3 +476,28 @@
 		}
 	}
 }
+
+// slowDeadlineConn takes some time to remove the deadline of reads.
+type slowDeadlineConn struct{ net.Conn }
+
+func (s *slowDeadlineConn) SetReadDeadline(at time.Time) error {
+	if at.IsZero() {
+		time.Sleep(50 * time.Millisecond)
+	}
+	return s.Conn.SetReadDeadline(at)
+}
+
+// Guards against a connection that stays open after the answer that closes it, so that a planned stop waits for it: the
+// answer is written just before the reader begins to wait for the caller's close.
+func TestConnectionClosesAfterLastAnswer(t *testing.T) {
+	s, g, _ := startServer(t)
+	g.release("/1")
+	near, far := net.Pipe()
+	_ = far.SetDeadline(time.Now().Add(time.Second))
+	go newConnection(s, &slowDeadlineConn{near}).run()
+	caller := &client{far, bufio.NewReader(far)}
+	caller.send(t, "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	if answers, err := io.ReadAll(caller.reader); err != nil {
+		t.Errorf("answer %q, then %v, want the end of the connection", answers, err)
+	}
+}
