Do not count late failures of a server's previous process against the new one

A server that had restarted under its name was paused, and could be ejected, for requests that had been sent to its previous process and that ended late, by a timeout. MarkCold already told the processes apart, Done did not.

Change: a result counts only if the server's record still names the process that the request was sent to.

TestFailuresOfPreviousProcessDoNotCount failed before; the package passes.

--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -424,10 +424,14 @@
 		return false, false
 	}
 	st.outstanding--
+	if connectFailed && c.Limited {
+		b.ReturnLimited(now, c.Server)
+	}
+	if st.startMillis != c.Server.StartMillis {
+		// A request to the previous process, which may end late, shows nothing about the new one.
+		return false, false
+	}
 	if connectFailed {
-		if c.Limited {
-			b.ReturnLimited(now, c.Server)
-		}
 		st.backoff = min(maxBackoff, max(initialBackoff, 2*st.backoff))
 		st.backoffUntil = now.Add(st.backoff)
 		st.coldUntil = st.backoffUntil.Add(b.ColdTime(c.Server.Service))
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -104,6 +104,33 @@
 	}
 }
 
+// Guards against a pause and an ejection of a server's new process for failures of requests that were sent to the
+// previous one and that end late, by a timeout.
+func TestFailuresOfPreviousProcessDoNotCount(t *testing.T) {
+	b, list, now := newBalancer(), servers(1), time.Now()
+	q := Query{Region: "a"}
+	var choices []Choice
+	for range maxOutstanding - 1 {
+		c, _ := b.Choose(now, list, q)
+		choices = append(choices, c)
+	}
+	restarted := *list[0]
+	restarted.StartMillis++
+	list = []*registry.Server{&restarted}
+	if _, reason := b.Choose(now, list, q); reason != "" {
+		t.Fatalf("reason %q for the new process", reason)
+	}
+	for i, c := range choices {
+		if ejected, _ := b.Done(now, c, health.Failure, i == 0, 9); ejected {
+			t.Error("the new process is ejected")
+		}
+	}
+	c, reason := b.Choose(now, list, q)
+	if reason != "" || c.Outstanding != 1 {
+		t.Errorf("reason %q with %d outstanding requests for the new process after failures of the previous one, want none with 1", reason, c.Outstanding)
+	}
+}
+
 // Guards against requests to cold servers that AdmitCold does not allow.
 func TestColdServersAreLimited(t *testing.T) {
 	b, now := newBalancer(), time.Now()
