--- a/internal/transport/pipeline/pipeline_test.go
+++ b/internal/transport/pipeline/pipeline_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -410,3 +411,93 @@
 		}
 	}
 }
+
+// Guards against an answer that is written in the place of an earlier one that was given up (MIXED). A caller that has
+// sent all its requests may close its sending side and go on reading; the running request is then cancelled, while the
+// answer to the one behind it is ready.
+func TestNoAnswerIsWrittenBehindOneThatWasGivenUp(t *testing.T) {
+	for range 20 {
+		_, g, c := startServer(t)
+		g.release("/second")
+		c.send(t, get("/first")+get("/second"))
+		<-g.arrived
+		<-g.arrived
+		// The answer to the second request is ready.
+		time.Sleep(time.Millisecond)
+		if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		answers, err := io.ReadAll(c.reader)
+		if err != nil || strings.Contains(string(answers), "/second") && !strings.Contains(string(answers), "/first") {
+			t.Fatalf("answers %q, %v, want none to the second request without one to the first", answers, err)
+		}
+	}
+}
+
+// stalledConn takes the first bytes of the first write and fails it, like a connection whose caller doesn't read
+// for as long as a write may take.
+type stalledConn struct {
+	net.Conn
+	once sync.Once
+	// taken is the number of bytes that the first write takes.
+	taken int
+}
+
+func (s *stalledConn) Write(p []byte) (n int, err error) {
+	s.once.Do(func() {
+		n, err = s.Conn.Write(p[:s.taken])
+		err = errors.Join(err, os.ErrDeadlineExceeded)
+	})
+	if err != nil {
+		return n, err
+	}
+	return s.Conn.Write(p)
+}
+
+// Guards against the bytes of one answer inside another one (MIXED): the write of an answer times out half-way
+// because the caller doesn't read, and the answer to the request behind it is ready.
+func TestNoAnswerIsWrittenBehindOneThatWasCut(t *testing.T) {
+	for range 20 {
+		s, g, _ := startServer(t)
+		near, far := net.Pipe()
+		_ = far.SetDeadline(time.Now().Add(testTimeout))
+		c := newConnection(s, &stalledConn{Conn: near, taken: 20})
+		go c.run()
+		caller := &client{far, bufio.NewReader(far)}
+		caller.send(t, get("/1")+get("/2"))
+		<-g.arrived
+		<-g.arrived
+		g.release("/2")
+		// The answer to the second request is ready.
+		time.Sleep(time.Millisecond)
+		g.release("/1")
+		if answers, err := io.ReadAll(caller.reader); err != nil || len(answers) != 20 {
+			t.Fatalf("answers %q, %v, want the first 20 bytes of one answer", answers, err)
+		}
+	}
+}
+
+// slowDeadlineConn takes some time to remove the deadline of reads.
+type slowDeadlineConn struct{ net.Conn }
+
+func (s *slowDeadlineConn) SetReadDeadline(at time.Time) error {
+	if at.IsZero() {
+		time.Sleep(50 * time.Millisecond)
+	}
+	return s.Conn.SetReadDeadline(at)
+}
+
+// Guards against a connection that stays open after the answer that closes it, so that a planned stop waits for it: the
+// answer is written just before the reader begins to wait for the caller's close.
+func TestConnectionClosesAfterLastAnswer(t *testing.T) {
+	s, g, _ := startServer(t)
+	g.release("/1")
+	near, far := net.Pipe()
+	_ = far.SetDeadline(time.Now().Add(time.Second))
+	go newConnection(s, &slowDeadlineConn{near}).run()
+	caller := &client{far, bufio.NewReader(far)}
+	caller.send(t, "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	if answers, err := io.ReadAll(caller.reader); err != nil {
+		t.Errorf("answer %q, then %v, want the end of the connection", answers, err)
+	}
+}
