Show what the reply of a delegate proves

No test covered a delegate that ends at some point of its reply, or a refusal by a delegate after an earlier attempt whose outcome is unknown.

--- /dev/null
+++ b/internal/program/front/delegation_test.go
@@ -0,0 +1,131 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"tamarackrun"
+	"tamarackrun/internal/coordination/delegation"
+	"tamarackrun/internal/coordination/membership"
+	"tamarackrun/internal/protocol/wire"
+	"tamarackrun/internal/state/boottime"
+	"tamarackrun/internal/state/configuration"
+	"tamarackrun/internal/state/history"
+	"tamarackrun/internal/state/sla"
+	"tamarackrun/internal/transport/exchange"
+	"tamarackrun/internal/transport/peer"
+)
+
+// plainCodec reads and writes no headers.
+type plainCodec struct{ tamarackrun.HeaderCodec }
+
+func (plainCodec) RewriteRequest(http.Header, tamarackrun.ForwardFields) {}
+
+func (plainCodec) DecodeAnswer(int, http.Header) tamarackrun.AnswerFields {
+	return tamarackrun.AnswerFields{}
+}
+
+// scriptedDelegates send their scripts, one for each request in turn, and then close the stream.
+type scriptedDelegates struct {
+	t       *testing.T
+	scripts chan []*wire.Envelope
+}
+
+func (d scriptedDelegates) ServePeer(_ context.Context, first *wire.Envelope, stream tamarackrun.Stream) {
+	if first.GetDelegate() == nil {
+		_ = stream.Send(&wire.Envelope{Kind: &wire.Envelope_ProcessClock{ProcessClock: &wire.ProcessClock{Process: 1}}})
+		return
+	}
+	select {
+	case script := <-d.scripts:
+		for _, message := range script {
+			_ = stream.Send(message)
+		}
+	default:
+		d.t.Error("another delegate is asked")
+	}
+}
+
+func delegated(reply *wire.Delegated) *wire.Envelope {
+	return &wire.Envelope{Kind: &wire.Envelope_Delegated{Delegated: reply}}
+}
+
+// Guards against the outcome "not run", and against another send, for a request that a delegate may have sent: the
+// delegate ends at any point of its reply, or refuses after an earlier attempt whose outcome is unknown.
+func TestDelegatesProveOnlyTheirOwnAttempt(t *testing.T) {
+	refused := []*wire.Envelope{delegated(&wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(tamarackrun.ServerShed), Server: "s"})}
+	untaken := []*wire.Envelope{delegated(refusedDelegation(tamarackrun.Leaving))}
+	unreached := []*wire.Envelope{delegated(&wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(tamarackrun.ServersUnreachable)})}
+	body := &wire.Envelope{Kind: &wire.Envelope_AnswerBody{AnswerBody: &wire.AnswerBody{Piece: []byte("abc")}}}
+	head := delegated(&wire.Delegated{Outcome: uint32(tamarackrun.Ran), Status: http.StatusOK, Length: 7})
+	lost, shed := tamarackrun.Uncertain(tamarackrun.DelegateLost), tamarackrun.Refused(tamarackrun.ServerShed)
+	tests := map[string]struct {
+		idempotent bool
+		// earlier is the outcome of an earlier attempt, which a server got; the zero value means that there is none.
+		earlier tamarackrun.Outcome
+		// scripts are those of the delegates that are asked in turn.
+		scripts [][]*wire.Envelope
+		final   bool
+		outcome tamarackrun.Outcome
+	}{
+		"a server refuses":                        {false, tamarackrun.Outcome{}, [][]*wire.Envelope{refused}, true, shed},
+		"a server refuses after a lost answer":    {true, lost, [][]*wire.Envelope{refused}, true, lost},
+		"no delegate takes it, after that":        {true, lost, [][]*wire.Envelope{untaken, unreached, untaken, unreached}, false, lost},
+		"no delegate takes it":                    {false, tamarackrun.Outcome{}, [][]*wire.Envelope{untaken, unreached, untaken, unreached}, false, tamarackrun.Refused(tamarackrun.ServersUnreachable)},
+		"it ends before its reply":                {false, tamarackrun.Outcome{}, [][]*wire.Envelope{nil}, true, lost},
+		"it ends before its reply, idempotent":    {true, tamarackrun.Outcome{}, [][]*wire.Envelope{nil}, false, lost},
+		"it ends before the body":                 {false, tamarackrun.Outcome{}, [][]*wire.Envelope{{head}}, true, lost},
+		"it ends within the body":                 {false, tamarackrun.Outcome{}, [][]*wire.Envelope{{head, body}}, true, lost},
+		"it sends a longer body":                  {false, tamarackrun.Outcome{}, [][]*wire.Envelope{{head, body, body, body}}, true, lost},
+		"it sends no outcome":                     {false, tamarackrun.Outcome{}, [][]*wire.Envelope{{delegated(&wire.Delegated{})}}, true, lost},
+		"it ends after one that has not taken it": {false, tamarackrun.Outcome{}, [][]*wire.Envelope{untaken, nil}, true, lost},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			mesh, closeMesh, err := peer.New("127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(closeMesh)
+			scripts := make(chan []*wire.Envelope, len(test.scripts))
+			for _, s := range test.scripts {
+				scripts <- s
+			}
+			mesh.Handler = scriptedDelegates{t, scripts}
+			go func() { _ = mesh.Run() }()
+			f := New(sla.Terms{RetrySlack: 50}.WithDefaults())
+			f.history = &history.History{Logger: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, Scope: tally.NoopScope}
+			f.HeaderCodec, f.mesh = plainCodec{}, mesh
+			client, closeClient := exchange.New()
+			t.Cleanup(closeClient)
+			f.backendClient = client
+			f.delegates = &delegation.Pool{Clock: boottime.Clock{}, Members: func() []membership.Member {
+				var members []membership.Member
+				for i := range maxDelegates {
+					members = append(members, membership.Member{Name: strconv.Itoa(i), HeardRecently: true, Ready: true,
+						InstanceRecord: tamarackrun.InstanceRecord{ReportAddress: mesh.Address()}})
+				}
+				return members
+			}}
+			a := &attempts{request: &request{route: configuration.Route{Idempotent: test.idempotent, MaxAttempts: 3}, deadline: time.Now().Add(5 * time.Second)},
+				outcome: tamarackrun.Refused(tamarackrun.NoHealthyServer)}
+			a.request.call.Request = &http.Request{Header: http.Header{}}
+			if test.earlier != (tamarackrun.Outcome{}) {
+				a.add("earlier", exchange.Result{Outcome: test.earlier, Sent: true})
+			}
+			final := f.attemptByDelegate(t.Context(), a)
+			if diff := cmp.Diff([]any{test.final, test.outcome, true, 0}, []any{final, a.outcome, a.answer == nil, len(scripts)}); diff != "" {
+				t.Errorf("final, outcome, no answer, and delegates that were not asked (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
