Report a server's refusal from a delegate whatever the last server did

A delegate whose request one server had got and refused, and whose last server took no connection, reported the failed connection. The entry instance then took the delegate to have lost its links, left it out for 1.5 s, and had other delegates send the request, also to the server that had refused it, without counting that as a retry.

Cause: the reply names the reason of the last attempt only.

Change: if a server has got the request and none has run it, the delegate reports the refusal of the server. The reply still names only the last server that was tried; to name all of them needs a new field of the message.

TestDelegateNamesRefusalOfServer failed before and passes in 3 of 3 runs; the tests of package platform about delegates, refusals and lost links pass in one run.

--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -343,6 +343,11 @@
 		return reply, result
 	}
 	outcome = a.outcome
+	if outcome.Kind == tamarackrun.NotRun && a.delivered > 0 {
+		// A later server may have taken no connection. By that reason the entry instance would take this one to have lost
+		// its links, and would have the request sent again without counting it as a retry.
+		outcome.Reason = tamarackrun.ServerShed
+	}
 	reply.RetryAfterMillis = uint64(cmp.Or(a.retryAfter, f.retryAfter(req)).Milliseconds())
 	return reply, result
 }
--- a/internal/program/front/delegation_test.go
+++ b/internal/program/front/delegation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
@@ -19,9 +20,11 @@
 	"tamarackrun/internal/state/boottime"
 	"tamarackrun/internal/state/configuration"
 	"tamarackrun/internal/state/history"
+	"tamarackrun/internal/state/registry"
 	"tamarackrun/internal/state/sla"
 	"tamarackrun/internal/transport/exchange"
 	"tamarackrun/internal/transport/peer"
+	"tamarackrun/internal/transport/pipeline"
 )
 
 // plainCodec reads and writes no headers.
@@ -129,3 +132,49 @@
 		})
 	}
 }
+
+// refusingCodec takes each answer with the status 503 for a refusal.
+type refusingCodec struct{ plainCodec }
+
+func (refusingCodec) DecodeAnswer(status int, _ http.Header) tamarackrun.AnswerFields {
+	return tamarackrun.AnswerFields{NotRun: status == http.StatusServiceUnavailable}
+}
+
+// Guards against a delegate that counts as cut off from the servers, and against uncounted sends of its request by
+// further delegates, because the last server that it tried took no connection: another server has got the request and
+// refused it.
+func TestDelegateNamesRefusalOfServer(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+	defer server.Close()
+	closed := httptest.NewServer(nil)
+	closed.Close()
+	// The order in which the servers are tried is random.
+	for range 20 {
+		f := New(sla.Terms{RetrySlack: 50}.WithDefaults())
+		f.history = &history.History{Logger: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, Scope: tally.NoopScope}
+		client, closeClient := exchange.New()
+		defer closeClient()
+		client.HeaderCodec = refusingCodec{}
+		f.HeaderCodec, f.backendClient, f.scope, f.process = refusingCodec{}, client, tally.NoopScope, 1
+		f.snapshot.Store(&configuration.Snapshot{})
+		f.callerServer = &pipeline.Server{}
+		f.callerServer.Bodies.Limit = 1 << 20
+		f.balancer.AdmitCold = func(time.Time, *registry.Server) bool { return true }
+		f.balancer.CountWarm = func(time.Time, *registry.Server) {}
+		f.balancer.ColdTime = func(string) time.Duration { return 0 }
+		f.registry.Recorder, f.registry.Regions = f.history, map[string]string{"z": "r"}
+		page := tamarackrun.Page{Full: true}
+		for name, s := range map[string]*httptest.Server{"refuses": server, "closed": closed} {
+			page.Records = append(page.Records, tamarackrun.Record{Name: name, Position: tamarackrun.Position{Revision: 1},
+				Server: &tamarackrun.ServerRecord{Address: s.Listener.Addr().String(), Service: "s", FailureDomain: "z", Slots: 9}})
+		}
+		f.registry.ApplyServers(time.Now(), page, false)
+		deadline := boottime.Clock{}.Now() + 5*time.Second
+		reply, _ := f.runDelegated(t.Context(), &wire.Delegate{Process: 1, DeadlineMillis: uint64(deadline.Milliseconds()), Entry: "entry", Id: "a",
+			Service: "s", Method: http.MethodPost, Target: "/", Host: "h", Attempts: 3, Counted: true})
+		want := tamarackrun.Refused(tamarackrun.ServerShed)
+		if diff := cmp.Diff(want, tamarackrun.Outcome{Kind: tamarackrun.OutcomeKind(reply.Outcome), Reason: tamarackrun.Reason(reply.Reason)}); diff != "" {
+			t.Fatalf("outcome (-want +got):\n%s", diff)
+		}
+	}
+}
