Do not count servers that reset surplus connections as ended

A server resets connections beyond the number that it takes. Two health probes whose new connections were reset counted as proof that the server had ended under the request whose connection had been reset before, although it went on answering on the connections that it had. After resets at three servers the request was refused at all instances, for half a minute at first.

Change: a reset is no proof while a connection to the address that was opened before the loss is open at both ends. A reset that comes before the probe is written counts as a reset, no longer as a refused connection.

TestFullServersHaveNotEnded failed in 2 of 2 runs before, in both cases, and passes in 4 of 4. The tests of transport/exchange, program/front and coordination/crash pass with the race detector, 1 run, and those of platform about ends, refusals, lost links and cold servers, 1 run.

--- a/internal/program/front/crash.go
+++ b/internal/program/front/crash.go
@@ -169,7 +169,7 @@
 	defer f.recoverPanic("check of a server's end", nil)
 	check, fresh := f.endChecks.begin(l.at, processOf(l.server))
 	if fresh {
-		check.proof = f.findEnd(l.server)
+		check.proof = f.findEnd(l.server, l.at)
 		close(check.done)
 	}
 	<-check.done
@@ -183,8 +183,10 @@
 }
 
 // findEnd returns what shows that a server has ended, or "": it takes no connections, ends them, or another
-// server answers at its address. A connection that is reset once proves nothing.
-func (f *Front) findEnd(server *registry.Server) (proof string) {
+// server answers at its address. A connection that is reset once proves nothing, nor do several while
+// others are open: a server resets connections beyond the number that it takes. lostAt is when an answer
+// of the server was lost.
+func (f *Front) findEnd(server *registry.Server, lostAt time.Time) (proof string) {
 	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 	defer cancel()
 	path := f.healthPath(server.Service)
@@ -197,14 +199,17 @@
 	for range endProbes {
 		result, fields := f.probe(ctx, server.Address, path)
 		switch {
-		case !result.Sent:
+		case result.Connection == 0:
 			return "connect"
 		case result.Outcome == tamarackrun.Done && fields.Server != "" && fields.Server != server.Name:
 			return "otherServer"
-		case !endedConnection(result):
+		case result.Sent && !endedConnection(result):
 			return ""
 		}
 	}
+	if f.backendClient.HasOpen(server.Address, lostAt) {
+		return ""
+	}
 	return "reset"
 }
 
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -167,14 +167,19 @@
 	// idle holds the idle connections to each address, the most recently used one
 	// last.
 	idle map[string][]*connection
-	// running holds the connections that carry an idempotent request, with the times at which it
-	// was sent.
-	running map[*connection]time.Time
+	// running holds the connections that carry a request.
+	running map[*connection]runningRequest
+}
+
+// runningRequest is a request under way.
+type runningRequest struct {
+	sentAt     time.Time
+	idempotent bool
 }
 
 // New returns a client. The clean-up function closes idle connections.
 func New() (*Client, func()) {
-	c := &Client{idle: map[string][]*connection{}, running: map[*connection]time.Time{}, seed: maphash.MakeSeed(), dialer: *dialer.New(dialTimeout)}
+	c := &Client{idle: map[string][]*connection{}, running: map[*connection]runningRequest{}, seed: maphash.MakeSeed(), dialer: *dialer.New(dialTimeout)}
 	c.Bodies.Limit = defaultMemory
 	return c, func() { c.RetainOnly(nil) }
 }
@@ -236,10 +241,10 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, conn.close)
-	c.setRunning(conn, r.Idempotent)
+	c.beginRunning(conn, r.Idempotent)
 	use := conn.beginUse(id)
 	result := conn.roundTrip(c.HeaderCodec, r)
-	c.setRunning(conn, false)
+	c.endRunning(conn)
 	result.Use = use
 	if !stop() {
 		// The context has ended, so the connection is closed or is about to be.
@@ -255,15 +260,33 @@
 	return result
 }
 
-// setRunning records whether the connection carries an idempotent request that is sent now.
-func (c *Client) setRunning(conn *connection, running bool) {
+// beginRunning records that the connection carries a request that is sent now.
+func (c *Client) beginRunning(conn *connection, idempotent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[conn] = runningRequest{time.Now(), idempotent}
+}
+
+func (c *Client) endRunning(conn *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if running {
-		c.running[conn] = time.Now()
-	} else {
-		delete(c.running, conn)
+	delete(c.running, conn)
+}
+
+// HasOpen reports whether a connection to the address that was opened before the given time is open at both ends. The
+// process that took it has not ended then.
+func (c *Client) HasOpen(address string, openedBefore time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isOpen := func(conn *connection) bool {
+		return conn.address == address && conn.openedAt.Before(openedBefore) && conn.isEstablished()
+	}
+	for conn := range c.running {
+		if isOpen(conn) {
+			return true
+		}
 	}
+	return slices.ContainsFunc(c.idle[address], isOpen)
 }
 
 // EndHung closes the connections of idempotent requests that were sent before the given time and that
@@ -273,8 +296,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
-	for conn, sentAt := range c.running {
-		if sentAt.Before(sentBefore) && conn.hasUnacknowledged() {
+	for conn, r := range c.running {
+		if r.idempotent && r.sentAt.Before(sentBefore) && conn.hasUnacknowledged() {
 			conn.close()
 			n++
 		}
--- a/internal/transport/exchange/socket.go
+++ b/internal/transport/exchange/socket.go
@@ -36,6 +36,21 @@
 	return err == nil && unacknowledged > 0
 }
 
+// isEstablished reports whether neither end has closed the connection. Unlike isUsable, it may be called while
+// the connection carries a request.
+func (c *connection) isEstablished() bool {
+	raw, _ := c.rawConnection()
+	if raw == nil {
+		return false
+	}
+	established := false
+	err := raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		established = err == nil && info.State == unix.BPF_TCP_ESTABLISHED
+	})
+	return err == nil && established
+}
+
 // isUsable reports whether the server has neither closed the connection nor sent
 // bytes that belong to no request.
 func (c *connection) isUsable() bool {
