Check again whether a server has ended if the earlier check was before the loss

The end of a server under a request was not noticed if another connection of the server had been reset up to a second before, while the server was still there: the check of the first loss served for all losses of that second, and showed that the server takes connections. Only the server's record proved such an end, if it was replaced within 5 s.

Change: a check that shows no end counts only for losses before it ended. For a later one, the server is checked again when the second is over, so that there is still one check of a server a second at most.

--- a/internal/program/front/crash.go
+++ b/internal/program/front/crash.go
@@ -25,7 +25,8 @@
 	// endProbes at most. A round trip between regions takes 0.11 s.
 	endCheckTimeout = 500 * time.Millisecond
 	endProbes       = 2
-	// endCheckAge is how long its result serves for all requests that were at the server.
+	// endCheckAge is the least time between two checks of a server. The result of one serves for all requests that
+	// were at the server.
 	endCheckAge = time.Second
 	// lossMemory is how long a lost answer is remembered of which the check doesn't show that the server
 	// has ended. The record of a server that has ended lapses or is replaced within it.
@@ -37,11 +38,15 @@
 // endCheck is the check whether a process of a server has ended.
 type endCheck struct {
 	began time.Time
-	// proof is set when done is closed; empty if the server has not ended, or may not have.
+	// proof and ended are set when done is closed. The proof is empty if the server has not ended, or may not have.
 	proof string
+	ended time.Time
 	done  chan struct{}
 }
 
+// shows reports whether the check, which is done, says something about a loss. A server may end after the check.
+func (c *endCheck) shows(l loss) bool { return c.proof != "" || !c.ended.Before(l.at) }
+
 // loss is an answer that was lost because its connection ended.
 type loss struct {
 	at      time.Time
@@ -88,7 +93,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for p, c := range e.checks {
-		if now.Sub(c.began) > endCheckAge {
+		if now.Sub(c.began) >= endCheckAge {
 			delete(e.checks, p)
 		}
 	}
@@ -167,12 +172,11 @@
 // record may show it later.
 func (f *Front) checkEnd(l loss) {
 	defer f.recoverPanic("check of a server's end", nil)
-	check, fresh := f.endChecks.begin(l.at, processOf(l.server))
-	if fresh {
-		check.proof = f.findEnd(l.server, l.at)
-		close(check.done)
+	check := f.awaitCheck(l)
+	if !check.shows(l) {
+		time.Sleep(time.Until(check.began.Add(endCheckAge)))
+		check = f.awaitCheck(l)
 	}
-	<-check.done
 	if check.proof != "" && !f.links.ServersUnreachable() {
 		f.noteEnd(l, check.proof)
 		return
@@ -182,6 +186,19 @@
 	f.endChecks.addLoss(l)
 }
 
+// awaitCheck returns the latest check of the server of a loss when it is done, and makes it if it is due.
+func (f *Front) awaitCheck(l loss) *endCheck {
+	check, fresh := f.endChecks.begin(time.Now(), processOf(l.server))
+	if fresh {
+		defer close(check.done)
+		check.proof = f.findEnd(l.server, l.at)
+		check.ended = time.Now()
+		return check
+	}
+	<-check.done
+	return check
+}
+
 // findEnd returns what shows that a server has ended, or "": it takes no connections, ends them, or another
 // server answers at its address. A connection that is reset once proves nothing, nor do several while
 // others are open: a server resets connections beyond the number that it takes. lostAt is when an answer
