Do not keep connections that were opened for ids that come often

A connection that was opened because idle ones had carried the id is not kept. TestRepeatedIDsLeaveIdleConnections failed before and passes.

--- a/internal/transport/exchange/connection.go
+++ b/internal/transport/exchange/connection.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -56,11 +55,6 @@
 	return &connection{Conn: conn, openedAt: time.Now(), reader: bufio.NewReader(head), head: head, bodies: bodies}
 }
 
-// mayCarry reports whether the connection may carry a request with the method, whose id has the given hash.
-func (c *connection) mayCarry(method string, id uint64) bool {
-	return c.headOnly == (method == http.MethodHead) && !slices.Contains(c.carried, id)
-}
-
 // beginUse adds the hash of a request's id and returns the connection's state before it.
 func (c *connection) beginUse(id uint64) Use {
 	use := c.use()
--- a/internal/transport/exchange/copies_test.go
+++ b/internal/transport/exchange/copies_test.go
@@ -106,6 +106,33 @@
 	}
 }
 
+// Guards against idle connections that are pushed out by those of requests whose ids come often, such as health
+// probes.
+func TestRepeatedIDsLeaveIdleConnections(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signature", "s")
+	}))
+	defer server.Close()
+	c, address := newClient(t), server.Listener.Addr().String()
+	send := func(id string) Result {
+		return c.Do(t.Context(), address, Request{ID: id, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {id}},
+			Idempotent: true, Probe: id == ""})
+	}
+	connection := send("first").Connection
+	for i := range 2 * maxIdle {
+		send("")
+		if got := send(strconv.Itoa(i)); got.Connection != connection {
+			t.Fatalf("request %d went over connection %d, want %d", i, got.Connection, connection)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n := len(c.idle[address]); n != 1 {
+		t.Errorf("%d connections are idle, want 1", n)
+	}
+}
+
 // Guards against a part of another request's answer that is read as an answer. The answer to a HEAD request has no body, so that
 // a copy of another answer would leave its body behind, and the copy of an answer to HEAD would take bytes of the next one.
 func TestCopiedAnswerIsReadAsAWhole(t *testing.T) {
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -226,7 +226,7 @@
 // the server can stop working on the request.
 func (c *Client) Do(ctx context.Context, address string, r Request) Result {
 	id := maphash.String(c.seed, r.ID)
-	conn := c.takeIdle(address, r, id)
+	conn, met := c.takeIdle(address, r, id)
 	if conn == nil && r.OpenOnly {
 		return Result{Outcome: tamarackrun.Refused(tamarackrun.ConnectFailed), Err: ErrNoConnection}
 	}
@@ -239,6 +239,9 @@
 			}
 			return Result{Outcome: tamarackrun.Refused(reason), Err: err}
 		}
+		// The idle ones are enough for other requests. Those with an id that comes often, such as health
+		// probes, would push them out.
+		conn.broken = met
 	}
 	stop := context.AfterFunc(ctx, conn.close)
 	c.beginRunning(conn, r.Idempotent)
@@ -324,18 +327,18 @@
 }
 
 // takeIdle removes and returns the most recently used idle connection that can carry the request, whose
-// id has the given hash, or nil if there is none.
-func (c *Client) takeIdle(address string, r Request, id uint64) *connection {
-	conn, unusable := c.searchIdle(address, r, id)
+// id has the given hash, or nil if there is none. met reports whether others have carried the id before.
+func (c *Client) takeIdle(address string, r Request, id uint64) (conn *connection, met bool) {
+	conn, unusable, met := c.searchIdle(address, r, id)
 	for _, u := range unusable {
 		u.reportIdleBytes()
 		u.close()
 	}
-	return conn
+	return conn, met
 }
 
 // searchIdle removes the connection that takeIdle returns, and those that can't carry a request any more.
-func (c *Client) searchIdle(address string, r Request, id uint64) (found *connection, unusable []*connection) {
+func (c *Client) searchIdle(address string, r Request, id uint64) (found *connection, unusable []*connection, met bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -344,18 +347,22 @@
 	for i := len(list) - 1; i >= 0; i-- {
 		conn := list[i]
 		if !r.Idempotent && now.Sub(conn.lastAnswer) > provenTime {
-			return nil, unusable
+			return nil, unusable, met
 		}
-		if !conn.mayCarry(r.Method, id) {
+		if conn.headOnly != (r.Method == http.MethodHead) {
+			continue
+		}
+		if slices.Contains(conn.carried, id) {
+			met = true
 			continue
 		}
 		list = slices.Delete(list, i, i+1)
 		if now.Before(conn.usableUntil) && conn.isUsable() {
-			return conn, unusable
+			return conn, unusable, met
 		}
 		unusable = append(unusable, conn)
 	}
-	return nil, unusable
+	return nil, unusable, met
 }
 
 // putIdle keeps the connection for later requests, or closes it if it is broken.
