--- a/internal/standin/soak/backend.go
+++ b/internal/standin/soak/backend.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tamarackrun/platform/standin"
@@ -25,6 +26,8 @@
 
 	// restarting is held by a disturbance that stops and starts the server.
 	restarting sync.Mutex
+	// copies decides which answers the server writes once more; nil if none.
+	copies atomic.Pointer[copyPolicy]
 
 	mu     sync.Mutex
 	server *standin.Server
@@ -37,6 +40,9 @@
 	domain    string
 }
 
+// copyPolicy decides by the status of an answer, as the field Copy of a standin.CopyListener does.
+type copyPolicy = func(status int) (delay time.Duration, copied bool)
+
 // start starts the server with a new id and writes its record to the store. The
 // server is cold for the given time.
 func (b *backend) start(cold time.Duration) error {
@@ -46,29 +52,58 @@
 	if err != nil {
 		return err
 	}
-	b.starts++
-	b.server = standin.NewServer(fmt.Sprintf("%s-%d", b.name, b.starts))
-	b.server.Service, b.server.Zone, b.server.OnRun = b.service, b.domain, b.onRun
 	if b.link == nil {
 		if b.link, err = newLink(""); err != nil {
 			return err
 		}
 	}
-	b.server.Address = b.link.address()
-	b.http = &http.Server{Handler: b.server, ReadHeaderTimeout: 5 * time.Second}
+	b.newServer()
+	b.http = &http.Server{Handler: http.HandlerFunc(b.serve), ReadHeaderTimeout: 5 * time.Second}
 	server := b.http
-	b.onStart(b.server.ID(), b.domain)
-	b.startedAt = time.Now()
 	if cold > 0 {
 		b.server.SetColdUntil(b.startedAt.Add(cold))
 		b.onColdStart(b.server.ID(), b.startedAt)
 	}
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(&standin.CopyListener{Listener: listener, Copy: b.copied}) }()
 	b.link.retarget(listener.Addr().String())
 	b.store.PutServer(b.server, false, cold, b.startedAt)
 	return nil
 }
 
+// newServer makes another server with a new id, which starts now, the backend's. The caller holds b.mu.
+func (b *backend) newServer() {
+	b.starts++
+	b.server = standin.NewServer(fmt.Sprintf("%s-%d", b.name, b.starts))
+	b.server.Service, b.server.Zone, b.server.OnRun, b.server.Address = b.service, b.domain, b.onRun, b.link.address()
+	b.onStart(b.server.ID(), b.domain)
+	b.startedAt = time.Now()
+}
+
+// replace lets another server, which is not cold, take over the address and the open connections. The old
+// server answers the requests that it has begun. Its record stays in the store.
+func (b *backend) replace() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.newServer()
+	b.store.PutServer(b.server, false, 0, b.startedAt)
+}
+
+// serve passes a request to the server of this moment.
+func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	server := b.server
+	b.mu.Unlock()
+	server.ServeHTTP(w, r)
+}
+
+// copied applies the policy of this moment.
+func (b *backend) copied(status int) (time.Duration, bool) {
+	if policy := b.copies.Load(); policy != nil {
+		return (*policy)(status)
+	}
+	return 0, false
+}
+
 // turnCold makes the running server cold. Its record says so only after the delay.
 func (b *backend) turnCold(cold, delay time.Duration) {
 	b.mu.Lock()
--- a/internal/standin/soak/callers.go
+++ b/internal/standin/soak/callers.go
@@ -45,7 +45,7 @@
 		for ctx.Err() == nil {
 			batch := h.newBatch(r, number, instance, sent)
 			sent += len(batch)
-			if !h.exchange(c, reader, batch) {
+			if !h.exchange(c, reader, batch) || !h.exchangeAgain(c, reader, batch) {
 				break
 			}
 			h.pauseCaller(ctx, r)
--- a/internal/standin/soak/harness.go
+++ b/internal/standin/soak/harness.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tamarackrun/internal/state/sla"
@@ -87,6 +88,8 @@
 	backends     []*backend
 	history      history
 	disturbances disturbanceLog
+	// sendingAgain is the number of disturbances in which callers send refused orders again.
+	sendingAgain atomic.Int32
 
 	mu sync.Mutex
 	// desired is the latest desired state, and routeChanges holds the services
--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -78,6 +78,16 @@
 	h.calls[c.ID] = c
 }
 
+// checkRefused checks that an order which its caller sends again after a refusal has not run (REFUSED).
+func (h *history) checkRefused(c *call) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(c.executions) > 0 {
+		h.addViolationLocked("REFUSED", "%s got %d, ran at %s and is sent again", c.ID, c.status, c.executions[0].server)
+	}
+	c.status, c.ended = 0, time.Time{}
+}
+
 // recordExecution records a request that a server runs and checks that it is as a
 // caller sent it. sender is the index of the instance that has sent it to the server.
 func (h *history) recordExecution(x standin.Execution, sender int) {
--- a/internal/standin/soak/kinds.go
+++ b/internal/standin/soak/kinds.go
@@ -85,6 +85,7 @@
 	for range crashes.IntN(maxCrashing) {
 		schedule(crashes, crashServers)
 	}
+	h.disturbByCopies(seed, schedule)
 }
 
 // sleep waits for the duration or until the context ends.
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -318,6 +319,53 @@
 	}
 }
 
+// Guards against a check that loses what the refused attempt of an order did once its caller has sent the order again, or that
+// takes the run of the second attempt for one of the first.
+func TestRefusedOrderIsSentAgain(t *testing.T) {
+	tests := map[string]struct {
+		runsBefore, runsAfter, status int
+		want                          []string
+	}{
+		"the second attempt runs":               {0, 1, 200, nil},
+		"both are refused":                      {0, 0, 503, nil},
+		"the first runs":                        {1, 0, 503, []string{"REFUSED"}},
+		"the first runs, the outcome is hidden": {1, 0, 502, []string{"REFUSED"}},
+		"the first runs late":                   {0, 1, 503, []string{"REFUSED"}},
+		"both run":                              {0, 2, 200, []string{"TWICE"}},
+		"the second has no answer":              {0, 1, 0, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newEmptyHarness()
+			h.disturbances.list = []*disturbance{{scope: atServer, from: at(0)}}
+			c := &call{Call: standin.Call{ID: "c1"}, route: "order", organisation: free}
+			run := func(n int) {
+				for range n {
+					h.history.recordExecution(standin.Execution{ID: "c1", Server: "parcels-1", Service: "parcels", Organisation: free}, 0)
+				}
+			}
+			h.history.recordRequest(c)
+			run(test.runsBefore)
+			h.history.recordReply(c, standin.Reply{Status: 503})
+			h.history.checkRefused(c)
+			h.history.recordRequest(c)
+			run(test.runsAfter)
+			switch test.status {
+			case 0:
+				h.history.recordEnd([]*call{c}, true, false)
+			case http.StatusOK:
+				h.history.recordReply(c, standin.Reply{Status: test.status, ID: "c1", Signature: standin.Signature("parcels-1", "c1"),
+					Body: standin.Answer("", "", "")})
+			default:
+				h.history.recordReply(c, standin.Reply{Status: test.status})
+			}
+			if diff := cmp.Diff(test.want, h.brokenRules()); diff != "" {
+				t.Errorf("broken rules (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // Guards against a proxy that forwards what it should hold back, or loses it, so
 // that the soak would test nothing.
 func TestLink(t *testing.T) {
