Take a lack of sockets on this machine for no failure of a server

A dial that fails for lack of descriptors, ports or buffers is a refusal of its own, socketsExhausted. It is no evidence about the server, the links or the server's end; the request may go to a delegate.

TestLackOfSocketsIsNoFailureOfServer failed before (outcome connectFailed).

--- a/internal/program/front/crash.go
+++ b/internal/program/front/crash.go
@@ -216,6 +216,8 @@
 	for range endProbes {
 		result, fields := f.probe(ctx, server.Address, path)
 		switch {
+		case result.Outcome.Reason == tamarackrun.SocketsExhausted:
+			return ""
 		case result.Connection == 0:
 			return "connect"
 		case result.Outcome == tamarackrun.Done && fields.Server != "" && fields.Server != server.Name:
--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -109,9 +109,9 @@
 var unreachedReasons = map[tamarackrun.Reason]bool{tamarackrun.ConnectFailed: true, tamarackrun.ServerPaused: true,
 	tamarackrun.ServersUnreachable: true}
 
-// shareReasons are the reasons for which a delegate refuses because its own share of the servers' limits is
-// used up. Another one may have some left.
-var shareReasons = map[tamarackrun.Reason]bool{tamarackrun.ServerCold: true, tamarackrun.ServerLimited: true}
+// shareReasons are the reasons for which a delegate refuses because its own share of the servers' limits, or its
+// sockets, are used up. Another one may have some left.
+var shareReasons = map[tamarackrun.Reason]bool{tamarackrun.ServerCold: true, tamarackrun.ServerLimited: true, tamarackrun.SocketsExhausted: true}
 
 // refusedDelegation returns the reply of an instance that has not taken a request.
 func refusedDelegation(reason tamarackrun.Reason) *wire.Delegated {
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -265,6 +265,10 @@
 // judge records what the result of a dispatch, which was sent at the given time, shows about its
 // server and about the links to all servers.
 func (f *Front) judge(choice steer.Choice, result exchange.Result, sent time.Time) (ejected, reinstated bool) {
+	if result.Outcome.Reason == tamarackrun.SocketsExhausted {
+		f.balancer.Cancel(time.Now(), choice)
+		return false, false
+	}
 	unanswered := unansweredReasons[result.Outcome.Reason]
 	if unanswered && f.links.Inconclusive(sent) {
 		if result.Sent {
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -197,13 +197,16 @@
 	return true
 }
 
-// Connect opens a connection to the address and closes it.
+// Connect opens a connection to the address and closes it. If this machine has no socket left for it, which
+// shows nothing about the server, Connect returns nil.
 func (c *Client) Connect(ctx context.Context, address string) error {
 	conn, err := c.dial(ctx, address, "")
-	if err != nil {
+	if err != nil && !isExhausted(err) {
 		return err
 	}
-	conn.close()
+	if conn != nil {
+		conn.close()
+	}
 	return nil
 }
 
@@ -234,7 +237,10 @@
 		var err error
 		if conn, err = c.dial(ctx, address, r.Method); err != nil {
 			reason := tamarackrun.ConnectFailed
-			if ctx.Err() != nil {
+			switch {
+			case isExhausted(err):
+				reason = tamarackrun.SocketsExhausted
+			case ctx.Err() != nil:
 				reason = tamarackrun.DeadlinePassed
 			}
 			return Result{Outcome: tamarackrun.Refused(reason), Err: err}
--- a/internal/transport/exchange/exchange_test.go
+++ b/internal/transport/exchange/exchange_test.go
@@ -225,6 +225,21 @@
 	}
 }
 
+// Guards against a server, or the links to all servers, that count as failed because this machine has no socket
+// left for a connection. A source address that the machine does not have leads to an error of that kind.
+func TestLackOfSocketsIsNoFailureOfServer(t *testing.T) {
+	s, c := newScriptedServer(t), newClient(t)
+	c.Source = netip.MustParseAddr("192.0.2.1")
+	address := s.listener.Addr().String()
+	result := c.Do(t.Context(), address, testRequest("a", false))
+	if diff := cmp.Diff(tamarackrun.Refused(tamarackrun.SocketsExhausted), result.Outcome); diff != "" || result.Sent {
+		t.Errorf("outcome (-want +got):\n%s sent %v", diff, result.Sent)
+	}
+	if err := c.Connect(t.Context(), address); err != nil {
+		t.Errorf("Connect: %v", err)
+	}
+}
+
 // Guards against non-idempotent requests on connections that the server may have
 // closed without notice.
 func TestNonIdempotentRequestNeedsProvenConnection(t *testing.T) {
--- a/internal/transport/exchange/socket.go
+++ b/internal/transport/exchange/socket.go
@@ -88,3 +88,14 @@
 	}
 	return n, err
 }
+
+// isExhausted reports whether a connection could not be opened because this process or machine has no file
+// descriptors, ports or buffers left.
+func isExhausted(err error) bool {
+	for _, cause := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
--- a/outcome.go
+++ b/outcome.go
@@ -43,6 +43,7 @@
 //     taken the request.
 //   - DelegateFull, DelegateChanged: the instance that was asked to send the request to a server has
 //     too many requests of others, or its process is another one than the sender knows.
+//   - SocketsExhausted: this machine had no file descriptor, port or buffer left for a connection to a server.
 //   - ServerLeaving, ServerResting: the servers that may run the request have said in their
 //     answers that they are leaving, or that they want no requests for some time.
 //   - NotHome: the instance that was asked is not the home of the server.
@@ -83,6 +84,7 @@
 	ServerCold         Reason = "serverCold"
 	EndsServers        Reason = "endsServers"
 	ConnectFailed      Reason = "connectFailed"
+	SocketsExhausted   Reason = "socketsExhausted"
 	ConnectionsFull    Reason = "connectionsFull"
 	HomeUnreachable    Reason = "homeUnreachable"
 	NotHome            Reason = "notHome"
