Close idle connections of callers before descriptors run out

Callers repeat on new connections and leave the old ones open; the connections took all descriptors, so that the listener could not accept and no server could be reached.

Callers' connections take 7/10 of the machine's descriptors (max-fds of the settings) at most. Beyond that, those that have been idle the longest are closed; if all have requests, a new one is closed unread.

--- a/fleet.go
+++ b/fleet.go
@@ -128,6 +128,8 @@
 	FirstStart bool
 	// MemoryBytes is the memory that the process may use; 0 if it is not known.
 	MemoryBytes int64
+	// FileDescriptors is the number of descriptors that the process may open; 0 if it is not known.
+	FileDescriptors int
 	// LinkBytes is the rate of the machine's link in bytes per second; 0 if it is not known.
 	LinkBytes int64
 }
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -63,6 +63,9 @@
 	// digestFraction is the part of the link's rate at which messages to many instances are sent.
 	// The rest is for requests.
 	digestFraction = 0.5
+	// callersFraction is the part of the file descriptors for callers' connections. The rest is for connections to
+	// servers, other instances and the store.
+	callersFraction = 0.7
 	// bodiesFraction is the part of the machine's memory for the bodies of requests,
 	// and the part for the bodies of answers.
 	bodiesFraction = 0.125
@@ -291,6 +294,9 @@
 	if f.Identity.MemoryBytes > 0 {
 		callers.Bodies.Limit = int64(bodiesFraction * float64(f.Identity.MemoryBytes))
 	}
+	callers.MaxConnections = int(callersFraction * float64(f.Identity.FileDescriptors))
+	evicted := meter.Scope.Counter("evicted_caller_connections")
+	callers.OnEvict = func(n int) { evicted.Inc(int64(n)) }
 	f.callerServer = callers
 	go f.runListener(callers.Run)
 	for address, handler := range map[string]http.Handler{
--- a/internal/transport/pipeline/connection.go
+++ b/internal/transport/pipeline/connection.go
@@ -46,10 +46,15 @@
 	cancel context.CancelFunc
 	// pendingAnswers holds the unanswered requests in the order of arrival.
 	pendingAnswers chan *pendingAnswer
+	// evicted is true once the server has chosen the connection to make room for others. The server's mutex
+	// protects it.
+	evicted bool
 
 	mu sync.Mutex
 	// unanswered is the number of requests that were read but not answered.
 	unanswered int
+	// closingIdle reports whether the connection is closed as soon as it has no request.
+	closingIdle bool
 	// closing reports whether it was decided to close the connection. Requests
 	// that are read later must not be dispatched.
 	closing bool
@@ -167,9 +172,15 @@
 		return false
 	}
 	c.unanswered++
+	if c.unanswered == 1 {
+		c.server.setIdle(c, false)
+	}
 	return true
 }
 
+// closesIdle reports whether the connection is closed as soon as it has no request. The caller holds c.mu.
+func (c *connection) closesIdle() bool { return c.closingIdle || c.server.closingIdle.Load() }
+
 // isClosing reports whether it was decided to close the connection.
 func (c *connection) isClosing() bool {
 	c.mu.Lock()
@@ -183,7 +194,7 @@
 func (c *connection) mayStopReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closing || c.server.closingIdle.Load() && c.unanswered == 0 && c.reader.Buffered() == 0
+	return c.closing || c.closesIdle() && c.unanswered == 0 && c.reader.Buffered() == 0
 }
 
 // awaitAnswers waits until all requests that were read are answered, or the
@@ -393,7 +404,7 @@
 func (c *connection) decideClose(pending *pendingAnswer) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if pending.closeAfter || c.server.closingIdle.Load() && c.unanswered == 1 {
+	if pending.closeAfter || c.closesIdle() && c.unanswered == 1 {
 		c.closing = true
 	}
 	return c.closing
@@ -404,11 +415,15 @@
 func (c *connection) answerWritten(closes bool) {
 	c.mu.Lock()
 	c.unanswered--
-	if c.server.closingIdle.Load() {
+	idle := c.unanswered == 0
+	if c.closesIdle() {
 		c.stopReadingIfIdle()
 	}
 	c.allAnswered.Broadcast()
 	c.mu.Unlock()
+	if idle && !closes {
+		c.server.setIdle(c, true)
+	}
 	if closes {
 		c.closeWritten = true
 		c.stopReading()
@@ -436,6 +451,14 @@
 	c.stopReadingIfIdle()
 }
 
+// closeWhenIdle closes the connection as soon as it has no request.
+func (c *connection) closeWhenIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closingIdle = true
+	c.stopReadingIfIdle()
+}
+
 // stopReadingIfIdle ends the current read if the connection has no request. The reading
 // goroutine then closes the connection, unless a request has arrived at the same time:
 // closing it here would drop a request that the process has read. The caller holds c.mu,
--- a/internal/transport/pipeline/pipeline.go
+++ b/internal/transport/pipeline/pipeline.go
@@ -89,6 +89,13 @@
 	// Bodies is the memory for the bodies of requests; requests beyond it are refused.
 	// Its limit is set before Run.
 	Bodies memory.Budget
+	// MaxConnections bounds the callers' connections; 0 means no bound. At the bound, those that have been idle the
+	// longest are closed in favour of new ones, and if all have requests, a new one is closed unread. It is set
+	// before Run.
+	MaxConnections int
+	// OnEvict is called with the number of connections that are closed to make room for others. It may be nil. It
+	// is set before Run.
+	OnEvict func(n int)
 
 	listener net.Listener
 	// closingIdle reports whether connections are closed as soon as they are
@@ -101,6 +108,10 @@
 	// connections holds all open connections, and ended is signalled when one has ended.
 	connections map[*connection]struct{}
 	ended       *sync.Cond
+	// idle holds the connections without a request but for the evicted ones, and evicted is the number of
+	// connections that are closed as soon as they have no request.
+	idle    idleConnections
+	evicted int
 }
 
 // New listens on the address. The clean-up function closes the listener and all
@@ -127,23 +138,80 @@
 			return nil
 		}
 		if err != nil {
+			// Descriptors may be used up below the bound.
+			s.makeRoom(1)
 			time.Sleep(acceptPause)
 			continue
 		}
 		c := newConnection(s, conn)
-		s.mu.Lock()
-		s.connections[c] = struct{}{}
-		s.mu.Unlock()
+		s.makeRoom(s.add(c))
 		go func() {
 			c.run()
-			s.mu.Lock()
-			delete(s.connections, c)
-			s.ended.Broadcast()
-			s.mu.Unlock()
+			s.remove(c)
 		}()
 	}
 }
 
+// remove forgets a connection that has ended.
+func (s *Server) remove(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.connections, c)
+	s.idle.remove(c)
+	if c.evicted {
+		s.evicted--
+	}
+	s.ended.Broadcast()
+}
+
+// add adds a connection and returns by how many there are more than MaxConnections.
+func (s *Server) add(c *connection) (excess int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.connections[c] = struct{}{}
+	if s.MaxConnections == 0 {
+		return 0
+	}
+	s.idle.add(c)
+	return len(s.connections) - s.evicted - s.MaxConnections
+}
+
+// makeRoom closes the connections that have been idle the longest, if there are too many. It closes some more than
+// the excess, but at most half of the idle ones unless that is none.
+func (s *Server) makeRoom(excess int) {
+	if s.MaxConnections == 0 || excess <= 0 {
+		return
+	}
+	n := excess + s.MaxConnections/evictionBatch
+	s.mu.Lock()
+	oldest := s.idle.takeOldest(max(1, min(n, s.idle.order.Len()/2)))
+	for _, c := range oldest {
+		c.evicted = true
+	}
+	s.evicted += len(oldest)
+	s.mu.Unlock()
+	for _, c := range oldest {
+		c.closeWhenIdle()
+	}
+	if s.OnEvict != nil {
+		s.OnEvict(len(oldest))
+	}
+}
+
+// setIdle records whether a connection has no request.
+func (s *Server) setIdle(c *connection, idle bool) {
+	if s.MaxConnections == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if idle && !c.evicted {
+		s.idle.add(c)
+	} else {
+		s.idle.remove(c)
+	}
+}
+
 // CloseIdle closes the connections that have no request, and the others as soon as
 // they have none. A request that arrives while its connection is being closed is not
 // dispatched.
--- a/internal/transport/pipeline/pipeline_test.go
+++ b/internal/transport/pipeline/pipeline_test.go
@@ -73,7 +73,8 @@
 	reader *bufio.Reader
 }
 
-func startServer(t *testing.T) (*Server, *gatedHandler, *client) {
+// newServer returns a server that does not run yet.
+func newServer(t *testing.T) (*Server, *gatedHandler) {
 	t.Helper()
 	s, cleanup, err := New("127.0.0.1:0")
 	if err != nil {
@@ -82,6 +83,12 @@
 	t.Cleanup(cleanup)
 	g := newGatedHandler()
 	s.Handler = g
+	return s, g
+}
+
+func startServer(t *testing.T) (*Server, *gatedHandler, *client) {
+	t.Helper()
+	s, g := newServer(t)
 	go func() { _ = s.Run() }()
 	return s, g, dial(t, s)
 }
