--- a/internal/transport/exchange/connection.go
+++ b/internal/transport/exchange/connection.go
@@ -66,15 +66,6 @@
 	return Use{Connection: c.number, Carried: len(c.carried), Age: time.Since(c.openedAt)}
 }
 
-// reportDrop reports bytes that are dropped.
-func (c *connection) reportDrop(d Dropped) {
-	if c.onDrop == nil {
-		return
-	}
-	d.Address, d.Use = c.address, c.use()
-	c.onDrop(d)
-}
-
 func (c *connection) close() { _ = c.Close() }
 
 // Errors of invalid answers.
