Reject heads that are made of two answers

An order that ran was sent to another server, or refused, if its server cut an answer off in its head and went on with another one on a connection that had carried other requests.

Cause: a cut within the status line or a field's value joins the two into one valid head, whose value takes the second status line, and the fields of both counted. An answer that is cut off, with the copy of an earlier refusal behind it, had the id of the one and "not run" of the other. A copied 421 that is cut off in its reason, with the true answer behind it, has exactly the id of the request under way, so that an id that is on the connection only once doesn't tell.

An answer begins with a status line, which no field of one contains, so that another one in the head shows that the head is not one answer. The outcome is unknown then, and the connection is closed.

--- a/internal/transport/exchange/connection.go
+++ b/internal/transport/exchange/connection.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -72,6 +74,7 @@
 var (
 	errOtherAnswers = errors.New("the server sent only answers to other requests")
 	errInterim      = fmt.Errorf("the server sent more than %d interim answers", maxInterimAnswers)
+	errJoined       = errors.New("the head of the server's answer is made of two answers")
 	errUnproven     = errors.New("the status of the server's answer says that the request has not run, and its header doesn't")
 	errUnsigned     = errors.New("the server's 2xx answer has no signature or no request id")
 )
@@ -203,6 +206,9 @@
 		if err != nil {
 			return nil, nil, 0, err
 		}
+		if isJoined(response) {
+			return nil, nil, 0, errJoined
+		}
 		if response.StatusCode/100 == 1 {
 			continue
 		}
@@ -220,6 +226,30 @@
 	return nil, nil, 0, errInterim
 }
 
+// statusLine matches the beginning of an answer.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-9][0-9]{2}`)
+
+// containsStatusLine reports whether another answer begins in the text.
+func containsStatusLine(text string) bool {
+	// The expression takes several times as long.
+	return strings.Contains(text, "HTTP/1.") && statusLine.MatchString(text)
+}
+
+// isJoined reports whether another answer begins within the head of an answer. A server that cuts an answer off and
+// goes on with another one, such as the copy of an earlier refusal, joins their fields into one head. If the cut is
+// between two fields or in the name of one, the head is not valid in any case.
+func isJoined(response *http.Response) bool {
+	if containsStatusLine(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, containsStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
 // setUsableUntil sets how long the connection may be used again after an answer, or
 // marks it as broken.
 func (c *connection) setUsableUntil(response *http.Response) {
