Prefer requests that can still be answered in time when a limit is used up

Of 5,256 catalogue requests served in 3 s, 1,636 were first tries; these were answered 0.21 s after they had arrived (median), those with two or more tries 0.30 to 0.42 s, of which the wait between the tries is most. Ruled out: processor time (timers fire 29 ms late at most, 1 ms on average), queues in the instance (waited 77 ms at p99).

Change: a request whose caller has less time left than the most patient one of its organisation and route, by the target latency and a fifth of that time, gets a token only if a quarter of the bucket stays. The limit is used as before. Log fields timeLeft and late.

--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -44,6 +44,9 @@
 	// organisation's limit is held by one instance of each region. Split over many
 	// instances, it would be fractions of tokens, and requests inside it would be refused.
 	concentratedRate = 0.5
+	// spareFraction is the part of a bucket that late requests leave for others. If an organisation stays within
+	// its limit, its buckets are nearly full.
+	spareFraction = 0.25
 	// minCapacity is the least capacity of a bucket, in requests. With a capacity
 	// below 1 no request could ever be admitted.
 	minCapacity = 1
@@ -168,6 +171,16 @@
 // Admit counts a request and takes a token for it. If there is none, retryAfter is
 // the time until there will be one.
 func (l *Limiter) Admit(now time.Time, organisation configuration.Organisation) (admitted bool, retryAfter time.Duration) {
+	return l.admit(now, organisation, 0)
+}
+
+// AdmitSpare is like Admit, but leaves spareFraction of the bucket for requests that can still be answered in time.
+func (l *Limiter) AdmitSpare(now time.Time, organisation configuration.Organisation) (admitted bool, retryAfter time.Duration) {
+	return l.admit(now, organisation, spareFraction)
+}
+
+// admit counts a request and takes a token for it if the given part of the bucket stays filled.
+func (l *Limiter) admit(now time.Time, organisation configuration.Organisation, left float64) (admitted bool, retryAfter time.Duration) {
 	if organisation.Rate <= 0 {
 		return true, 0
 	}
@@ -190,11 +203,13 @@
 	b.limit, b.extraCapacity = organisation, capacityTolerance*l.tolerance(organisation)
 	b.demand += 1 / demandTimeConstant.Seconds()
 	b.tokens = min(b.tokens, b.capacity())
-	if b.tokens >= 1 {
+	// A small bucket has no more than one token at any time.
+	needed := min(b.capacity(), 1+left*b.capacity())
+	if b.tokens >= needed {
 		b.tokens--
 		return true, 0
 	}
-	return false, time.Duration((1 - b.tokens) / max(b.share*b.limit.Rate, 0.1) * float64(time.Second))
+	return false, time.Duration((needed - b.tokens) / max(b.share*b.limit.Rate, 0.1) * float64(time.Second))
 }
 
 // tolerance returns the instance's equal share of what the bound allows beyond the
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -327,7 +327,7 @@
 		"serverDomain", choice.Server.FailureDomain, "serverRegion", choice.Server.Region, "rank", strconv.Itoa(choice.Rank), "outstanding", strconv.Itoa(choice.Outstanding),
 		"recordAge", time.Since(choice.Server.ReceivedAt).Round(time.Millisecond).String(),
 		"configuration", strconv.FormatInt(req.configuration.Version, 10),
-		"waited", sent.Sub(req.call.Arrived).Round(time.Millisecond).String(), "took", time.Since(sent).Round(time.Millisecond).String(),
+		"timeLeft", req.caller.Timeout.String(), "waited", sent.Sub(req.call.Arrived).Round(time.Millisecond).String(), "took", time.Since(sent).Round(time.Millisecond).String(),
 		"outcome", result.Outcome.String(), "status", strconv.Itoa(result.Status), "reused", strconv.FormatBool(result.Carried > 0)}
 	if result.Connection != 0 {
 		fields = append(fields, "address", choice.Server.Address, "connection", strconv.FormatUint(result.Connection, 10),
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -27,6 +27,7 @@
 	"tamarackrun/internal/coordination/delegation"
 	"tamarackrun/internal/coordination/directory"
 	"tamarackrun/internal/coordination/follow"
+	"tamarackrun/internal/coordination/lateness"
 	"tamarackrun/internal/coordination/linkcheck"
 	"tamarackrun/internal/coordination/loan"
 	"tamarackrun/internal/coordination/membership"
@@ -98,6 +99,7 @@
 	members       *membership.Membership
 	limiter       *quota.Limiter
 	loans         *loan.Broker
+	lateness      lateness.Estimator
 	balancer      *steer.Balancer
 	coldLimiter   *coldstart.Limiter
 	serverLimiter *serverlimit.Limiter
@@ -473,6 +475,7 @@
 		now := time.Now()
 		f.registry.Sweep(now)
 		f.coldLimiter.DropIdle(now)
+		f.lateness.Forget(now)
 		f.forgetSuspects(now)
 		f.repeatEnds(now)
 		addresses := f.registry.Addresses()
--- a/internal/program/front/serve.go
+++ b/internal/program/front/serve.go
@@ -80,6 +80,8 @@
 	organisation  configuration.Organisation
 	service       string
 	deadline      time.Time
+	// late reports whether the caller has probably waited for the route's target latency already.
+	late bool
 	// loan is the outcome of asking other instances for a rate limit token; empty if that
 	// was not necessary. lender is the instance that granted the token of a concentrated
 	// limit, or not valid.
@@ -150,6 +152,7 @@
 		return tamarackrun.KeyUnknown, 0
 	}
 	req.organisation = c.Organisations[key.Organisation]
+	req.late = f.lateness.Late(req.call.Arrived, req.organisation.Name, req.route.Name, req.caller.Timeout, req.route.TargetLatency)
 	return f.takeToken(ctx, req)
 }
 
@@ -186,6 +189,7 @@
 	}
 	status, header := f.HeaderCodec.EncodeOutcome(outcome, retryAfter)
 	fields := []string{"outcome", outcome.String(), "status", strconv.Itoa(status), "returnAfter", retryAfter.String(),
+		"timeLeft", req.caller.Timeout.String(), "late", strconv.FormatBool(req.late),
 		"route", req.route.Name, "service", req.service, "organisation", req.organisation.Name,
 		"configuration", strconv.FormatInt(f.configurationVersion(), 10), "configurationAge", f.configurationAge().String()}
 	if outcome.Reason == tamarackrun.RateExceeded {
--- a/internal/program/front/tokens.go
+++ b/internal/program/front/tokens.go
@@ -31,7 +31,11 @@
 			return f.askHolders(ctx, req, holder)
 		}
 	}
-	admitted, retryAfter := f.limiter.Admit(time.Now(), req.organisation)
+	admit := f.limiter.Admit
+	if req.late {
+		admit = f.limiter.AdmitSpare
+	}
+	admitted, retryAfter := admit(time.Now(), req.organisation)
 	if admitted {
 		return "", 0
 	}
