Let callers of the soak repeat refused requests in storms

The time-outs of routes (CONFIG) and all other rules are checked as before. The rule RECOVER counts first tries, so repeats do not count for it; no kind sent any before.

--- a/internal/standin/soak/callers.go
+++ b/internal/standin/soak/callers.go
@@ -45,7 +45,7 @@
 		for ctx.Err() == nil {
 			batch := h.newBatch(r, number, instance, sent)
 			sent += len(batch)
-			if !h.exchange(c, reader, batch) || !h.exchangeAgain(c, reader, batch) {
+			if !h.exchange(c, reader, batch) || !h.exchangeAgain(c, reader, batch) || !h.exchangeRepeats(c, reader, batch, number) {
 				break
 			}
 			h.pauseCaller(ctx, r)
@@ -59,6 +59,9 @@
 	h.mu.Lock()
 	speedup := h.speedup
 	h.mu.Unlock()
+	if h.storms.Load() > 0 {
+		speedup = max(speedup, stormSpeedup)
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(time.Duration(r.Int64N(int64(maxPause))) / time.Duration(speedup)):
--- a/internal/standin/soak/checks.go
+++ b/internal/standin/soak/checks.go
@@ -80,12 +80,12 @@
 }
 
 // servedFraction returns the fraction of the requests of a time span that were
-// served. It leaves out the organisation that exceeds its rate and requests with
-// a revoked key.
+// served. It leaves out the organisation that exceeds its rate, requests with
+// a revoked key, and repeats.
 func (h *harness) servedFraction(calls []*call, from, to time.Time) float64 {
 	sent, served := 0, 0
 	for _, c := range calls {
-		if c.organisation != limited && !h.revoked(c.Key) && !c.unread && !c.crashing() && c.sent.After(from) && c.sent.Before(to) {
+		if c.organisation != limited && !h.revoked(c.Key) && !c.unread && !c.repeat && !c.crashing() && c.sent.After(from) && c.sent.Before(to) {
 			sent++
 			if c.status == 200 {
 				served++
@@ -228,13 +228,13 @@
 		})
 }
 
-// checkCutFromServers checks that callers of instances that are cut off from all servers are served
-// two thirds as often as those of the others (RECOVER).
+// checkCutFromServers checks that first tries at instances that are cut off from all servers are served
+// two thirds as often as those at the others (RECOVER).
 func (h *harness) checkCutFromServers(calls []*call) {
 	type count struct{ sent, served int }
 	var cut, others count
 	for _, c := range calls {
-		if c.organisation == limited || h.revoked(c.Key) || c.unread || c.crashing() || !h.disturbances.connected(c.instance, c.sent, c.sent) {
+		if c.organisation == limited || h.revoked(c.Key) || c.unread || c.repeat || c.crashing() || !h.disturbances.connected(c.instance, c.sent, c.sent) {
 			continue
 		}
 		own := func(d *disturbance) bool { return d.scope == atLinks && d.instance == c.instance }
--- a/internal/standin/soak/harness.go
+++ b/internal/standin/soak/harness.go
@@ -90,6 +90,8 @@
 	disturbances disturbanceLog
 	// sendingAgain is the number of disturbances in which callers send refused orders again.
 	sendingAgain atomic.Int32
+	// storms is the number of storms of repeats under way.
+	storms atomic.Int32
 
 	mu sync.Mutex
 	// desired is the latest desired state, and routeChanges holds the services
--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -17,7 +17,9 @@
 	idempotent   bool
 	organisation string
 	instance     int
-	sent         time.Time
+	// repeat reports whether the caller has sent the request before, with another id.
+	repeat bool
+	sent   time.Time
 	// ended is when the reply was complete or the connection ended; zero if
 	// neither happened while the caller waited.
 	ended  time.Time
--- a/internal/standin/soak/kinds.go
+++ b/internal/standin/soak/kinds.go
@@ -86,6 +86,7 @@
 		schedule(crashes, crashServers)
 	}
 	h.disturbByCopies(seed, schedule)
+	h.disturbByStorms(seed, schedule)
 }
 
 // sleep waits for the duration or until the context ends.
