Go on asking a delegate whose servers have crashed

Cause: a delegate that refused one request because no server took a connection was left out for 1.5 s, as if it had lost its links. When requests end servers, the delegate's own callers meet the same refusals, but the next request of theirs is sent.

Change: such a delegate is one of the last choices for 1.5 s, and is asked if there is no other. Only one that says that it has lost its links is left out. The delegate's word on its link check was weighed as the criterion and not used: while servers crash, failures keep the check due for most of the time, so that the word says nothing, and an order of choice needs no new field on the wire.

--- a/internal/coordination/delegation/delegation.go
+++ b/internal/coordination/delegation/delegation.go
@@ -19,6 +19,9 @@
 	// leavingPenalty makes an instance that is leaving the last choice. It may be the only one with
 	// links to the servers.
 	leavingPenalty = 1000
+	// doubtPenalty makes an instance that may have lost its links one of the last choices. It may be the only one that
+	// has them.
+	doubtPenalty = 1000
 	// maxOutstanding bounds the outstanding requests of this instance at one delegate.
 	maxOutstanding = 256
 	// leadLifetime is how long the smallest delay of a clock value counts. Clocks drift apart.
@@ -26,6 +29,9 @@
 	// avoidTime is how long a delegate that can't help is not asked again. Its reports say so after
 	// three intervals of 0.5 s at most.
 	avoidTime = 1500 * time.Millisecond
+	// doubtTime is how long a delegate that could not connect to servers counts as doubtful. By then it has noticed that
+	// its links are lost, and has reported it.
+	doubtTime = avoidTime
 )
 
 // delegate is what the instance knows of one delegate.
@@ -37,8 +43,9 @@
 	lead    time.Duration
 	// leadAt is when the lead was computed.
 	leadAt time.Duration
-	// avoidUntil is the time until which the delegate is not chosen.
-	avoidUntil time.Duration
+	// avoidUntil is the time until which the delegate is not chosen, and doubtUntil that until which it is one of the last
+	// choices.
+	avoidUntil, doubtUntil time.Duration
 }
 
 // Pool holds the delegates of one instance. Its exported fields are set before the first call. It is
@@ -80,6 +87,9 @@
 		if m.Leaving {
 			load += leavingPenalty
 		}
+		if p.Clock.Now() < d.doubtUntil {
+			load += doubtPenalty
+		}
 		if best.Name == "" || load < bestLoad {
 			best, bestLoad = m, load
 		}
@@ -117,6 +127,13 @@
 	p.get(name).avoidUntil = p.Clock.Now() + avoidTime
 }
 
+// Doubt records that a delegate could not connect to servers. Either the servers have failed, or its links to them.
+func (p *Pool) Doubt(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.get(name).doubtUntil = p.Clock.Now() + doubtTime
+}
+
 // Forget drops the clock of a delegate, whose process may be another one now.
 func (p *Pool) Forget(name string) {
 	p.mu.Lock()
--- a/internal/coordination/delegation/delegation_test.go
+++ b/internal/coordination/delegation/delegation_test.go
@@ -87,3 +87,23 @@
 		t.Errorf("a request is sent to the same delegate again: %q", m.Name)
 	}
 }
+
+// Guards against requests that go to a delegate which has probably lost its links while another one has them, and against
+// requests that go nowhere because the servers of all delegates have crashed.
+func TestDoubtfulDelegatesAreLast(t *testing.T) {
+	members := []membership.Member{member("near", "a", nil), member("far", "b", nil)}
+	p := &Pool{Name: "self", Region: "a", Clock: &clock{}, Members: func() []membership.Member { return members }}
+	p.Doubt("near")
+	for range 2 * farPenalty {
+		if m, _ := p.Choose(nil, nil); m.Name != "far" {
+			t.Fatalf("a request goes to %q, which could not connect to servers", m.Name)
+		}
+	}
+	if m, _ := p.Choose(nil, []string{"far"}); m.Name != "near" {
+		t.Errorf("a request goes to %q, want the only delegate that has not been asked", m.Name)
+	}
+	p.Clock.(*clock).now += doubtTime
+	if m, _ := p.Choose(nil, nil); m.Name != "near" {
+		t.Errorf("a request goes to %q, want the nearest delegate again", m.Name)
+	}
+}
--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -82,14 +82,14 @@
 		if reply.Refused {
 			continue
 		}
-		if unreachedReasons[result.Outcome.Reason] {
-			// The delegate has probably lost its links too.
+		a.retryAfter = time.Duration(reply.RetryAfterMillis) * time.Millisecond
+		switch reason := result.Outcome.Reason; {
+		case reason == tamarackrun.ServersUnreachable:
 			f.delegates.Avoid(m.Name)
-			a.outcome = outcomeAfter(a.outcome, result.Outcome)
-			continue
+		case unreachedReasons[reason]:
+			f.delegates.Doubt(m.Name)
 		}
-		a.retryAfter = time.Duration(reply.RetryAfterMillis) * time.Millisecond
-		if shareReasons[result.Outcome.Reason] {
+		if unreachedReasons[result.Outcome.Reason] || shareReasons[result.Outcome.Reason] {
 			a.outcome = outcomeAfter(a.outcome, result.Outcome)
 			continue
 		}
@@ -105,7 +105,8 @@
 	return false
 }
 
-// unreachedReasons are the reasons for which a delegate that reaches the servers would not refuse.
+// unreachedReasons are the reasons for which a delegate refuses that has lost its links to the servers. It also does for all
+// but ServersUnreachable if the servers have failed, so that the other delegates would refuse as well.
 var unreachedReasons = map[tamarackrun.Reason]bool{tamarackrun.ConnectFailed: true, tamarackrun.ServerPaused: true,
 	tamarackrun.ServersUnreachable: true}
 
--- a/internal/program/front/delegation_test.go
+++ b/internal/program/front/delegation_test.go
@@ -61,6 +61,45 @@
 	return &wire.Envelope{Kind: &wire.Envelope_Delegated{Delegated: reply}}
 }
 
+// entryWithDelegates returns an instance that knows delegates, which send the scripts, and the scripts that they have not sent.
+func entryWithDelegates(t *testing.T, delegates int, list [][]*wire.Envelope) (*Front, chan []*wire.Envelope) {
+	t.Helper()
+	mesh, closeMesh, err := peer.New("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(closeMesh)
+	scripts := make(chan []*wire.Envelope, len(list))
+	for _, s := range list {
+		scripts <- s
+	}
+	mesh.Handler = scriptedDelegates{t, scripts}
+	go func() { _ = mesh.Run() }()
+	f := New(sla.Terms{RetrySlack: 50}.WithDefaults())
+	f.history = &history.History{Logger: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, Scope: tally.NoopScope}
+	f.HeaderCodec, f.mesh = plainCodec{}, mesh
+	client, closeClient := exchange.New()
+	t.Cleanup(closeClient)
+	f.backendClient = client
+	f.delegates = &delegation.Pool{Clock: boottime.Clock{}, Members: func() []membership.Member {
+		var members []membership.Member
+		for i := range delegates {
+			members = append(members, membership.Member{Name: strconv.Itoa(i), HeardRecently: true, Ready: true,
+				InstanceRecord: tamarackrun.InstanceRecord{ReportAddress: mesh.Address()}})
+		}
+		return members
+	}}
+	return f, scripts
+}
+
+// delegableAttempts returns the attempts of a request that has not been sent.
+func delegableAttempts(idempotent bool) *attempts {
+	a := &attempts{request: &request{route: configuration.Route{Idempotent: idempotent, MaxAttempts: 3}, deadline: time.Now().Add(5 * time.Second)},
+		outcome: tamarackrun.Refused(tamarackrun.NoHealthyServer)}
+	a.request.call.Request = &http.Request{Header: http.Header{}}
+	return a
+}
+
 // Guards against the outcome "not run", and against another send, for a request that a delegate may have sent: the
 // delegate ends at any point of its reply, or refuses after an earlier attempt whose outcome is unknown.
 func TestDelegatesProveOnlyTheirOwnAttempt(t *testing.T) {
@@ -94,34 +133,8 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			mesh, closeMesh, err := peer.New("127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(closeMesh)
-			scripts := make(chan []*wire.Envelope, len(test.scripts))
-			for _, s := range test.scripts {
-				scripts <- s
-			}
-			mesh.Handler = scriptedDelegates{t, scripts}
-			go func() { _ = mesh.Run() }()
-			f := New(sla.Terms{RetrySlack: 50}.WithDefaults())
-			f.history = &history.History{Logger: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, Scope: tally.NoopScope}
-			f.HeaderCodec, f.mesh = plainCodec{}, mesh
-			client, closeClient := exchange.New()
-			t.Cleanup(closeClient)
-			f.backendClient = client
-			f.delegates = &delegation.Pool{Clock: boottime.Clock{}, Members: func() []membership.Member {
-				var members []membership.Member
-				for i := range maxDelegates {
-					members = append(members, membership.Member{Name: strconv.Itoa(i), HeardRecently: true, Ready: true,
-						InstanceRecord: tamarackrun.InstanceRecord{ReportAddress: mesh.Address()}})
-				}
-				return members
-			}}
-			a := &attempts{request: &request{route: configuration.Route{Idempotent: test.idempotent, MaxAttempts: 3}, deadline: time.Now().Add(5 * time.Second)},
-				outcome: tamarackrun.Refused(tamarackrun.NoHealthyServer)}
-			a.request.call.Request = &http.Request{Header: http.Header{}}
+			f, scripts := entryWithDelegates(t, maxDelegates, test.scripts)
+			a := delegableAttempts(test.idempotent)
 			if test.earlier != (tamarackrun.Outcome{}) {
 				a.add("earlier", exchange.Result{Outcome: test.earlier, Sent: true})
 			}
@@ -133,6 +146,28 @@
 	}
 }
 
+// Guards against callers who are refused for 1.5 s because the only delegate with links has refused one request after its
+// servers had crashed, while it serves its own callers (RECOVER, soak seeds 7008, 50039 and 60001).
+func TestDelegateWithCrashedServersIsAskedAgain(t *testing.T) {
+	for _, reason := range []tamarackrun.Reason{tamarackrun.ServerPaused, tamarackrun.ConnectFailed} {
+		t.Run(string(reason), func(t *testing.T) {
+			refused := []*wire.Envelope{delegated(&wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(reason)})}
+			shed := []*wire.Envelope{delegated(&wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(tamarackrun.ServerShed), Server: "s"})}
+			f, scripts := entryWithDelegates(t, 1, [][]*wire.Envelope{refused, shed})
+			for _, want := range []tamarackrun.Reason{reason, tamarackrun.ServerShed} {
+				a := delegableAttempts(true)
+				f.attemptByDelegate(t.Context(), a)
+				if diff := cmp.Diff(tamarackrun.Refused(want), a.outcome); diff != "" {
+					t.Errorf("outcome (-want +got):\n%s", diff)
+				}
+			}
+			if n := len(scripts); n > 0 {
+				t.Errorf("%d requests were not sent to the delegate", n)
+			}
+		})
+	}
+}
+
 // refusingCodec takes each answer with the status 503 for a refusal.
 type refusingCodec struct{ plainCodec }
 
