Give a delegate tokens of the entry instance's share of a server's limits

Cause: each instance may send a cold server its own share of the limit. The requests of a cut-off instance competed with the delegate's own callers for the delegate's share. The same holds for servers that name a rate, of which only some instances may hold tokens. Besides, a cut-off instance's tries over connections that may still be open took tokens of cold servers although nothing was sent.

Change: the entry instance takes a token of its own share for the server that it would choose and names it in the message. The delegate sends the request there without using its own share, if it may use the server and knows the same process. If the entry instance's choice needs no token, and the delegate refuses because its servers are cold, limited or paused, it is asked once more, with a token. A token serves one request; it goes to the next delegate, or back to the share, only if no delegate has taken the request. A request that is not sent gives its token of a cold server back.

--- a/internal/coordination/coldstart/coldstart.go
+++ b/internal/coordination/coldstart/coldstart.go
@@ -91,6 +91,16 @@
 	return true
 }
 
+// Return takes back a request that Admit has counted at the given time, because it is not sent.
+func (l *Limiter) Return(admitted time.Time, server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sent := l.sent[server]
+	if i := slices.IndexFunc(sent, admitted.Equal); i >= 0 {
+		l.sent[server] = slices.Delete(sent, i, i+1)
+	}
+}
+
 // share returns how many of total requests in a window this instance may send. The
 // remainder of the division goes to the first instances in an order by rendezvous
 // score, on which all instances agree.
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -55,6 +55,9 @@
 	TargetLatency time.Duration
 	// Tried holds the names of servers that already received the request.
 	Tried []string
+	// Grant is the token that another instance has given with the request; nil if there is none. Its
+	// server is chosen if it can take the request.
+	Grant *Grant
 }
 
 // Choice is a chosen server with the reasons, or a server that was too busy.
@@ -69,8 +72,12 @@
 	Probe bool
 	// ColdFor is for how long the server still counted as cold, 0 if it counted as warm.
 	ColdFor time.Duration
-	// Limited is true if the request counts against the server's rate limit.
+	// Limited is true if the request counts against this instance's share of the server's rate limit.
 	Limited bool
+	// Granted is true if the grant of the query is used.
+	Granted bool
+	// ColdAdmitted is when AdmitCold has counted the request; zero if it has not.
+	ColdAdmitted time.Time
 	// RetryAfter is the time until this instance may send a request to a server that it has not
 	// chosen because of the server's rate limit, or because it wants no requests for some time;
 	// 0 if that is not the reason.
@@ -173,6 +180,11 @@
 	return waiting
 }
 
+// coldFor returns for how long the server, whose state this is, still counts as cold.
+func (st *serverState) coldFor(now time.Time, server *registry.Server) time.Duration {
+	return max(0, server.ColdUntil.Sub(now), st.coldUntil.Sub(now))
+}
+
 // idle reports whether the server recently reported an empty queue.
 func (st *serverState) idle(now time.Time) bool { return st.hasRecentReport(now) && st.waiting == 0 }
 
@@ -187,6 +199,8 @@
 type Balancer struct {
 	// AdmitCold reports whether a cold server may get a request now.
 	AdmitCold func(now time.Time, server *registry.Server) bool
+	// ReturnCold is called for a request that AdmitCold has counted at the given time and that is not sent.
+	ReturnCold func(admitted time.Time, server *registry.Server)
 	// CountWarm is called with each choice of a server that is not known to be cold.
 	CountWarm func(now time.Time, server *registry.Server)
 	// AdmitLimited reports whether a server that has named a rate limit, in requests per second
@@ -234,6 +248,9 @@
 	if len(b.candidates) == 0 {
 		return refusal, why
 	}
+	if c, ok := b.chooseGranted(now, q); ok {
+		return c, ""
+	}
 	refused, reason, skipped := Choice{}, tamarackrun.QueueFull, Skipped{}
 	for i := range b.candidates {
 		b.moveBest(i)
@@ -262,7 +279,7 @@
 			skipped.Ejected++
 			continue
 		}
-		coldFor := max(0, c.server.ColdUntil.Sub(now), st.coldUntil.Sub(now))
+		coldFor := st.coldFor(now, c.server)
 		admitted = coldFor == 0 || b.AdmitCold(now, c.server)
 		if !admitted {
 			skipped.Cold++
@@ -284,8 +301,12 @@
 		}
 		st.outstanding++
 		st.sentSince++
-		return Choice{Server: c.server, Rank: i, Outstanding: st.outstanding - 1, Probe: probe, ColdFor: coldFor, Limited: st.rateLimit != nil,
-			Skipped: skipped}, ""
+		choice := Choice{Server: c.server, Rank: i, Outstanding: st.outstanding - 1, Probe: probe, ColdFor: coldFor, Limited: st.rateLimit != nil,
+			Skipped: skipped}
+		if coldFor > 0 {
+			choice.ColdAdmitted = now
+		}
+		return choice, ""
 	}
 	if reason == tamarackrun.QueueFull {
 		refused.Skipped, reason = skipped, skipped.reason()
@@ -418,6 +439,9 @@
 	if c.Limited {
 		b.ReturnLimited(now, c.Server)
 	}
+	if !c.ColdAdmitted.IsZero() {
+		b.ReturnCold(c.ColdAdmitted, c.Server)
+	}
 	b.Done(now, c, health.Inconclusive, false, 0)
 }
 
--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -13,6 +13,7 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/coordination/membership"
+	"tamarackrun/internal/coordination/steer"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/frame"
 	"tamarackrun/internal/protocol/wire"
@@ -63,6 +64,8 @@
 // directly.
 func (f *Front) attemptByDelegate(ctx context.Context, a *attempts) bool {
 	req, charged := a.request, a.delivered == 0
+	var grant *steer.Grant
+	defer func() { f.returnGrant(grant) }()
 	for len(a.delegates) < maxDelegates && a.mayContinue(time.Now()) {
 		m, ok := f.delegates.Choose([][]string{req.route.Regions, req.organisation.Regions}, a.delegates)
 		if !ok {
@@ -76,12 +79,22 @@
 		}
 		charged = true
 		began := time.Now()
-		reply, result := f.sendToDelegate(ctx, a, m)
+		if grant == nil {
+			grant = f.takeGrant(a, len(a.delegates) > 1)
+		}
+		reply, result := f.askDelegate(ctx, a, m, grant)
+		if !reply.Refused && mayNeedGrant(result) && a.mayContinue(time.Now()) {
+			// The delegate may know that the servers which need no token have failed.
+			if spare := f.takeGrant(a, true); spare != nil {
+				grant, began = spare, time.Now()
+				reply, result = f.askDelegate(ctx, a, m, grant)
+			}
+		}
 		f.delegates.Done(m.Name)
-		f.logDelegation(req, m, reply, result, began)
 		if reply.Refused {
 			continue
 		}
+		grant = nil
 		a.retryAfter = time.Duration(reply.RetryAfterMillis) * time.Millisecond
 		switch reason := result.Outcome.Reason; {
 		case reason == tamarackrun.ServersUnreachable:
@@ -114,17 +127,63 @@
 // sockets, are used up. Another one may have some left.
 var shareReasons = map[tamarackrun.Reason]bool{tamarackrun.ServerCold: true, tamarackrun.ServerLimited: true, tamarackrun.SocketsExhausted: true}
 
+// mayNeedGrant reports whether a delegate has refused a request, which no server has got, for a reason for which a token of this
+// instance's share of a server's limits may help.
+func mayNeedGrant(result exchange.Result) bool {
+	switch result.Outcome.Reason {
+	case tamarackrun.ServerCold, tamarackrun.ServerLimited, tamarackrun.ServerPaused, tamarackrun.ConnectFailed:
+		return true
+	}
+	return false
+}
+
+// takeGrant takes a token of this instance's share of a server's limits for the request, which a delegate sends; see
+// Balancer.TakeGrant. It returns nil if there is none, or if the request needs none.
+func (f *Front) takeGrant(a *attempts, spare bool) *steer.Grant {
+	q := f.query(a.request)
+	q.Tried = slices.Concat(a.tried, a.granted)
+	grant := f.balancer.TakeGrant(time.Now(), f.registry.ServersOf(a.request.service), q, spare)
+	if grant != nil {
+		a.granted = append(a.granted, grant.Server)
+	}
+	return grant
+}
+
+// returnGrant gives back a token that was given to no delegate which took the request; it may be nil.
+func (f *Front) returnGrant(grant *steer.Grant) {
+	if grant == nil {
+		return
+	}
+	if grant.Cold {
+		f.coldLimiter.Return(grant.TakenAt, grant.Server)
+	}
+	if grant.Limited {
+		f.serverLimiter.Return(time.Now(), grant.Server)
+	}
+}
+
 // refusedDelegation returns the reply of an instance that has not taken a request.
 func refusedDelegation(reason tamarackrun.Reason) *wire.Delegated {
 	return &wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(reason), Refused: true}
 }
 
+// askDelegate asks an instance to send the request, and records that. It returns the reply with the result. grant may be nil.
+func (f *Front) askDelegate(ctx context.Context, a *attempts, m membership.Member, grant *steer.Grant) (*wire.Delegated, exchange.Result) {
+	began := time.Now()
+	reply, result := f.sendToDelegate(ctx, a, m, grant)
+	f.logDelegation(a.request, m, grant, reply, result, began)
+	return reply, result
+}
+
 // sendToDelegate asks an instance to send the request and returns its reply with the result.
-func (f *Front) sendToDelegate(ctx context.Context, a *attempts, m membership.Member) (*wire.Delegated, exchange.Result) {
+func (f *Front) sendToDelegate(ctx context.Context, a *attempts, m membership.Member, grant *steer.Grant) (*wire.Delegated, exchange.Result) {
 	message, err := f.encodeDelegate(ctx, a, m)
 	if err != nil {
 		return refusedDelegation(tamarackrun.ConnectFailed), exchange.Result{Err: err}
 	}
+	if grant != nil {
+		message.Grant = &wire.ServerGrant{Server: grant.Server, StartMillis: grant.StartMillis, Cold: grant.Cold, Limited: grant.Limited}
+	}
 	stream, err := f.mesh.Open(ctx, m.ReportAddress)
 	if err != nil {
 		return refusedDelegation(tamarackrun.ConnectFailed), exchange.Result{Err: err}
@@ -256,7 +315,7 @@
 }
 
 // logDelegation records that an instance was asked to send the request.
-func (f *Front) logDelegation(req *request, m membership.Member, reply *wire.Delegated, result exchange.Result, began time.Time) {
+func (f *Front) logDelegation(req *request, m membership.Member, grant *steer.Grant, reply *wire.Delegated, result exchange.Result, began time.Time) {
 	outcome := result.Outcome
 	if reply.Refused {
 		outcome = tamarackrun.Refused(tamarackrun.Reason(reply.Reason))
@@ -266,6 +325,9 @@
 		"serversUnreachable", strconv.FormatBool(f.links.ServersUnreachable()),
 		"waited", began.Sub(req.call.Arrived).Round(time.Millisecond).String(), "took", time.Since(began).Round(time.Millisecond).String(),
 		"outcome", outcome.String(), "status", strconv.Itoa(result.Status)}
+	if grant != nil {
+		fields = append(fields, "grant", grant.Server)
+	}
 	if result.Err != nil {
 		fields = append(fields, "error", result.Err.Error())
 	}
@@ -361,6 +423,10 @@
 // decodeDelegate returns the request that another instance asks this one to send.
 func (f *Front) decodeDelegate(m *wire.Delegate) *request {
 	now := time.Now()
+	var grant *steer.Grant
+	if g := m.Grant; g != nil {
+		grant = &steer.Grant{Server: g.Server, StartMillis: g.StartMillis, Cold: g.Cold, Limited: g.Limited}
+	}
 	return &request{
 		call: pipeline.Call{Arrived: now, Body: m.Body,
 			Request: &http.Request{Method: m.Method, RequestURI: m.Target, Host: m.Host, Header: frame.Header(m.Header)}},
@@ -373,5 +439,6 @@
 		deadline:     now.Add(remainingTime(m)),
 		entry:        m.Entry,
 		counted:      m.Counted,
+		grant:        grant,
 	}
 }
--- a/internal/program/front/delegation_test.go
+++ b/internal/program/front/delegation_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,6 +41,8 @@
 type scriptedDelegates struct {
 	t       *testing.T
 	scripts chan []*wire.Envelope
+	// asked receives the messages for which there are scripts.
+	asked chan *wire.Delegate
 }
 
 func (d scriptedDelegates) ServePeer(_ context.Context, first *wire.Envelope, stream tamarackrun.Stream) {
@@ -49,6 +52,7 @@
 	}
 	select {
 	case script := <-d.scripts:
+		d.asked <- first.GetDelegate()
 		for _, message := range script {
 			_ = stream.Send(message)
 		}
@@ -61,8 +65,9 @@
 	return &wire.Envelope{Kind: &wire.Envelope_Delegated{Delegated: reply}}
 }
 
-// entryWithDelegates returns an instance that knows delegates, which send the scripts, and the scripts that they have not sent.
-func entryWithDelegates(t *testing.T, delegates int, list [][]*wire.Envelope) (*Front, chan []*wire.Envelope) {
+// entryWithDelegates returns an instance that knows delegates, which send the scripts, the scripts that they have not sent, and
+// the messages that they have got.
+func entryWithDelegates(t *testing.T, delegates int, list [][]*wire.Envelope) (*Front, chan []*wire.Envelope, chan *wire.Delegate) {
 	t.Helper()
 	mesh, closeMesh, err := peer.New("127.0.0.1:0")
 	if err != nil {
@@ -73,7 +78,8 @@
 	for _, s := range list {
 		scripts <- s
 	}
-	mesh.Handler = scriptedDelegates{t, scripts}
+	asked := make(chan *wire.Delegate, len(list))
+	mesh.Handler = scriptedDelegates{t, scripts, asked}
 	go func() { _ = mesh.Run() }()
 	f := New(sla.Terms{RetrySlack: 50}.WithDefaults())
 	f.history = &history.History{Logger: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, Scope: tally.NoopScope}
@@ -89,7 +95,7 @@
 		}
 		return members
 	}}
-	return f, scripts
+	return f, scripts, asked
 }
 
 // delegableAttempts returns the attempts of a request that has not been sent.
@@ -133,7 +139,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f, scripts := entryWithDelegates(t, maxDelegates, test.scripts)
+			f, scripts, _ := entryWithDelegates(t, maxDelegates, test.scripts)
 			a := delegableAttempts(test.idempotent)
 			if test.earlier != (tamarackrun.Outcome{}) {
 				a.add("earlier", exchange.Result{Outcome: test.earlier, Sent: true})
@@ -153,7 +159,7 @@
 		t.Run(string(reason), func(t *testing.T) {
 			refused := []*wire.Envelope{delegated(&wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(reason)})}
 			shed := []*wire.Envelope{delegated(&wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(tamarackrun.ServerShed), Server: "s"})}
-			f, scripts := entryWithDelegates(t, 1, [][]*wire.Envelope{refused, shed})
+			f, scripts, _ := entryWithDelegates(t, 1, [][]*wire.Envelope{refused, shed})
 			for _, want := range []tamarackrun.Reason{reason, tamarackrun.ServerShed} {
 				a := delegableAttempts(true)
 				f.attemptByDelegate(t.Context(), a)
@@ -168,6 +174,73 @@
 	}
 }
 
+// Guards against a token of an instance's share of a cold server's limit that serves two requests, since two delegates get it, and
+// against shares that stay unused: tokens that no delegate took, and those for a delegate that needs one (RECOVER, FAILBACK).
+func TestGrantGoesToOneDelegate(t *testing.T) {
+	untaken := []*wire.Envelope{delegated(refusedDelegation(tamarackrun.Leaving))}
+	refuse := func(reason tamarackrun.Reason) []*wire.Envelope {
+		return []*wire.Envelope{delegated(&wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(reason)})}
+	}
+	tests := map[string]struct {
+		// servers are "warm" and "cold", in this order of preference.
+		servers []string
+		scripts [][]*wire.Envelope
+		// want are the names of the servers of the grants that the delegates get in turn.
+		want []string
+		// left is the number of tokens that the entry instance has afterwards, of one for each cold server.
+		left int
+	}{
+		"the first takes it":               {[]string{"cold-1"}, [][]*wire.Envelope{refuse(tamarackrun.ServerShed)}, []string{"cold-1"}, 0},
+		"the first is lost":                {[]string{"cold-1"}, [][]*wire.Envelope{nil, refuse(tamarackrun.ServerShed)}, []string{"cold-1", ""}, 0},
+		"the first does not take it":       {[]string{"cold-1"}, [][]*wire.Envelope{untaken, refuse(tamarackrun.ServerShed)}, []string{"cold-1", "cold-1"}, 0},
+		"none takes it":                    {[]string{"cold-1"}, [][]*wire.Envelope{untaken, untaken}, []string{"cold-1", "cold-1"}, 1},
+		"it can't be used":                 {[]string{"cold-1", "cold-2"}, [][]*wire.Envelope{refuse(tamarackrun.ServerPaused), refuse(tamarackrun.ServerShed)}, []string{"cold-1", "cold-2"}, 0},
+		"it is not needed":                 {[]string{"warm-1", "cold-2"}, [][]*wire.Envelope{refuse(tamarackrun.ServerShed)}, []string{""}, 1},
+		"the delegate's share is used up":  {[]string{"warm-1", "cold-2"}, [][]*wire.Envelope{refuse(tamarackrun.ServerCold), refuse(tamarackrun.ServerShed)}, []string{"", "cold-2"}, 0},
+		"all shares are used up":           {[]string{"warm-1"}, [][]*wire.Envelope{refuse(tamarackrun.ServerCold), refuse(tamarackrun.ServerCold)}, []string{"", ""}, 0},
+		"another reason asks for no token": {[]string{"warm-1", "cold-2"}, [][]*wire.Envelope{refuse(tamarackrun.BodiesFull)}, []string{""}, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f, scripts, asked := entryWithDelegates(t, 2, test.scripts)
+			now, page := time.Now(), tamarackrun.Page{Full: true}
+			for i, server := range test.servers {
+				record := &tamarackrun.ServerRecord{Address: "127.0.0.1:1", Service: "s", FailureDomain: []string{"near", "far"}[i], Slots: 9, StartMillis: 7}
+				if strings.HasPrefix(server, "cold") {
+					record.ColdFor = time.Hour
+				}
+				page.Records = append(page.Records, tamarackrun.Record{Name: server, Position: tamarackrun.Position{Revision: 1}, Server: record})
+			}
+			// Servers of this region come first.
+			f.Identity.Region = "near"
+			f.registry.Recorder, f.registry.Regions = f.history, map[string]string{"near": "near", "far": "far"}
+			f.registry.ApplyServers(now, page, false)
+			// The share is one request, and the requests are sent within its window.
+			admit := func(now time.Time, server *registry.Server) bool {
+				return f.coldLimiter.Admit(now, server.Name, 2, []string{""})
+			}
+			f.balancer.AdmitCold = admit
+			a := delegableAttempts(true)
+			a.request.service = "s"
+			for len(scripts) > 0 && a.mayContinue(time.Now()) && !f.attemptByDelegate(t.Context(), a) {
+			}
+			var got []string
+			for len(asked) > 0 {
+				got = append(got, (<-asked).GetGrant().GetServer())
+			}
+			left := 0
+			for _, server := range f.registry.ServersOf("s") {
+				if server.Cold(now) && admit(time.Now(), server) {
+					left++
+				}
+			}
+			if diff := cmp.Diff([]any{test.want, test.left}, []any{got, left}); diff != "" {
+				t.Errorf("servers of the grants, and tokens left (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // refusingCodec takes each answer with the status 503 for a refusal.
 type refusingCodec struct{ plainCodec }
 
--- a/internal/program/front/dispatch.go
+++ b/internal/program/front/dispatch.go
@@ -44,6 +44,8 @@
 	// true while more of them may be asked.
 	delegates []string
 	delegable bool
+	// granted are the names of the servers for which tokens were given to delegates.
+	granted []string
 	// answer is the latest answer of a server; nil if there is none. An answer
 	// with a 5xx status to an idempotent request is sent to the caller only if no
 	// later attempt gives another answer.
@@ -200,8 +202,12 @@
 // is none.
 func (f *Front) choose(req *request, tried []string) (steer.Choice, tamarackrun.Reason) {
 	q := f.query(req)
-	q.Tried = tried
-	return f.balancer.Choose(time.Now(), f.registry.ServersOf(req.service), q)
+	q.Tried, q.Grant = tried, req.grant
+	choice, reason := f.balancer.Choose(time.Now(), f.registry.ServersOf(req.service), q)
+	if choice.Granted {
+		req.grant = nil
+	}
+	return choice, reason
 }
 
 // query returns the properties of a request that determine the choice of its server.
@@ -345,6 +351,9 @@
 	if req.entry != "" {
 		fields = append(fields, "entry", req.entry)
 	}
+	if choice.Granted {
+		fields = append(fields, "grant", "used")
+	}
 	if req.loan != "" {
 		fields = append(fields, "loan", string(req.loan))
 	}
--- a/internal/program/front/front.go
+++ b/internal/program/front/front.go
@@ -262,6 +262,7 @@
 	f.registry.Recorder, f.registry.Regions, f.registry.ColdTime = f.history, f.Identity.Regions, f.coldTime
 	f.coldLimiter.Name, f.serverLimiter.Name = f.Identity.Name, f.Identity.Name
 	f.balancer.AdmitCold, f.balancer.ColdTime = f.admitCold, f.coldTime
+	f.balancer.ReturnCold = func(admitted time.Time, server *registry.Server) { f.coldLimiter.Return(admitted, server.Name) }
 	f.balancer.AdmitLimited = f.admitLimited
 	f.balancer.ReturnLimited = func(now time.Time, server *registry.Server) { f.serverLimiter.Return(now, server.Name) }
 	f.balancer.CountWarm = func(now time.Time, server *registry.Server) { f.coldLimiter.Count(now, server.Name) }
--- a/internal/program/front/serve.go
+++ b/internal/program/front/serve.go
@@ -90,6 +90,9 @@
 	entry string
 	// counted is true if the entry instance has counted the request in its retry budget.
 	counted bool
+	// grant is the token of the entry instance's share of a server's limits that came with the request;
+	// nil if none did, or once it is used.
+	grant *steer.Grant
 	// identity is set if the request is refused because servers have ended under it.
 	identity crash.Request
 	// overloaded holds the server whose load is the reason for the refusal, if
