Ask a delegate that has been restarted as soon as it is ready

Cause: a delegate that refuses because it is leaving is left out for 1.5 s, and its next process was left out with it. Besides, the first requests to the new process were refused because they named the process before, and no other delegate was left to ask.

Change: a delegate that was known to be leaving when it refused is asked again once its reports say that it no longer is. A request that was refused because the process is new is sent again, to that process.

--- a/internal/coordination/delegation/delegation.go
+++ b/internal/coordination/delegation/delegation.go
@@ -43,9 +43,10 @@
 	lead    time.Duration
 	// leadAt is when the lead was computed.
 	leadAt time.Duration
-	// avoidUntil is the time until which the delegate is not chosen, and doubtUntil that until which it is one of the last
-	// choices.
+	// avoidUntil is the time until which the delegate's process is not chosen, avoidLeaving is true if that process was known
+	// to be leaving, and doubtUntil is the time until which it is one of the last choices.
 	avoidUntil, doubtUntil time.Duration
+	avoidLeaving           bool
 }
 
 // Pool holds the delegates of one instance. Its exported fields are set before the first call. It is
@@ -76,7 +77,7 @@
 			continue
 		}
 		d := p.get(m.Name)
-		if d.outstanding >= maxOutstanding || p.Clock.Now() < d.avoidUntil {
+		if d.outstanding >= maxOutstanding || d.avoided(p.Clock.Now(), m) {
 			continue
 		}
 		// The fraction puts delegates with the same load in random order.
@@ -120,11 +121,18 @@
 	}
 }
 
-// Avoid records that a delegate can't help for a while.
-func (p *Pool) Avoid(name string) {
+// Avoid records that a delegate can't help for a while. m is what Choose has returned.
+func (p *Pool) Avoid(m membership.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.get(name).avoidUntil = p.Clock.Now() + avoidTime
+	d := p.get(m.Name)
+	d.avoidUntil, d.avoidLeaving = p.Clock.Now()+avoidTime, m.Leaving
+}
+
+// avoided reports whether the delegate has said that it can't help. One that was leaving then and no longer is has been
+// started again.
+func (d *delegate) avoided(now time.Duration, m membership.Member) bool {
+	return now < d.avoidUntil && (m.Leaving || !d.avoidLeaving)
 }
 
 // Doubt records that a delegate could not connect to servers. Either the servers have failed, or its links to them.
--- a/internal/coordination/delegation/delegation_test.go
+++ b/internal/coordination/delegation/delegation_test.go
@@ -75,7 +75,7 @@
 	if m, ok := p.Choose([][]string{{"a"}, {"b"}}, nil); ok {
 		t.Errorf("a request that no region allows goes to %q", m.Name)
 	}
-	p.Avoid("far")
+	p.Avoid(members[3])
 	if m, ok := p.Choose([][]string{{"b"}}, nil); ok {
 		t.Errorf("a request is sent to %q, which has just said that it can't help", m.Name)
 	}
@@ -107,3 +107,21 @@
 		t.Errorf("a request goes to %q, want the nearest delegate again", m.Name)
 	}
 }
+
+// Guards against callers who are refused while the only delegate has been started again, because its process before has said
+// that it was leaving (RECOVER, soak seed 71022).
+func TestRestartedDelegateIsNotAvoided(t *testing.T) {
+	leaving, started := member("d", "a", func(m *membership.Member) { m.Leaving = true }), member("d", "a", nil)
+	now := leaving
+	p := &Pool{Clock: &clock{}, Members: func() []membership.Member { return []membership.Member{now} }}
+	for _, test := range []struct {
+		avoided, now membership.Member
+		chosen       bool
+	}{{leaving, leaving, false}, {leaving, started, true}, {started, leaving, false}, {started, started, false}} {
+		p.Avoid(test.avoided)
+		now = test.now
+		if _, ok := p.Choose(nil, nil); ok != test.chosen {
+			t.Errorf("leaving when it refused %t, and now %t: chosen %t, want %t", test.avoided.Leaving, test.now.Leaving, ok, test.chosen)
+		}
+	}
+}
--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -98,7 +98,7 @@
 		a.retryAfter = time.Duration(reply.RetryAfterMillis) * time.Millisecond
 		switch reason := result.Outcome.Reason; {
 		case reason == tamarackrun.ServersUnreachable:
-			f.delegates.Avoid(m.Name)
+			f.delegates.Avoid(m)
 		case unreachedReasons[reason]:
 			f.delegates.Doubt(m.Name)
 		}
@@ -167,11 +167,18 @@
 	return &wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(reason), Refused: true}
 }
 
-// askDelegate asks an instance to send the request, and records that. It returns the reply with the result. grant may be nil.
+// askDelegate asks an instance to send the request, once more if its process is new, and records that. It returns the reply with
+// the result. grant may be nil.
 func (f *Front) askDelegate(ctx context.Context, a *attempts, m membership.Member, grant *steer.Grant) (*wire.Delegated, exchange.Result) {
 	began := time.Now()
 	reply, result := f.sendToDelegate(ctx, a, m, grant)
 	f.logDelegation(a.request, m, grant, reply, result, began)
+	if reply.Refused && tamarackrun.Reason(reply.Reason) == tamarackrun.DelegateChanged {
+		// The next message names the process that is running now.
+		began = time.Now()
+		reply, result = f.sendToDelegate(ctx, a, m, grant)
+		f.logDelegation(a.request, m, grant, reply, result, began)
+	}
 	return reply, result
 }
 
@@ -205,7 +212,7 @@
 		case tamarackrun.DelegateChanged:
 			f.delegates.Forget(m.Name)
 		case tamarackrun.ServersUnreachable, tamarackrun.Leaving:
-			f.delegates.Avoid(m.Name)
+			f.delegates.Avoid(m)
 		}
 		return reply, exchange.Result{}
 	}
--- a/internal/program/front/delegation_test.go
+++ b/internal/program/front/delegation_test.go
@@ -174,10 +174,27 @@
 	}
 }
 
+// Guards against callers who are refused because the only delegate has been started again since the last request.
+func TestRestartedDelegateIsAskedAgain(t *testing.T) {
+	shed := []*wire.Envelope{delegated(&wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(tamarackrun.ServerShed), Server: "s"})}
+	f, _, asked := entryWithDelegates(t, 1, [][]*wire.Envelope{{delegated(refusedDelegation(tamarackrun.DelegateChanged))}, shed})
+	f.delegates.NoteClock("0", 7, 0)
+	a := delegableAttempts(false)
+	f.attemptByDelegate(t.Context(), a)
+	var processes []int64
+	for len(asked) > 0 {
+		processes = append(processes, (<-asked).Process)
+	}
+	if diff := cmp.Diff([]any{tamarackrun.Refused(tamarackrun.ServerShed), []int64{7, 1}}, []any{a.outcome, processes}); diff != "" {
+		t.Errorf("outcome and processes that were asked (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against a token of an instance's share of a cold server's limit that serves two requests, since two delegates get it, and
 // against shares that stay unused: tokens that no delegate took, and those for a delegate that needs one (RECOVER, FAILBACK).
 func TestGrantGoesToOneDelegate(t *testing.T) {
 	untaken := []*wire.Envelope{delegated(refusedDelegation(tamarackrun.Leaving))}
+	changed := []*wire.Envelope{delegated(refusedDelegation(tamarackrun.DelegateChanged))}
 	refuse := func(reason tamarackrun.Reason) []*wire.Envelope {
 		return []*wire.Envelope{delegated(&wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(reason)})}
 	}
@@ -197,6 +214,7 @@
 		"it can't be used":                 {[]string{"cold-1", "cold-2"}, [][]*wire.Envelope{refuse(tamarackrun.ServerPaused), refuse(tamarackrun.ServerShed)}, []string{"cold-1", "cold-2"}, 0},
 		"it is not needed":                 {[]string{"warm-1", "cold-2"}, [][]*wire.Envelope{refuse(tamarackrun.ServerShed)}, []string{""}, 1},
 		"the delegate's share is used up":  {[]string{"warm-1", "cold-2"}, [][]*wire.Envelope{refuse(tamarackrun.ServerCold), refuse(tamarackrun.ServerShed)}, []string{"", "cold-2"}, 0},
+		"the first's process is new":       {[]string{"cold-1"}, [][]*wire.Envelope{changed, refuse(tamarackrun.ServerShed)}, []string{"cold-1", "cold-1"}, 0},
 		"all shares are used up":           {[]string{"warm-1"}, [][]*wire.Envelope{refuse(tamarackrun.ServerCold), refuse(tamarackrun.ServerCold)}, []string{"", ""}, 0},
 		"another reason asks for no token": {[]string{"warm-1", "cold-2"}, [][]*wire.Envelope{refuse(tamarackrun.BodiesFull)}, []string{""}, 1},
 	}
