--- a/internal/coordination/steer/grant_test.go
+++ b/internal/coordination/steer/grant_test.go
@@ -211,3 +211,26 @@
 		}
 	})
 }
+
+// Guards against a share of a cold server's limit that is used up by requests which are not sent, because the instance has lost
+// its links.
+func TestUnsentRequestReturnsColdToken(t *testing.T) {
+	b, list, now := newBalancer(), servers(1), time.Now()
+	list[0].ColdUntil = now.Add(time.Second)
+	l := &coldstart.Limiter{Name: "a"}
+	// The share is one request.
+	b.AdmitCold = func(now time.Time, server *registry.Server) bool { return l.Admit(now, server.Name, 2, []string{"a"}) }
+	b.ReturnCold = func(admitted time.Time, server *registry.Server) { l.Return(admitted, server.Name) }
+	for i := range 3 {
+		c, reason := b.Choose(now.Add(time.Duration(i)*time.Millisecond), list, Query{})
+		if reason != "" {
+			t.Fatalf("request %d is refused: %s", i+1, reason)
+		}
+		b.Cancel(now.Add(10*time.Millisecond), c)
+	}
+	c, _ := b.Choose(now, list, Query{})
+	b.Done(now, c, health.Success, false, 1)
+	if _, reason := b.Choose(now, list, Query{}); reason != tamarackrun.ServerCold {
+		t.Errorf("reason %q, want the refusal of a second request that is sent", reason)
+	}
+}
