Ask another delegate if the servers hold all requests that one may have there

Cause: an instance that has lost its links and not noticed it has hung requests at all servers and refuses further ones. Its refusal was final. It may even be preferred to a delegate with links whose servers have just crashed.

Change: as for its share of the limits, another delegate is asked.

--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -123,9 +123,10 @@
 var unreachedReasons = map[tamarackrun.Reason]bool{tamarackrun.ConnectFailed: true, tamarackrun.ServerPaused: true,
 	tamarackrun.ServersUnreachable: true}
 
-// shareReasons are the reasons for which a delegate refuses because its own share of the servers' limits, or its
-// sockets, are used up. Another one may have some left.
-var shareReasons = map[tamarackrun.Reason]bool{tamarackrun.ServerCold: true, tamarackrun.ServerLimited: true, tamarackrun.SocketsExhausted: true}
+// shareReasons are the reasons for which a delegate refuses because its own share of the servers' limits, the requests that it
+// may have at them, or its sockets are used up. Another one may have some left.
+var shareReasons = map[tamarackrun.Reason]bool{tamarackrun.ServerCold: true, tamarackrun.ServerLimited: true, tamarackrun.QueueFull: true,
+	tamarackrun.SocketsExhausted: true}
 
 // mayNeedGrant reports whether a delegate has refused a request, which no server has got, for a reason for which a token of this
 // instance's share of a server's limits may help.
--- a/internal/program/front/delegation_test.go
+++ b/internal/program/front/delegation_test.go
@@ -107,9 +107,11 @@
 }
 
 // Guards against the outcome "not run", and against another send, for a request that a delegate may have sent: the
-// delegate ends at any point of its reply, or refuses after an earlier attempt whose outcome is unknown.
+// delegate ends at any point of its reply, or refuses after an earlier attempt whose outcome is unknown. Guards, too, against the
+// refusal of a request because one delegate's requests hang, as it has lost its links and not noticed it yet (soak seed 71022).
 func TestDelegatesProveOnlyTheirOwnAttempt(t *testing.T) {
 	refused := []*wire.Envelope{delegated(&wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(tamarackrun.ServerShed), Server: "s"})}
+	full := []*wire.Envelope{delegated(&wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(tamarackrun.QueueFull)})}
 	untaken := []*wire.Envelope{delegated(refusedDelegation(tamarackrun.Leaving))}
 	unreached := []*wire.Envelope{delegated(&wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(tamarackrun.ServersUnreachable)})}
 	body := &wire.Envelope{Kind: &wire.Envelope_AnswerBody{AnswerBody: &wire.AnswerBody{Piece: []byte("abc")}}}
@@ -124,6 +126,7 @@
 		final   bool
 		outcome tamarackrun.Outcome
 	}{
+		"its servers hold all its requests":       {false, tamarackrun.Outcome{}, [][]*wire.Envelope{full, refused}, true, shed},
 		"a server refuses":                        {false, tamarackrun.Outcome{}, [][]*wire.Envelope{refused}, true, shed},
 		"a server refuses after a lost answer":    {true, lost, [][]*wire.Envelope{refused}, true, lost},
 		"no delegate takes it, after that":        {true, lost, [][]*wire.Envelope{untaken, unreached, untaken, unreached}, false, lost},
