Record the state of instances when a test of paused ones fails

Signals to child processes were sent with their errors dropped, and a test that failed after a pause left only the logs, which do not tell a process that is still stopped from one that has ended, waits for a processor or is blocked.

Signal, Pause, Resume and Terminate of the stand-in return errors, and the tests check them. Resume waits up to 10 s until no thread is stopped. When a test of program/instance fails, its clean-up prints for each instance what /proc says of the process and of each thread (state, signals, wait channel, processor, time on and waiting for a processor, twice in 0.5 s), has it write the stacks of its goroutines by SIGQUIT, and says whether a process that does not follow SIGQUIT does so after a further SIGCONT.

--- a/internal/program/instance/callertls_test.go
+++ b/internal/program/instance/callertls_test.go
@@ -90,7 +90,7 @@
 		})
 	}
 	awaitCondition(t, "load", func() bool { return f.Executions("x") > 100 })
-	leaving.Terminate()
+	expectSignaled(t, leaving.Terminate())
 	if !leaving.Wait(time.Minute) {
 		t.Error("the instance did not stop")
 	}
--- a/internal/program/instance/freshness_test.go
+++ b/internal/program/instance/freshness_test.go
@@ -282,7 +282,7 @@
 	t.Parallel()
 	f := startFleet(t, fleet.Options{Services: cutOffServices})
 	paused := f.Instances[0]
-	paused.Pause()
+	expectSignaled(t, paused.Pause())
 	putDocument(t, f, withoutKey(f, "tea"))
 	// The pause must be longer than the age at which a proof expires.
 	time.Sleep(beyondRefuseAfter)
@@ -294,7 +294,7 @@
 	// The requests wait in the kernel. Requests that arrive later find the new
 	// version: they test less, but give no false result.
 	time.Sleep(500 * time.Millisecond)
-	paused.Resume()
+	expectSignaled(t, paused.Resume())
 	seen := map[string]int{}
 	for range requests {
 		seen[<-reasons]++
--- a/internal/program/instance/lookups_test.go
+++ b/internal/program/instance/lookups_test.go
@@ -19,9 +19,9 @@
 		awaitCondition(t, "an answer with "+names, func() bool { return namesFromFirstInstance(t, f) == names })
 	}
 	expect("entry-1 entry-2 entry-3")
-	f.Instances[1].Pause()
+	expectSignaled(t, f.Instances[1].Pause())
 	expect("entry-1 entry-3")
-	f.Instances[1].Resume()
+	expectSignaled(t, f.Instances[1].Resume())
 	expect("entry-1 entry-2 entry-3")
 	var list []tamarackrun.Listing
 	for n, i := range f.Instances {
@@ -33,7 +33,7 @@
 	expect("entry-1 entry-2")
 	f.PublishInstances()
 	expect("entry-1 entry-2 entry-3")
-	f.Instances[2].Terminate()
+	expectSignaled(t, f.Instances[2].Terminate())
 	expect("entry-1 entry-2")
 }
 
--- a/internal/program/instance/orders_test.go
+++ b/internal/program/instance/orders_test.go
@@ -287,7 +287,7 @@
 	for n := range 20 {
 		callers = append(callers, newTicketCaller(t, f, 1, fmt.Sprintf("order-%d", n)))
 	}
-	f.Instances[0].Pause()
+	expectSignaled(t, f.Instances[0].Pause())
 	for _, tc := range callers {
 		go func() { results <- tc.send(t.Context(), 2) }()
 	}
@@ -296,7 +296,7 @@
 			t.Errorf("ran while the home was paused: %+v", r)
 		}
 	}
-	f.Instances[0].Resume()
+	expectSignaled(t, f.Instances[0].Resume())
 	counts := map[string]int{}
 	for _, tc := range callers {
 		var r caller.Result
@@ -345,7 +345,7 @@
 	setServerFaults(f, server.Faults{WorkMillis: 4000})
 	running := newTicketCaller(t, f, 1, "running")
 	results := running.sendAsync(t.Context(), 2)
-	f.Instances[1].Terminate()
+	expectSignaled(t, f.Instances[1].Terminate())
 	if !f.Instances[1].Wait(stopLimit) {
 		t.Fatal("the graceful shutdown did not end")
 	}
@@ -387,23 +387,23 @@
 	t.Parallel()
 	for _, v := range []struct {
 		name    string
-		disturb func(f *fleet.Fleet)
+		disturb func(t *testing.T, f *fleet.Fleet)
 	}{
-		{"kill", func(f *fleet.Fleet) { f.Instances[1].Kill() }},
-		{"pause", func(f *fleet.Fleet) {
-			f.Instances[0].Pause()
+		{"kill", func(_ *testing.T, f *fleet.Fleet) { f.Instances[1].Kill() }},
+		{"pause", func(t *testing.T, f *fleet.Fleet) {
+			expectSignaled(t, f.Instances[0].Pause())
 			time.Sleep(4 * time.Second)
-			f.Instances[0].Resume()
+			expectSignaled(t, f.Instances[0].Resume())
 		}},
-		{"stop", func(f *fleet.Fleet) { f.Instances[2].Terminate() }},
-		{"drop", func(f *fleet.Fleet) { setServerFaults(f, server.Faults{DropAnswers: 5, WorkMillis: 20}) }},
-		{"outage, pause and kill", func(f *fleet.Fleet) {
+		{"stop", func(t *testing.T, f *fleet.Fleet) { expectSignaled(t, f.Instances[2].Terminate()) }},
+		{"drop", func(_ *testing.T, f *fleet.Fleet) { setServerFaults(f, server.Faults{DropAnswers: 5, WorkMillis: 20}) }},
+		{"outage, pause and kill", func(t *testing.T, f *fleet.Fleet) {
 			f.Platform.SetFaults(platform.Faults{Outage: true})
-			f.Instances[0].Pause()
+			expectSignaled(t, f.Instances[0].Pause())
 			time.Sleep(time.Second)
 			f.Instances[1].Kill()
 			time.Sleep(3 * time.Second)
-			f.Instances[0].Resume()
+			expectSignaled(t, f.Instances[0].Resume())
 		}},
 	} {
 		t.Run(v.name, func(t *testing.T) {
@@ -434,7 +434,7 @@
 	ordersPerWorker = 60
 )
 
-func (l *orderLoad) run(disturb func(*fleet.Fleet)) {
+func (l *orderLoad) run(disturb func(*testing.T, *fleet.Fleet)) {
 	var group sync.WaitGroup
 	begun := make(chan struct{}, loadWorkers*ordersPerWorker)
 	for w := range loadWorkers {
@@ -448,7 +448,7 @@
 	for range loadWorkers * 10 {
 		<-begun
 	}
-	disturb(l.fleet)
+	disturb(l.t, l.fleet)
 	group.Wait()
 	l.check()
 }
@@ -515,7 +515,7 @@
 			for n := range orders {
 				callers = append(callers, newTicketCaller(t, f, 1, fmt.Sprintf("order-%d", n)))
 			}
-			f.Instances[v.victim].Pause()
+			expectSignaled(t, f.Instances[v.victim].Pause())
 			for _, tc := range callers {
 				go func() { results <- tc.send(t.Context(), 2) }()
 			}
@@ -524,7 +524,7 @@
 					t.Errorf("ran while an instance was paused: %+v", r)
 				}
 			}
-			f.Instances[v.victim].Resume()
+			expectSignaled(t, f.Instances[v.victim].Resume())
 			// The timeout of 0 keeps the repeats from starting the order themselves.
 			expired := badOrder{header: http.Header{"Tamarackrun-Timeout-Ms": {"0"}}}
 			for _, tc := range callers {
--- a/internal/program/instance/process_test.go
+++ b/internal/program/instance/process_test.go
@@ -63,17 +63,35 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		cleanup()
-		if t.Failed() {
-			for _, i := range f.Instances {
-				log, _ := os.ReadFile(i.LogFile)
-				t.Logf("log of %s:\n%s", i.Listing.Name, log)
+		defer cleanup()
+		if !t.Failed() {
+			return
+		}
+		// The state of all processes is read first: the end of one process changes
+		// what the others do.
+		for _, i := range f.Instances {
+			t.Logf("state of %s: %s", i.Listing.Name, i.State())
+		}
+		for _, i := range f.Instances {
+			if err := i.Dump(); err != nil {
+				t.Logf("%s: %v", i.Listing.Name, err)
 			}
+			log, err := os.ReadFile(i.LogFile)
+			t.Logf("log of %s (error %v):\n%s", i.Listing.Name, err, log)
 		}
 	})
 	return f
 }
 
+// expectSignaled fails the test if a process was not stopped, continued or
+// terminated. The test then does not test what it is meant to.
+func expectSignaled(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Error(err)
+	}
+}
+
 // A request must reach a backend server through any entry instance, and the
 // answer must come back complete.
 func TestServesThroughEveryInstance(t *testing.T) {
--- a/internal/program/instance/rates_bench_test.go
+++ b/internal/program/instance/rates_bench_test.go
@@ -44,7 +44,7 @@
 	ctx, stop := context.WithTimeout(b.Context(), measureTime)
 	defer stop()
 	l := newLoad(f, 0, demand*limit.Rate)
-	go injectFailure(f, l, failure)
+	go injectFailure(b, f, l, failure)
 	l.run(ctx, 1, "bench")
 	refused := float64(l.outcomes["notRun rateExceeded"])
 	ideal := refusedBy(l.arrivals, limit, 1)
@@ -59,15 +59,16 @@
 }
 
 // injectFailure causes the failure a third into the measurement.
-func injectFailure(f *fleet.Fleet, l *load, failure string) {
+func injectFailure(t testing.TB, f *fleet.Fleet, l *load, failure string) {
+	t.Helper()
 	time.Sleep(measureTime / 3)
 	switch failure {
 	case "killed":
 		f.Instances[3].Kill()
 	case "frozen":
-		f.Instances[3].Pause()
+		expectSignaled(t, f.Instances[3].Pause())
 		time.Sleep(measureTime / 3)
-		f.Instances[3].Resume()
+		expectSignaled(t, f.Instances[3].Resume())
 	case "outage":
 		f.Platform.SetFaults(platform.Faults{Outage: true})
 	case "moved":
--- a/internal/program/instance/rates_test.go
+++ b/internal/program/instance/rates_test.go
@@ -131,8 +131,8 @@
 		last time.Duration
 	}{
 		{func() {}, 2 * time.Second},
-		{func() { f.Instances[1].Pause() }, 3500 * time.Millisecond},
-		{func() { f.Instances[1].Resume() }, time.Second},
+		{func() { expectSignaled(t, f.Instances[1].Pause()) }, 3500 * time.Millisecond},
+		{func() { expectSignaled(t, f.Instances[1].Resume()) }, time.Second},
 		{func() { f.Platform.SetFaults(platform.Faults{Outage: true}) }, 2 * time.Second},
 		{func() { f.Instances[2].Kill() }, 2 * time.Second},
 		{func() { f.Platform.SetFaults(platform.Faults{LoseAnswers: 3}) }, 2 * time.Second},
@@ -162,7 +162,7 @@
 	t.Parallel()
 	f := startFleet(t, fleet.Options{Services: browseService(50)})
 	awaitShares(t, f, 3)
-	f.Instances[2].Terminate()
+	expectSignaled(t, f.Instances[2].Terminate())
 	if !f.Instances[2].Wait(time.Minute) {
 		t.Fatal("the instance did not stop")
 	}
@@ -196,7 +196,7 @@
 	awaitShares(t, f, 3)
 	f.Platform.SetFaults(platform.Faults{Outage: true})
 	began := time.Now()
-	f.Instances[2].Terminate()
+	expectSignaled(t, f.Instances[2].Terminate())
 	if !f.Instances[2].Wait(time.Minute) {
 		t.Fatal("the instance did not stop")
 	}
--- a/internal/program/instance/resolve_test.go
+++ b/internal/program/instance/resolve_test.go
@@ -167,7 +167,7 @@
 	t.Parallel()
 	i := newIssuer(t)
 	const attempts = 60
-	i.fleet.Instances[0].Pause()
+	expectSignaled(t, i.fleet.Instances[0].Pause())
 	sent := make([]<-chan tamarackrun.Outcome, attempts)
 	resolved := make([]chan tamarackrun.Outcome, attempts)
 	name := func(n int) string { return fmt.Sprintf("order-%d", n) }
@@ -175,7 +175,7 @@
 		sent[n], resolved[n] = i.send(name(n)+"@"+i.incarnation, name(n)), make(chan tamarackrun.Outcome, 1)
 		go func() { resolved[n] <- i.resolve(name(n) + "@" + i.incarnation) }()
 	}
-	i.fleet.Instances[0].Resume()
+	expectSignaled(t, i.fleet.Instances[0].Resume())
 	counts := map[string]int{}
 	for n := range attempts {
 		dispatched, settled := <-sent[n], <-resolved[n]
--- a/internal/program/instance/steering_test.go
+++ b/internal/program/instance/steering_test.go
@@ -204,7 +204,7 @@
 	})
 	awaitAndTime(t, "load", func() bool { return executionsOf(f, "browse-01") > 20 })
 	began := time.Now()
-	leaving.Terminate()
+	expectSignaled(t, leaving.Terminate())
 	if !leaving.Wait(steeringWaitLimit) {
 		t.Error("the instance did not stop")
 	}
@@ -267,7 +267,7 @@
 		})
 	}
 	awaitAndTime(t, "first execution", func() bool { return executionsOf(f, "browse-01") > 0 })
-	f.Instances[0].Pause()
+	expectSignaled(t, f.Instances[0].Pause())
 	// The pause is longer than the timeout of all requests.
 	time.Sleep(4 * time.Second)
 	old := func() (n int) {
@@ -279,7 +279,7 @@
 		return n
 	}
 	before := old()
-	f.Instances[0].Resume()
+	expectSignaled(t, f.Instances[0].Resume())
 	group.Wait()
 	c := f.Caller("tea")
 	awaitAndTime(t, "answer of the resumed home", func() bool {
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -275,7 +276,9 @@
 
 func (d *Demo) stopAll() {
 	for _, p := range d.processes {
-		p.Signal(syscall.SIGTERM)
+		if err := p.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
+			_, _ = fmt.Fprintln(d.Out, err)
+		}
 	}
 	deadline := time.Now().Add(15 * time.Second)
 	for _, p := range d.processes {
--- a/internal/standin/demo/load.go
+++ b/internal/standin/demo/load.go
@@ -40,9 +40,9 @@
 		what     string
 		act      func() error
 	}{
-		{0.25, "killed instance entry-3", func() error { d.processes["entry-3"].Signal(syscall.SIGKILL); return nil }},
+		{0.25, "killed instance entry-3", func() error { return d.processes["entry-3"].Signal(syscall.SIGKILL) }},
 		{0.45, "draining one backend server", d.drainServer},
-		{0.6, "planned stop of instance entry-5", func() error { d.processes["entry-5"].Signal(syscall.SIGTERM); return nil }},
+		{0.6, "planned stop of instance entry-5", func() error { return d.processes["entry-5"].Signal(syscall.SIGTERM) }},
 	}
 	start := time.Now()
 	for _, disturbance := range disturbances {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -393,8 +393,9 @@
 	}}
 }
 
-// Terminate asks an instance to stop gracefully.
-func (i *Instance) Terminate() { i.Signal(syscall.SIGTERM) }
+// Terminate asks an instance to stop gracefully. It returns an error if the
+// instance's process has ended.
+func (i *Instance) Terminate() error { return i.Signal(syscall.SIGTERM) }
 
 // Executions returns how many times the backend servers ran a request with the
 // body.
--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -1,22 +1,25 @@
 package fleet
 
 import (
-	"bytes"
 	"fmt"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"syscall"
 	"time"
 )
 
+// resumeLimit bounds the wait for the threads of a process to go on. It is long
+// because the host may be busy.
+const resumeLimit = 10 * time.Second
+
 // Process is a child process.
 type Process struct {
 	// LogFile is the file that standard error is appended to.
 	LogFile string
 
 	command *exec.Cmd
-	// ended is closed when the process has ended.
+	// ended is closed when the process has ended. command.ProcessState is set
+	// before.
 	ended chan struct{}
 }
 
@@ -45,8 +48,13 @@
 // PID returns the process id.
 func (p *Process) PID() int { return p.command.Process.Pid }
 
-// Signal sends a signal.
-func (p *Process) Signal(s os.Signal) { _ = p.command.Process.Signal(s) }
+// Signal sends a signal. The error is os.ErrProcessDone if the process has ended.
+func (p *Process) Signal(s os.Signal) error {
+	if err := p.command.Process.Signal(s); err != nil {
+		return fmt.Errorf("cannot send signal %v to process %d: %w", s, p.PID(), err)
+	}
+	return nil
+}
 
 // Kill ends the process at once and waits for its end.
 func (p *Process) Kill() {
@@ -56,31 +64,56 @@
 
 // Pause stops the process until Resume. It returns when all threads have stopped:
 // the signal takes effect with a delay, in which a thread may still begin a
-// request.
-func (p *Process) Pause() {
-	p.Signal(syscall.SIGSTOP)
-	for !p.stopped() {
+// request. It returns an error if the process has ended.
+func (p *Process) Pause() error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for {
+		if stopped, running := p.countThreads(); running == 0 {
+			if stopped == 0 {
+				return fmt.Errorf("process %d has ended instead of stopping", p.PID())
+			}
+			return nil
+		}
 		time.Sleep(time.Millisecond)
 	}
 }
 
-// stopped reports whether all threads are stopped. A process that has ended counts
-// as stopped.
-func (p *Process) stopped() bool {
-	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.PID()))
-	for _, file := range files {
-		text, err := os.ReadFile(file)
-		// The state follows the program's name, which is in parentheses.
-		_, rest, found := bytes.Cut(text, []byte(") "))
-		if err == nil && found && !bytes.ContainsAny(rest[:1], "TZX") {
-			return false
+// countThreads counts the threads by whether they are stopped. Those that have
+// ended do not count.
+func (p *Process) countThreads() (stopped, running int) {
+	for _, t := range p.threads() {
+		switch t.state {
+		case "T":
+			stopped++
+		case "Z", "X", "":
+		default:
+			running++
 		}
 	}
-	return true
+	return stopped, running
 }
 
-// Resume continues a paused process.
-func (p *Process) Resume() { p.Signal(syscall.SIGCONT) }
+// Resume continues a paused process. It returns when no thread is stopped, and an
+// error if that takes longer than resumeLimit or the process has ended.
+func (p *Process) Resume() error {
+	if err := p.Signal(syscall.SIGCONT); err != nil {
+		return err
+	}
+	for limit := time.Now().Add(resumeLimit); ; time.Sleep(time.Millisecond) {
+		stopped, running := p.countThreads()
+		if stopped == 0 && running > 0 {
+			return nil
+		}
+		if p.hasEnded() {
+			return fmt.Errorf("process %d ended while it was paused: %v", p.PID(), p.command.ProcessState)
+		}
+		if time.Now().After(limit) {
+			return fmt.Errorf("process %d has %d stopped and %d other threads %v after SIGCONT", p.PID(), stopped, running, resumeLimit)
+		}
+	}
+}
 
 // Wait waits for the end of the process and reports whether it came within the
 // limit. After the limit the process is killed.
