Keep a paused instance paused when the shell of the tests ends

When a process group loses its last parent in the session and holds a stopped process, the kernel sends SIGHUP and SIGCONT to the group. The instances were in the group of the test binary. If the tests run in the background with SIGHUP ignored, as by nohup, and the shell that started them ends while an instance is paused, the instance goes on.

Change: each instance has a process group of its own.

The soak starts its instances without a group of their own and pauses them, too; it is not changed.

--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -31,8 +31,10 @@
 		return nil, err
 	}
 	p.command.Stderr = log
-	// The kernel kills the child even if this process is killed.
-	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// The kernel kills the child even if this process is killed. The child has a process
+	// group of its own: in the group of this process a paused child would get SIGHUP and
+	// SIGCONT when the shell that started this process ends.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := p.command.Start(); err != nil {
 		_ = log.Close()
 		return nil, fmt.Errorf("%s did not start: %w", program, err)
--- a/internal/standin/fleet/process_test.go
+++ b/internal/standin/fleet/process_test.go
@@ -1,9 +1,13 @@
 package fleet_test
 
 import (
+	"bufio"
 	"errors"
+	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -62,6 +66,52 @@
 	}
 }
 
+// A paused process must stay paused when its process group loses its last parent in
+// the session, such as the shell that started the tests in the background. The kernel
+// then sends SIGHUP and SIGCONT to a group with a stopped process.
+func TestPauseOutlastsShell(t *testing.T) {
+	t.Parallel()
+	closing, held, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = held.Close() }()
+	shell := exec.Command("sh", "-c", `"$0" & wait`, os.Args[0])
+	shell.Env = append(os.Environ(), pauseVariable+"="+filepath.Join(t.TempDir(), "sleep.log"))
+	shell.ExtraFiles = []*os.File{closing}
+	shell.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	output, err := shell.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := shell.Start(); err != nil {
+		t.Fatal(err)
+	}
+	_ = closing.Close()
+	line, err := bufio.NewReader(output).ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	pid, err := strconv.Atoi(strings.TrimSpace(line))
+	if err != nil {
+		t.Fatalf("the process was not paused: %s", line)
+	}
+	if err := shell.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := shell.Process.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	// The signals have been sent when the end of the shell is reported.
+	for range 20 {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+		if err != nil || !strings.Contains(string(stat), ") T ") {
+			t.Fatalf("the paused process is not stopped after the end of the shell: error %v, %s", err, stat)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // A process that does not follow SIGQUIT must be told apart by whether it was
 // stopped.
 func TestDumpReportsStoppedProcess(t *testing.T) {
