Pause the home in a test only when all requests have been read

TestPausedHomeRunsNoExpiredRequests paused the home after the first execution. The time of a request begins when its entry instance reads it. On a busy machine some of the requests were still in the kernel at the pause, so that their 3 s began after it, and the home rightly ran them. The test counted them as expired.

Change: the test waits until both entry instances have recorded all their requests as accepted. The check itself stays, and now each of the twelve requests has expired when the home resumes.

--- a/internal/program/instance/steering_test.go
+++ b/internal/program/instance/steering_test.go
@@ -1,10 +1,12 @@
 package instance_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -254,19 +256,28 @@
 // meantime.
 func TestPausedHomeRunsNoExpiredRequests(t *testing.T) {
 	t.Parallel()
-	f := startFleet(t, fleet.Options{Instances: 2, Regions: []int{2},
+	f := startFleet(t, fleet.Options{Instances: 2, Regions: []int{2}, LogLevel: "debug",
 		Services: []fleet.Service{{Name: "browse", Servers: 1, Slots: 1, Route: "methods = GET\nidempotent = yes"}}})
 	// The server is in the failure domain of the first instance, which is its
 	// home.
 	f.Servers["browse-01"].SetFaults(server.Faults{WorkMillis: 400})
+	const requests = 12
 	var group sync.WaitGroup
-	for n := range 12 {
+	for n := range requests {
 		group.Go(func() {
 			f.Caller("tea").SendTo(t.Context(), f.Instances[n%2].Listing.CallerAddress, "GET", "/browse/old", nil,
 				http.Header{"Tamarackrun-Timeout-Ms": {"3000"}})
 		})
 	}
 	awaitAndTime(t, "first execution", func() bool { return executionsOf(f, "browse-01") > 0 })
+	// The time of a request begins when its entry instance reads it. One that is read
+	// during the pause or after it has not expired when the home resumes.
+	for _, i := range f.Instances {
+		awaitAndTime(t, "requests that "+i.Listing.Name+" has read", func() bool {
+			log, err := os.ReadFile(i.LogFile)
+			return err == nil && bytes.Count(log, []byte(`"name":"requestAccepted"`)) == requests/len(f.Instances)
+		})
+	}
 	expectSignaled(t, f.Instances[0].Pause())
 	// The pause is longer than the timeout of all requests.
 	time.Sleep(4 * time.Second)
