--- a/review/rig-2/poison.go
+++ b/review/rig-2/poison.go
@@ -9,7 +9,8 @@
 
 // cases holds the cases by their names.
 var cases = map[string]func(*world) (int, error){
-	"poison": playPoison,
+	"poison":    playPoison,
+	"directory": playDirectory,
 }
 
 const (
