--- a/review/rig-2/poison.go
+++ b/review/rig-2/poison.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(*world) (int, error){
 	"poison":    playPoison,
 	"directory": playDirectory,
+	"spoiled":   playSpoiled,
 }
 
 const (
--- a/review/rig-2/server.go
+++ b/review/rig-2/server.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strconv"
@@ -29,6 +30,8 @@
 	// crash says when the server ends under a request whose path contains poisonMark: beforeAnswer or withinAnswer;
 	// empty means that it runs such a request like any other.
 	crash string
+	// spoiled is the part of the answers in place of which the server sends bytes that are no response.
+	spoiled float64
 	// report is the file to which a line is appended for each run.
 	report *os.File
 
@@ -118,6 +121,10 @@
 	}
 	header.Set(headerSignature, "signed-by-"+s.id+"-for-"+id)
 	header.Set("Content-Length", strconv.Itoa(len(answer)))
+	if rand.Float64() < s.spoiled {
+		s.spoil(w, id)
+		return
+	}
 	if poison {
 		_, _ = w.Write(answer[:len(answer)/2])
 		_ = http.NewResponseController(w).Flush()
@@ -125,3 +132,13 @@
 	}
 	_, _ = w.Write(answer)
 }
+
+// spoil sends bytes that are no response, since they have no status, and ends the connection.
+func (s *server) spoil(w http.ResponseWriter, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 000 \r\n%s: %s\r\nContent-Length: 2\r\nConnection: close\r\n\r\n??", headerRequestID, id)
+	_ = conn.Close()
+}
