--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -44,6 +44,7 @@
 	id, address, report := flags.String("id", "", "id"), flags.String("address", "", "IP:PORT"), flags.String("report", "", "file of runs")
 	work, crash := flags.Duration("work", 0, "time for a request"), flags.String("crash", "", "when poison ends the server")
 	spoiled := flags.Float64("spoiled", 0, "part of the answers that are no response")
+	fileName := flags.String("file-name", "", "name of a file in the header of answers")
 	slots := flags.Int("slots", 9, "requests at a time")
 	_ = flags.Parse(arguments)
 	f, err := os.OpenFile(*report, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
@@ -56,7 +57,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(failed)
 	}
-	s := &server{id: *id, slots: *slots, work: *work, crash: *crash, spoiled: *spoiled, report: f, running: make(chan struct{}, *slots)}
+	s := &server{id: *id, slots: *slots, work: *work, crash: *crash, spoiled: *spoiled, fileName: *fileName, report: f, running: make(chan struct{}, *slots)}
 	h := &http.Server{Handler: s, IdleTimeout: 10 * time.Second, ReadHeaderTimeout: 10 * time.Second}
 	fmt.Fprintln(os.Stderr, h.Serve(listener))
 	os.Exit(failed)
--- a/review/rig-2/poison.go
+++ b/review/rig-2/poison.go
@@ -12,6 +12,7 @@
 	"poison":    playPoison,
 	"directory": playDirectory,
 	"spoiled":   playSpoiled,
+	"stranded":  playStranded,
 }
 
 const (
--- a/review/rig-2/server.go
+++ b/review/rig-2/server.go
@@ -32,6 +32,8 @@
 	crash string
 	// spoiled is the part of the answers in place of which the server sends bytes that are no response.
 	spoiled float64
+	// fileName is the name in the header Content-Disposition of answers; empty means that they have none.
+	fileName string
 	// report is the file to which a line is appended for each run.
 	report *os.File
 
@@ -121,6 +123,9 @@
 	}
 	header.Set(headerSignature, "signed-by-"+s.id+"-for-"+id)
 	header.Set("Content-Length", strconv.Itoa(len(answer)))
+	if s.fileName != "" {
+		header.Set("Content-Disposition", `attachment; filename="`+s.fileName+`"`)
+	}
 	if rand.Float64() < s.spoiled {
 		s.spoil(w, id)
 		return
--- a/review/rig-2/world.go
+++ b/review/rig-2/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -37,6 +38,8 @@
 	// network is the first three bytes of all addresses.
 	network string
 	store   *standin.Store
+	// storeOf holds the addresses at which single instances, by their number, reach the store; the others use the common one.
+	storeOf map[int]string
 	// trouble is false if the case is played without its disruption.
 	trouble bool
 
@@ -271,6 +274,7 @@
 		w.mu.Lock()
 		w.instances = append(w.instances, in)
 		w.mu.Unlock()
+		storeAddress := cmp.Or(w.storeOf[i], storeAddress)
 		if err := os.WriteFile(in.settingsFile(), []byte(in.settings(storeAddress, true)), 0o600); err != nil {
 			return err
 		}
