--- a/review/rig-2/poison.go
+++ b/review/rig-2/poison.go
@@ -10,6 +10,7 @@
 // cases holds the cases by their names.
 var cases = map[string]func(*world) (int, error){
 	"poison":    playPoison,
+	"quota":     playQuota,
 	"directory": playDirectory,
 	"spoiled":   playSpoiled,
 	"stranded":  playStranded,
--- a/review/rig-2/world.go
+++ b/review/rig-2/world.go
@@ -40,6 +40,8 @@
 	store   *standin.Store
 	// storeOf holds the addresses at which single instances, by their number, reach the store; the others use the common one.
 	storeOf map[int]string
+	// rate and burst are the organisation's limit.
+	rate, burst float64
 	// trouble is false if the case is played without its disruption.
 	trouble bool
 
@@ -64,7 +66,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return failed
 	}
-	w := &world{directory: directory, program: os.Getenv("TAMARACKRUN"), store: standin.NewStore(), trouble: trouble,
+	w := &world{directory: directory, program: os.Getenv("TAMARACKRUN"), store: standin.NewStore(), rate: 200, burst: 200, trouble: trouble,
 		record: bufio.NewWriter(f), began: time.Now(), network: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), rand.IntN(250))}
 	w.note("trouble %t", trouble)
 	code, err := play(w)
@@ -148,7 +150,7 @@
 		add("services", name, map[string]any{"health-check-path": healthPath, "max-connections": 390, "protocol": "h1", "tls": false,
 			"cold-start-s": 3, "cold-per-s": 20})
 	}
-	add("tenants", "yard", map[string]any{"api-keys": []string{"key-of-yard"}, "priority": 1, "rate-per-s": 200, "burst": 200, "allowed-regions": []string{}})
+	add("tenants", "yard", map[string]any{"api-keys": []string{"key-of-yard"}, "priority": 1, "rate-per-s": w.rate, "burst": w.burst, "allowed-regions": []string{}})
 	add("limits", "", map[string]any{"max-header-bytes": 16384, "max-body-bytes": 65536, "header-timeout-s": 3, "idle-timeout-s": 15})
 	text, err := json.Marshal(map[string]any{"version": "r" + strconv.Itoa(version), "resources": resources})
 	if err != nil {
