--- a/review/rig-2/directory.go
+++ b/review/rig-2/directory.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return failed, err
 	}
-	if err := w.configure(12, []string{"logbook"}, route{prefix: "/logs/", service: "logbook", safe: true, attempts: 2, timeout: 5 * time.Second}); err != nil {
+	if err := w.configure([]string{"logbook"}, route{prefix: "/logs/", service: "logbook", safe: true, attempts: 2, timeout: 5 * time.Second}); err != nil {
 		return failed, err
 	}
 	if err := w.startBackends("logbook", 6, "-work", "50ms"); err != nil {
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -19,6 +19,15 @@
 	failed = 2
 )
 
+// cases holds the cases by their names. Each returns an exit code.
+var cases = map[string]func(*world) (int, error){
+	"poison":    playPoison,
+	"stranded":  playStranded,
+	"quota":     playQuota,
+	"spoiled":   playSpoiled,
+	"directory": playDirectory,
+}
+
 func isPoison(path string) bool { return strings.Contains(path, poisonMark) }
 
 func main() {
--- a/review/rig-2/poison.go
+++ b/review/rig-2/poison.go
@@ -7,15 +7,6 @@
 	"time"
 )
 
-// cases holds the cases by their names.
-var cases = map[string]func(*world) (int, error){
-	"poison":    playPoison,
-	"quota":     playQuota,
-	"directory": playDirectory,
-	"spoiled":   playSpoiled,
-	"stranded":  playStranded,
-}
-
 const (
 	poisonPath = "/logs" + poisonMark + "/batch-17"
 	// maxLaterRetries is the number of retries that the rule allows.
@@ -40,7 +31,7 @@
 	if err != nil {
 		return failed, err
 	}
-	if err := w.configure(12, []string{"logbook"}, route{prefix: "/logs/", service: "logbook", safe: true, attempts: 2, timeout: 5 * time.Second}); err != nil {
+	if err := w.configure([]string{"logbook"}, route{prefix: "/logs/", service: "logbook", safe: true, attempts: 2, timeout: 5 * time.Second}); err != nil {
 		return failed, err
 	}
 	if err := w.startBackends("logbook", 12, flags...); err != nil {
@@ -56,7 +47,7 @@
 	others.Go(func() { w.sendOthers(done) })
 	for i, end := 0, time.Now().Add(poisonTime); time.Now().Before(end); i++ {
 		in, c := w.instances[i%len(w.instances)], call{id: newID(), method: http.MethodGet, path: poisonPath, timeout: requestTimeout}
-		status, _, err := w.send(in, c)
+		status, err := w.send(in, c)
 		w.note("poison %s sent to %s: status %d, error %v", c.id, in.name, status, err)
 		time.Sleep(poisonInterval)
 	}
@@ -75,7 +66,7 @@
 			return
 		case <-time.After(50 * time.Millisecond):
 		}
-		status, _, _ := w.send(w.instances[i%len(w.instances)], call{id: newID(), method: http.MethodGet, path: "/logs/" + newID(), timeout: requestTimeout})
+		status, _ := w.send(w.instances[i%len(w.instances)], call{id: newID(), method: http.MethodGet, path: "/logs/" + newID(), timeout: requestTimeout})
 		statuses[status]++
 	}
 }
--- a/review/rig-2/quota.go
+++ b/review/rig-2/quota.go
@@ -28,7 +28,7 @@
 		return failed, err
 	}
 	w.rate, w.burst = organisationRate, organisationBurst
-	if err := w.configure(12, []string{"logbook"}, route{prefix: "/logs/", service: "logbook", safe: true, attempts: 1, timeout: 4 * time.Second}); err != nil {
+	if err := w.configure([]string{"logbook"}, route{prefix: "/logs/", service: "logbook", safe: true, attempts: 1, timeout: 4 * time.Second}); err != nil {
 		return failed, err
 	}
 	if err := w.startBackends("logbook", 6, "-work", "20ms"); err != nil {
@@ -53,7 +53,7 @@
 	for end := time.Now().Add(burstTime); time.Now().Before(end); time.Sleep(burstPause) {
 		for _, in := range staying {
 			group.Go(func() {
-				status, _, _ := w.send(in, call{id: newID(), method: http.MethodGet, path: "/logs/" + newID(), timeout: requestTimeout})
+				status, _ := w.send(in, call{id: newID(), method: http.MethodGet, path: "/logs/" + newID(), timeout: requestTimeout})
 				mu.Lock()
 				defer mu.Unlock()
 				statuses[status]++
--- a/review/rig-2/server.go
+++ b/review/rig-2/server.go
@@ -115,7 +115,7 @@
 	time.Sleep(s.work)
 	poison := s.crash != "" && isPoison(r.URL.Path)
 	if poison && s.crash == beforeAnswer {
-		os.Exit(1)
+		end()
 	}
 	answer := make([]byte, answerBytes)
 	for i := range answer {
@@ -133,11 +133,14 @@
 	if poison {
 		_, _ = w.Write(answer[:len(answer)/2])
 		_ = http.NewResponseController(w).Flush()
-		os.Exit(1)
+		end()
 	}
 	_, _ = w.Write(answer)
 }
 
+// end ends the process, as a crash does.
+func end() { os.Exit(1) }
+
 // spoil sends bytes that are no response, since they have no status, and ends the connection.
 func (s *server) spoil(w http.ResponseWriter, id string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/review/rig-2/spoiled.go
+++ b/review/rig-2/spoiled.go
@@ -2,16 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"regexp"
 	"strings"
 	"sync"
 	"time"
-
-	"tamarackrun/platform/standin"
 )
 
 const (
@@ -36,7 +34,7 @@
 	if err != nil {
 		return failed, err
 	}
-	if err := w.configure(12, []string{"logbook", "certifier"},
+	if err := w.configure([]string{"logbook", "certifier"},
 		route{prefix: "/logs/", service: "logbook", safe: true, attempts: 2, timeout: 4 * time.Second},
 		route{prefix: "/stamps/", service: "certifier", attempts: 2, timeout: 4 * time.Second}); err != nil {
 		return failed, err
@@ -90,18 +88,13 @@
 
 // firstLine sends a request on a new connection and returns the first line that comes back.
 func (w *world) firstLine(in *instance, c call) (string, error) {
-	conn, err := net.DialTimeout("tcp", in.ip+":8389", time.Second)
+	conn, err := w.dial(in, c)
 	if err != nil {
 		return "", err
 	}
 	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(c.timeout + time.Second))
-	if _, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nX-Deadline-Millis: %d\r\nAuthorization: Token key-of-yard\r\nContent-Length: %d\r\n\r\n%s",
-		c.method, c.path, standin.Host, headerRequestID, c.id, c.timeout.Milliseconds(), len(c.body), c.body); err != nil {
-		return "", err
-	}
 	line, err := bufio.NewReader(conn).ReadString('\n')
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		return line, nil
 	}
 	return line, err
--- a/review/rig-2/stranded.go
+++ b/review/rig-2/stranded.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return failed, err
 	}
-	if err := w.configure(12, []string{"logbook", "certifier"},
+	if err := w.configure([]string{"logbook", "certifier"},
 		route{prefix: "/logs/", service: "logbook", safe: true, attempts: 2, timeout: 4 * time.Second},
 		route{prefix: "/stamps/", service: "certifier", attempts: 2, timeout: 4 * time.Second}); err != nil {
 		return failed, err
@@ -72,7 +72,7 @@
 					c.method, c.path, c.body = http.MethodPost, "/stamps/"+newID(), "batch"
 				}
 				sent := time.Now()
-				status, _, err := w.send(in, c)
+				status, err := w.send(in, c)
 				mu.Lock()
 				if !began.IsZero() && sent.Sub(began) > contactTime {
 					t := &others
--- a/review/rig-2/world.go
+++ b/review/rig-2/world.go
@@ -131,8 +131,8 @@
 	timeout         time.Duration
 }
 
-// configure writes a configuration with one organisation.
-func (w *world) configure(version int, services []string, routes ...route) error {
+// configure writes the first configuration, which has one organisation.
+func (w *world) configure(services []string, routes ...route) error {
 	var resources []map[string]any
 	add := func(kind, name string, spec map[string]any) {
 		resources = append(resources, map[string]any{"resource-kind": kind, "metadata": map[string]string{"name": name}, "spec": spec})
@@ -152,7 +152,7 @@
 	}
 	add("tenants", "yard", map[string]any{"api-keys": []string{"key-of-yard"}, "priority": 1, "rate-per-s": w.rate, "burst": w.burst, "allowed-regions": []string{}})
 	add("limits", "", map[string]any{"max-header-bytes": 16384, "max-body-bytes": 65536, "header-timeout-s": 3, "idle-timeout-s": 15})
-	text, err := json.Marshal(map[string]any{"version": "r" + strconv.Itoa(version), "resources": resources})
+	text, err := json.Marshal(map[string]any{"version": "r12", "resources": resources})
 	if err != nil {
 		return err
 	}
@@ -277,16 +277,12 @@
 		w.instances = append(w.instances, in)
 		w.mu.Unlock()
 		storeAddress := cmp.Or(w.storeOf[i], storeAddress)
-		if err := os.WriteFile(in.settingsFile(), []byte(in.settings(storeAddress, true)), 0o600); err != nil {
+		if err := os.WriteFile(in.settingsFile(), []byte(in.settings(storeAddress)), 0o600); err != nil {
 			return err
 		}
 		if err := in.start(); err != nil {
 			return err
 		}
-		// Only the first start of the whole system is one with bootstrap.
-		if err := os.WriteFile(in.settingsFile()+".later", []byte(in.settings(storeAddress, false)), 0o600); err != nil {
-			return err
-		}
 	}
 	return w.awaitReady(10 * time.Second)
 }
@@ -346,14 +342,6 @@
 	}
 }
 
-// restart starts a process in place of one that has ended.
-func (in *instance) restart() error {
-	if err := os.Rename(in.settingsFile()+".later", in.settingsFile()); err != nil && !os.IsNotExist(err) {
-		return err
-	}
-	return in.start()
-}
-
 func (in *instance) ready() bool {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := c.Get("http://" + in.ip + ":8384/readyz")
@@ -365,7 +353,7 @@
 }
 
 // settings returns the text of the settings file with the figures of the pages.
-func (in *instance) settings(storeAddress string, bootstrap bool) string {
+func (in *instance) settings(storeAddress string) string {
 	text := fmt.Sprintf(`[self]
 node-name = %q
 role = "entry"
@@ -375,7 +363,7 @@
 zone = %q
 region = %q
 counts-as-loss = false
-bootstrap = %t
+bootstrap = true
 [self.limits]
 cpu-share = 0.32
 cpu-cores = 1
@@ -391,7 +379,7 @@
 ready = "%[2]s:8384"
 directory = "%[2]s:8385"
 [network.zones]
-`, in.name, in.ip, in.zone, zones[in.zone], bootstrap)
+`, in.name, in.ip, in.zone, zones[in.zone])
 	for zone, region := range zones {
 		text += fmt.Sprintf("%s = %q\n", zone, region)
 	}
@@ -451,29 +439,40 @@
 // newID returns a random request id.
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
-// send sends a request to an instance on a new connection and returns the status and the body of the answer.
-func (w *world) send(in *instance, c call) (status int, body string, err error) {
+// dial opens a connection to an instance and sends a request on it. The caller closes the connection.
+func (w *world) dial(in *instance, c call) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", in.ip+":8389", time.Second)
 	if err != nil {
-		return 0, "", err
+		return nil, err
 	}
-	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(c.timeout + time.Second))
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nX-Deadline-Millis: %d\r\nAuthorization: Token key-of-yard\r\n", c.method, c.path,
 		standin.Host, headerRequestID, c.id, c.timeout.Milliseconds())
-	if c.body != "" || c.method == http.MethodPost {
+	if c.method == http.MethodPost {
 		text += fmt.Sprintf("Content-Length: %d\r\n", len(c.body))
 	}
 	if _, err := io.WriteString(conn, text+"\r\n"+c.body); err != nil {
-		return 0, "", err
+		_ = conn.Close()
+		return nil, err
 	}
+	return conn, nil
+}
+
+// send sends a request to an instance on a new connection and returns the status of the answer, or an error if that is
+// not whole.
+func (w *world) send(in *instance, c call) (status int, err error) {
+	conn, err := w.dial(in, c)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = conn.Close() }()
 	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: c.method})
 	if err != nil {
-		return 0, "", err
+		return 0, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(content), err
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
 }
 
 // run is a run of a request at a server.
