--- a/review/rig-2/directory.go
+++ b/review/rig-2/directory.go
@@ -73,6 +73,7 @@
 			time.Sleep(lookupPause * time.Duration(i) / lookupClients)
 			for {
 				addresses, err := asked.lookup("worcester")
+				w.note("answer of %s: %v, error %v", asked.name, addresses, err)
 				mu.Lock()
 				all++
 				if err == nil && !killedAt.IsZero() && slices.Contains(addresses, lost.ip+":8389") && slices.Contains(addresses, asked.ip+":8389") {
--- a/review/rig-2/poison.go
+++ b/review/rig-2/poison.go
@@ -47,8 +47,8 @@
 	others.Go(func() { w.sendOthers(done) })
 	for i, end := 0, time.Now().Add(poisonTime); time.Now().Before(end); i++ {
 		in, c := w.instances[i%len(w.instances)], call{id: newID(), method: http.MethodGet, path: poisonPath, timeout: requestTimeout}
-		status, err := w.send(in, c)
-		w.note("poison %s sent to %s: status %d, error %v", c.id, in.name, status, err)
+		// The record has what happened.
+		_, _ = w.send(in, c)
 		time.Sleep(poisonInterval)
 	}
 	close(done)
@@ -81,7 +81,6 @@
 	for _, r := range all {
 		if r.uri == poisonPath {
 			poison = append(poison, r)
-			w.note("run of %s (%s %s) at server %s, %.3f s after the start", r.request, r.method, r.uri, r.server, r.at.Sub(w.began).Seconds())
 		}
 	}
 	w.note("%d runs of all requests, %d of the poison", len(all), len(poison))
--- a/review/rig-2/spoiled.go
+++ b/review/rig-2/spoiled.go
@@ -94,6 +94,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	line, err := bufio.NewReader(conn).ReadString('\n')
+	w.note("sent %s %s %s to %s, first line %q, error %v", c.id, c.method, c.path, in.name, line, err)
 	if errors.Is(err, io.EOF) {
 		return line, nil
 	}
--- a/review/rig-2/stranded.go
+++ b/review/rig-2/stranded.go
@@ -56,7 +56,7 @@
 	time.Sleep(contactTime)
 	var mu sync.Mutex
 	var began time.Time
-	stranded, others, failures := tries{}, tries{}, map[string]int{}
+	stranded, others, failures, unserved := tries{}, tries{}, map[string]int{}, []string(nil)
 	done := make(chan struct{})
 	var group sync.WaitGroup
 	for i := range strandedCallers {
@@ -84,7 +84,7 @@
 						t.served++
 					} else {
 						failures[fmt.Sprintf("%s at %s: status %d", c.method, in.name, status)]++
-						w.note("%s %s %s at %s: status %d, error %v", c.method, c.path, c.id, in.name, status, err)
+						unserved = append(unserved, c.id)
 					}
 				}
 				mu.Unlock()
@@ -108,12 +108,17 @@
 	if err != nil {
 		return failed, err
 	}
-	byRequest := map[string]int{}
+	hasRun := map[string]bool{}
 	for _, r := range runs {
-		byRequest[r.request]++
+		hasRun[r.request] = true
 	}
-	w.note("%d requests have run", len(byRequest))
-	w.note("failures: %v", failures)
+	lostAnswers := 0
+	for _, id := range unserved {
+		if hasRun[id] {
+			lostAnswers++
+		}
+	}
+	w.note("failures: %v; %d of %d of these requests have run", failures, lostAnswers, len(unserved))
 	w.note("first tries later than %s after the cut began: %d of %d served at the instance that is cut off, %d of %d at the others",
 		contactTime, stranded.served, stranded.sent, others.served, others.sent)
 	if stranded.sent == 0 || others.served == 0 {
--- a/review/rig-2/world.go
+++ b/review/rig-2/world.go
@@ -71,6 +71,7 @@
 	w.note("trouble %t", trouble)
 	code, err := play(w)
 	w.stop()
+	w.recordRuns()
 	if err != nil {
 		w.note("the case could not run: %v", err)
 		code = failed
@@ -461,6 +462,9 @@
 // send sends a request to an instance on a new connection and returns the status of the answer, or an error if that is
 // not whole.
 func (w *world) send(in *instance, c call) (status int, err error) {
+	defer func() {
+		w.note("sent %s %s %s to %s, answered %d, error %v", c.id, c.method, c.path, in.name, status, err)
+	}()
 	conn, err := w.dial(in, c)
 	if err != nil {
 		return 0, err
@@ -504,3 +508,14 @@
 	}
 	return all, nil
 }
+
+// recordRuns writes all runs to the record.
+func (w *world) recordRuns() {
+	all, err := w.runs()
+	if err != nil {
+		w.note("the runs can't be read: %v", err)
+	}
+	for _, r := range all {
+		w.note("run of %s (%s %s) at server %s, %.3f s after the start", r.request, r.method, r.uri, r.server, r.at.Sub(w.began).Seconds())
+	}
+}
