Do not take a reset for the end of an answer

Callers got a part of an answer as the whole one: a backend server answered a long upload at once without a length, sent a part of the body and reset the connection. Linux gives a socket's error to the first call that asks. The goroutine that writes the upload got ECONNRESET, and the read of the answer got io.EOF, which ends a body without a length.

Connections of transport/dialer now look at the state of the socket at io.EOF and return ECONNRESET unless the peer has closed its side. The state does not depend on which call has got the error.

TestEndBeforeUploadIsReadEndsAnswer passes before and after: a server that ends its side and reads on has sent its whole answer.

--- a/internal/transport/backend/backend.go
+++ b/internal/transport/backend/backend.go
@@ -53,7 +53,7 @@
 	// OnAnswer is called with the headers of each answer. It may be nil.
 	OnAnswer func(server string, header http.Header)
 
-	dialer *net.Dialer
+	dialer *dialer.Dialer
 	// pooled reuses connections. It may send a request again by itself, so it is used
 	// only for idempotent requests, and only for servers that name the request in their
 	// answers: a second copy of an answer may arrive when its connection is in use again.
--- a/internal/transport/dialer/dialer.go
+++ b/internal/transport/dialer/dialer.go
@@ -1,7 +1,9 @@
-// Package dialer opens TCP connections that fail soon after their link has gone silent.
+// Package dialer opens TCP connections that fail soon after their link has gone silent, and whose readers
+// see the end of the connection only if the peer has ended it.
 package dialer
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -18,14 +20,34 @@
 	userTimeout = 2500 * time.Millisecond
 )
 
+// Dialer opens connections. Its fields are those of net.Dialer.
+type Dialer struct{ net.Dialer }
+
 // New returns a dialer that gives up a connection after the timeout.
-func New(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{
+func New(timeout time.Duration) *Dialer {
+	return &Dialer{net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		Control: setUserTimeout,
+	}}
+}
+
+// Dial opens a connection.
+func (d *Dialer) Dial(network, address string) (net.Conn, error) {
+	return d.DialContext(context.Background(), network, address)
+}
+
+// DialContext opens a connection until the context ends.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d.Dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return conn{tcp}, nil
 	}
+	return c, nil
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -128,7 +128,7 @@
 	// request. An answer may take a quarter of it.
 	Bodies memory.Budget
 
-	dialer net.Dialer
+	dialer dialer.Dialer
 	// seed is that of the hashes of request ids, which callers choose.
 	seed maphash.Seed
 	// opened is the number of connections that were opened.
--- a/internal/transport/exchange/socket.go
+++ b/internal/transport/exchange/socket.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -11,7 +10,7 @@
 // rawConnection returns access to the socket of a TCP connection. tcp is false for other connections, and raw
 // is nil if the socket can't be accessed.
 func (c *connection) rawConnection() (raw syscall.RawConn, tcp bool) {
-	conn, ok := c.Conn.(*net.TCPConn)
+	conn, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil, false
 	}
