Decide in one place what is a valid answer

Readers took what http.ReadResponse accepts, which folds lines, allows blanks in names and takes any number of three characters as the status. Replies of delegates and homes were hardly checked.

protocol/answer reads heads and decides. transport/exchange uses it for servers; transport/httpclient, a small http.RoundTripper, for the stores, the product's own interface, health checks and the operator's commands; the readers of other instances call its check. httpclient sends no request again by itself, but for reads of the stores on kept connections, as http.Transport did; so the backend client needs no single-use transports.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 fuzz: ## Run each fuzz target for 20 s.
 	$(GO) test -run=NONE -fuzz=FuzzParse -fuzztime=20s -parallel=4 ./internal/protocol/document
 	$(GO) test -run=NONE -fuzz=FuzzRead -fuzztime=20s -parallel=4 ./internal/protocol/frame
+	$(GO) test -run=NONE -fuzz=FuzzRead -fuzztime=20s -parallel=4 ./internal/protocol/answer
 	$(GO) test -run=NONE -fuzz=FuzzForwardedRequestHoldsNoKey -fuzztime=20s -parallel=4 ./internal/program/instance
 
 events: ## Write docs/events.md from the catalogue in the code.
--- a/internal/program/command/operator.go
+++ b/internal/program/command/operator.go
@@ -14,6 +14,8 @@
 
 	"github.com/spf13/cobra"
 
+	"tamarackrun/internal/transport/dialer"
+	"tamarackrun/internal/transport/httpclient"
 	"tamarackrun/internal/transport/operator"
 )
 
@@ -50,7 +52,8 @@
 		return 0, nil, nil, err
 	}
 	request.Header.Set("Tamarackrun-Operator-Key", string(key))
-	response, err := (&http.Client{Timeout: callTimeout}).Do(request)
+	client := &http.Client{Timeout: callTimeout, Transport: &httpclient.Transport{DialContext: dialer.New(callTimeout).DialContext}}
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, nil, nil, err
 	}
--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -14,6 +14,7 @@
 	"tamarackrun"
 	"tamarackrun/internal/coordination/membership"
 	"tamarackrun/internal/coordination/steer"
+	"tamarackrun/internal/protocol/answer"
 	"tamarackrun/internal/protocol/event"
 	"tamarackrun/internal/protocol/frame"
 	"tamarackrun/internal/protocol/wire"
@@ -283,7 +284,7 @@
 // receiveDelegated returns the result that a delegate has sent, with the body of the answer.
 func (f *Front) receiveDelegated(stream tamarackrun.Stream, reply *wire.Delegated) (exchange.Result, error) {
 	outcome, ok := frame.ParseOutcome(reply.Outcome, reply.Reason)
-	if !ok || outcome.Kind == tamarackrun.Ran && reply.Status < http.StatusOK {
+	if !ok {
 		return exchange.Result{}, errors.New("the delegate's reply has no valid outcome")
 	}
 	result := exchange.Result{Outcome: outcome, Sent: outcome.Kind != tamarackrun.NotRun}
@@ -291,6 +292,9 @@
 		return result, nil
 	}
 	result.Status, result.Header = int(reply.Status), frame.Header(reply.Header)
+	if err := answer.Check(result.Status, result.Header); err != nil {
+		return exchange.Result{}, err
+	}
 	result.Fields = f.HeaderCodec.DecodeAnswer(result.Status, result.Header)
 	if reply.Length > uint64(f.backendClient.Bodies.Limit) || !f.backendClient.Hold(&result, int64(reply.Length)) {
 		return exchange.Result{Outcome: tamarackrun.Uncertain(tamarackrun.AnswersFull), Sent: true}, nil
--- a/internal/program/front/delegation_test.go
+++ b/internal/program/front/delegation_test.go
@@ -116,6 +116,8 @@
 	unreached := []*wire.Envelope{delegated(&wire.Delegated{Outcome: uint32(tamarackrun.NotRun), Reason: string(tamarackrun.ServersUnreachable)})}
 	body := &wire.Envelope{Kind: &wire.Envelope_AnswerBody{AnswerBody: &wire.AnswerBody{Piece: []byte("abc")}}}
 	head := delegated(&wire.Delegated{Outcome: uint32(tamarackrun.Ran), Status: http.StatusOK, Length: 7})
+	// An instance of an earlier version may have read such an answer.
+	invalidField := delegated(&wire.Delegated{Outcome: uint32(tamarackrun.Ran), Status: http.StatusOK, Header: []*wire.HeaderField{{Name: "Some Name", Value: "1"}}})
 	lost, shed := tamarackrun.Uncertain(tamarackrun.DelegateLost), tamarackrun.Refused(tamarackrun.ServerShed)
 	tests := map[string]struct {
 		idempotent bool
@@ -136,6 +138,8 @@
 		"it ends before the body":                 {false, tamarackrun.Outcome{}, [][]*wire.Envelope{{head}}, true, lost},
 		"it ends within the body":                 {false, tamarackrun.Outcome{}, [][]*wire.Envelope{{head, body}}, true, lost},
 		"it sends a longer body":                  {false, tamarackrun.Outcome{}, [][]*wire.Envelope{{head, body, body, body}}, true, lost},
+		"it sends an invalid status":              {false, tamarackrun.Outcome{}, [][]*wire.Envelope{{delegated(&wire.Delegated{Outcome: uint32(tamarackrun.Ran), Status: 600})}}, true, lost},
+		"it sends an invalid name of a field":     {false, tamarackrun.Outcome{}, [][]*wire.Envelope{{invalidField}}, true, lost},
 		"it sends no outcome":                     {false, tamarackrun.Outcome{}, [][]*wire.Envelope{{delegated(&wire.Delegated{})}}, true, lost},
 		"it ends after one that has not taken it": {false, tamarackrun.Outcome{}, [][]*wire.Envelope{untaken, nil}, true, lost},
 	}
--- a/internal/program/instance/homes.go
+++ b/internal/program/instance/homes.go
@@ -18,6 +18,8 @@
 	"tamarackrun/internal/protocol/wire"
 	"tamarackrun/internal/state/configuration"
 	"tamarackrun/internal/state/roster"
+	"tamarackrun/internal/transport/dialer"
+	"tamarackrun/internal/transport/httpclient"
 )
 
 const (
@@ -78,7 +80,7 @@
 // answers name no request, so on a kept connection a second copy of an earlier one, which may
 // come at any later time, would count as the next one.
 func newHealthClient() *http.Client {
-	return &http.Client{Timeout: healthTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	return &http.Client{Timeout: healthTimeout, Transport: &httpclient.Transport{DialContext: dialer.New(healthTimeout).DialContext}}
 }
 
 // run updates the servers of this home and polls them until ctx ends.
--- a/internal/protocol/frame/exchange.go
+++ b/internal/protocol/frame/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/protocol/answer"
 	"tamarackrun/internal/protocol/wire"
 )
 
@@ -106,10 +107,10 @@
 		Outcome: uint32(o.Kind), Reason: string(o.Reason), Length: s.length}}})
 }
 
-// ReceiveAnswer reads an answer from a stream and writes it to answer. began reports
+// ReceiveAnswer reads an answer from a stream and writes it to writer. began reports
 // whether the peer sent a head; if not, it is unknown whether the request ran and the
 // reason of the outcome is HomeLost.
-func ReceiveAnswer(stream tamarackrun.Stream, answer tamarackrun.AnswerWriter) (outcome tamarackrun.Outcome, began bool) {
+func ReceiveAnswer(stream tamarackrun.Stream, writer tamarackrun.AnswerWriter) (outcome tamarackrun.Outcome, began bool) {
 	first, err := stream.Receive()
 	head := first.GetAnswerHead()
 	if err != nil || head == nil {
@@ -123,10 +124,14 @@
 		}
 		return outcome, true
 	}
-	if answer.Head(int(head.Status), Header(head.Header)) != nil {
+	status, header := int(head.Status), Header(head.Header)
+	if answer.Check(status, header) != nil {
+		return tamarackrun.Uncertain(tamarackrun.HomeLost), true
+	}
+	if writer.Head(status, header) != nil {
 		return tamarackrun.Uncertain(tamarackrun.AnswerCancelled), true
 	}
-	return receiveBody(stream, answer), true
+	return receiveBody(stream, writer), true
 }
 
 // receiveBody reads the body and the end of an answer whose head was written.
--- a/internal/transport/backend/backend.go
+++ b/internal/transport/backend/backend.go
@@ -10,7 +10,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +17,7 @@
 
 	"tamarackrun"
 	"tamarackrun/internal/transport/dialer"
+	"tamarackrun/internal/transport/httpclient"
 )
 
 const (
@@ -27,8 +27,6 @@
 	// instance.
 	maxPiece    = 32 << 10
 	idleTimeout = 30 * time.Second
-	// maxHeadBytes bounds the head of an answer.
-	maxHeadBytes = 64 << 10
 )
 
 // notRunHeaders are the headers by which a backend server says that it did not run a
@@ -54,10 +52,9 @@
 	OnAnswer func(server string, header http.Header)
 
 	dialer *dialer.Dialer
-	// pooled reuses connections. It may send a request again by itself, so it is used
-	// only for idempotent requests, and only for servers that name the request in their
-	// answers: a second copy of an answer may arrive when its connection is in use again.
-	pooled *http.Transport
+	// transport reuses connections only for idempotent requests, and only for servers that name the request in their
+	// answers.
+	transport *httpclient.Transport
 	// naming holds the servers whose latest answer named its request.
 	naming sync.Map
 	// dispatched is the number of dispatches, from which each gets an id that no other one has on the
@@ -69,12 +66,8 @@
 // server. The clean-up function closes idle connections.
 func New(connections int) (*Client, func(), error) {
 	d := dialer.New(dialTimeout)
-	pooled := &http.Transport{
-		DialContext: d.DialContext, MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
-		IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
-	}
-	c := &Client{dialer: d, pooled: pooled}
-	return c, pooled.CloseIdleConnections, nil
+	transport := &httpclient.Transport{DialContext: d.DialContext, MaxIdle: connections, IdleTimeout: idleTimeout}
+	return &Client{dialer: d, transport: transport}, transport.CloseIdle, nil
 }
 
 // Dispatch sends the request and passes the answer on.
@@ -94,23 +87,13 @@
 	if err != nil {
 		return tamarackrun.Refused(tamarackrun.Malformed)
 	}
-	transport := c.pooled
-	if _, names := c.naming.Load(request.Server); !request.Idempotent || !names {
-		conn, err := c.dialer.DialContext(ctx, "tcp", address)
-		if err != nil {
-			// The dial may have failed by the end of the context, but in any case
-			// no byte of the request was sent.
-			return tamarackrun.Refused(tamarackrun.ConnectFailed)
-		}
-		defer func() { _ = conn.Close() }()
-		transport = singleConnectionTransport(conn)
-	}
-	var gotConnection atomic.Bool
-	outgoing = outgoing.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { gotConnection.Store(true) }}))
-	response, err := transport.RoundTrip(outgoing)
+	// A second copy of an answer may arrive when its connection is in use again, and a server may end a kept connection
+	// while a request is on its way.
+	_, names := c.naming.Load(request.Server)
+	outgoing.Close = !request.Idempotent || !names
+	response, err := c.transport.RoundTrip(outgoing)
 	if err != nil {
-		return outcomeOfError(ctx, err, gotConnection.Load())
+		return outcomeOfError(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	switch response.Header.Get(requestIDHeader) {
@@ -118,7 +101,7 @@
 		c.naming.Store(request.Server, true)
 	case "":
 		c.naming.Delete(request.Server)
-		if transport == c.pooled {
+		if !outgoing.Close {
 			// The answer can't be told from a second copy of an earlier one.
 			return c.refuseAnswer()
 		}
@@ -137,36 +120,15 @@
 // refuseAnswer returns the outcome after an answer that may belong to another request. It
 // closes all idle connections, because the answer's own one may be among them.
 func (c *Client) refuseAnswer() tamarackrun.Outcome {
-	c.pooled.CloseIdleConnections()
+	c.transport.CloseIdle()
 	return tamarackrun.Uncertain(tamarackrun.AnswerLost)
 }
 
-// errOneConnection is returned if http.Transport asks for a second connection.
-var errOneConnection = errors.New("the request may use only one connection")
-
-// singleConnectionTransport returns a transport for one request on a connection that
-// is already open. http.Transport sends a request again by itself if a reused
-// connection fails; this one has no other connection to send it on.
-func singleConnectionTransport(conn net.Conn) *http.Transport {
-	var used atomic.Bool
-	return &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
-		DialContext: func(context.Context, string, string) (net.Conn, error) {
-			if used.Swap(true) {
-				return nil, errOneConnection
-			}
-			return conn, nil
-		}}
-}
-
-// plainReader hides all other methods of a reader, so that http.NewRequest can't set
-// GetBody, by which http.Transport would be able to send the body again.
-type plainReader struct{ io.Reader }
-
 // newRequest returns the request to send to a backend server, with the id of the dispatch.
 func newRequest(ctx context.Context, address, id string, request tamarackrun.Request) (*http.Request, error) {
 	var body io.Reader
 	if len(request.Body) > 0 {
-		body = plainReader{bytes.NewReader(request.Body)}
+		body = bytes.NewReader(request.Body)
 	}
 	outgoing, err := http.NewRequestWithContext(ctx, request.Method, "http://"+address+request.Target, body)
 	if err != nil {
@@ -177,12 +139,6 @@
 	if outgoing.Header == nil {
 		outgoing.Header = http.Header{}
 	}
-	if !request.Idempotent {
-		// Because of these headers http.Transport would treat the request as
-		// idempotent.
-		outgoing.Header.Del("Idempotency-Key")
-		outgoing.Header.Del("X-Idempotency-Key")
-	}
 	outgoing.Header.Set("Tamarackrun-Organisation", request.Organisation)
 	outgoing.Header.Set(requestIDHeader, id)
 	return outgoing, nil
@@ -198,13 +154,12 @@
 	return false
 }
 
-// outcomeOfError returns the outcome after an error without an answer. Only a failed
-// dial proves that the request did not run, if the request had no connection before:
-// http.Transport dials to send a request again by itself. An error on an open connection
-// does not, even while the request is being written.
-func outcomeOfError(ctx context.Context, err error, gotConnection bool) tamarackrun.Outcome {
+// outcomeOfError returns the outcome after an error without an answer. Only a failed dial, which may have failed
+// by the end of the context, proves that the request did not run. An error on an open connection does not, even while the
+// request is being written.
+func outcomeOfError(ctx context.Context, err error) tamarackrun.Outcome {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" && !gotConnection {
+	if errors.As(err, &op) && op.Op == "dial" {
 		return tamarackrun.Refused(tamarackrun.ConnectFailed)
 	}
 	switch {
@@ -240,7 +195,7 @@
 		}
 		if err != nil {
 			if ctx.Err() != nil {
-				return outcomeOfError(ctx, err, true)
+				return outcomeOfError(ctx, err)
 			}
 			return tamarackrun.Uncertain(tamarackrun.AnswerTruncated)
 		}
--- a/internal/transport/backend/backend_test.go
+++ b/internal/transport/backend/backend_test.go
@@ -88,7 +88,7 @@
 }
 
 // Guards against a non-idempotent request that is sent twice. A server that reads a
-// request and closes the connection may have run it. http.Transport sends such a
+// request and closes the connection may have run it. http.Transport would send such a
 // request again by itself if the connection was used before, and with an
 // Idempotency-Key header even a POST.
 func TestNonIdempotentRequestIsSentOnce(t *testing.T) {
--- a/internal/transport/backend/copies_test.go
+++ b/internal/transport/backend/copies_test.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// Guards against the outcome "not run" of a request that was sent. http.Transport sends an idempotent
+// Guards against the outcome "not run" of a request that was sent. http.Transport, for one, sends an idempotent
 // request again by itself if a reused connection fails, and returns the error of the second dial, although the
 // server may have run the request that came on the first connection.
 func TestFailedDialAfterSendingIsNoRefusal(t *testing.T) {
--- a/internal/transport/dialer/reset_test.go
+++ b/internal/transport/dialer/reset_test.go
@@ -46,7 +46,7 @@
 		}
 		<-ended
 		// Without a write that fails, the read would get the reset itself.
-		for deadline := time.Now().Add(time.Second); want == syscall.ECONNRESET && time.Now().Before(deadline); {
+		for deadline := time.Now().Add(time.Second); errors.Is(want, syscall.ECONNRESET) && time.Now().Before(deadline); {
 			if _, err := conn.Write([]byte{0}); err != nil {
 				break
 			}
--- a/internal/transport/exchange/connection.go
+++ b/internal/transport/exchange/connection.go
@@ -4,11 +4,8 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
-	"regexp"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -16,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"tamarackrun"
+	"tamarackrun/internal/protocol/answer"
 	"tamarackrun/internal/protocol/hopheader"
 	"tamarackrun/internal/state/memory"
 	"tamarackrun/internal/transport/bounded"
@@ -73,8 +71,6 @@
 // Errors of invalid answers.
 var (
 	errOtherAnswers = errors.New("the server sent only answers to other requests")
-	errInterim      = fmt.Errorf("the server sent more than %d interim answers", maxInterimAnswers)
-	errJoined       = errors.New("the head of the server's answer is made of two answers")
 	errUnproven     = errors.New("the status of the server's answer says that the request has not run, and its header doesn't")
 	errUnsigned     = errors.New("the server's 2xx answer has no signature or no request id")
 )
@@ -186,7 +182,7 @@
 func reasonOf(response *http.Response, err error) tamarackrun.Reason {
 	var limit *bounded.LimitError
 	switch {
-	case errors.As(err, &limit), errors.Is(err, errInterim):
+	case errors.As(err, &limit), errors.Is(err, answer.ErrInterim):
 		return tamarackrun.AnswerTooLarge
 	case errors.Is(err, bounded.ErrNoMemory):
 		return tamarackrun.AnswersFull
@@ -196,58 +192,21 @@
 	return tamarackrun.AnswerLost
 }
 
-// readAnswer reads one answer and skips interim ones. The response is nil if its head
-// is incomplete. reserved is the memory that the body holds of c.bodies, in bytes.
+// readAnswer reads one answer. The response is nil if its head is incomplete or not valid. reserved is the memory that the body holds of c.bodies, in bytes.
 func (c *connection) readAnswer(r Request) (response *http.Response, body []byte, reserved int64, err error) {
 	c.head.Begin(c.reader)
 	defer c.head.End()
-	for range maxInterimAnswers + 1 {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		if err != nil {
-			return nil, nil, 0, err
-		}
-		if isJoined(response) {
-			return nil, nil, 0, errJoined
-		}
-		if response.StatusCode/100 == 1 {
-			continue
-		}
-		c.head.End()
-		body, reserved, err := bounded.ReadBody(response.Body, response.ContentLength, c.bodies.Limit/maxAnswerFraction, c.bodies)
-		if err != nil {
-			// Close would read the rest of the body.
-			return response, nil, 0, eris.Wrap(err, "incomplete answer")
-		}
-		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-			c.broken = true
-		}
-		return response, body, reserved, eris.Wrap(response.Body.Close(), "incomplete answer")
-	}
-	return nil, nil, 0, errInterim
-}
-
-// statusLine matches the beginning of an answer.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-9][0-9]{2}`)
-
-// containsStatusLine reports whether another answer begins in the text.
-func containsStatusLine(text string) bool {
-	// The expression takes several times as long.
-	return strings.Contains(text, "HTTP/1.") && statusLine.MatchString(text)
-}
-
-// isJoined reports whether another answer begins within the head of an answer. A server that cuts an answer off and
-// goes on with another one, such as the copy of an earlier refusal, joins their fields into one head. If the cut is
-// between two fields or in the name of one, the head is not valid in any case.
-func isJoined(response *http.Response) bool {
-	if containsStatusLine(response.Status) {
-		return true
+	response, err = answer.Read(c.reader, r.Method)
+	if err != nil {
+		return nil, nil, 0, err
 	}
-	for _, values := range response.Header {
-		if slices.ContainsFunc(values, containsStatusLine) {
-			return true
-		}
+	c.head.End()
+	body, reserved, err = bounded.ReadBody(response.Body, response.ContentLength, c.bodies.Limit/maxAnswerFraction, c.bodies)
+	if err != nil {
+		return response, nil, 0, eris.Wrap(err, "incomplete answer")
 	}
-	return false
+	c.broken = c.broken || response.Close
+	return response, body, reserved, nil
 }
 
 // setUsableUntil sets how long the connection may be used again after an answer, or
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -31,8 +31,6 @@
 	// interim answers before it.
 	maxHeadBytes = 64 << 10
 	maxHeadLines = 512
-	// maxInterimAnswers bounds the number of interim answers before an answer.
-	maxInterimAnswers = 8
 	// maxAnswerFraction is the number of answers of the largest size that fit in the
 	// memory for answers.
 	maxAnswerFraction = 4
--- a/internal/transport/objectstore/objectstore.go
+++ b/internal/transport/objectstore/objectstore.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"tamarackrun"
+	"tamarackrun/internal/transport/dialer"
+	"tamarackrun/internal/transport/httpclient"
 )
 
 const (
@@ -48,8 +50,8 @@
 	if _, err := url.Parse(base); err != nil {
 		return nil, nil, err
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 5 * time.Second}
-	return &Client{base: base, client: &http.Client{Transport: transport}}, transport.CloseIdleConnections, nil
+	transport := &httpclient.Transport{DialContext: dialer.New(callTimeout).DialContext, MaxIdle: 4, IdleTimeout: 5 * time.Second, RepeatsReads: true}
+	return &Client{base: base, client: &http.Client{Transport: transport}}, transport.CloseIdle, nil
 }
 
 // answer is a complete answer of the platform.
