Count the age of reports from their sending

The log shows it: the dead peer, 'silentFor' 5.25 s, is 'peerReachable' with 'silentFor' 0.94 ms 2 ms after the resume, and 256 ms later at three others. Likewise, the age of the latest read of the store left out the time on the way, so that each echo between two regions made the read younger: 6.3 s instead of 8 s.

Messages named the ages of their contents and not the time of their sending. They now name the sender's clock and, for each instance heard lately, that instance's clock as the sender knows it: a time on the receiver's own clock, at most one way before the sending. Reports, member tables, contacts, sums of demand and the latest read count from there, whether or not the message has waited.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -108,8 +108,8 @@
 // digestState holds the latest digest of one kind from a relay.
 type digestState struct {
 	stream
-	// at is when the digest arrived.
-	at time.Duration
+	// at is when the digest was sent, and readAt when it was read.
+	at, readAt time.Duration
 	// demands holds the sums of demand by the hash of the organisation, and members the
 	// number of instances that they cover.
 	demands map[uint64]float64
@@ -153,10 +153,13 @@
 	// lend, minus those that this instance asked for since its report.
 	spareTokens map[uint64]float64
 
+	// clock is that of the process that sent the latest message.
+	clock peerClock
+
 	// report is the latest report that the peer sent to this instance as a relay.
 	report struct {
 		stream
-		at          time.Duration
+		at, readAt  time.Duration
 		demands     map[uint64]float64
 		spareTokens map[uint64]float64
 	}
@@ -214,6 +217,8 @@
 
 	ready, leaving atomic.Bool
 
+	// started is when the process started.
+	started time.Duration
 	// incarnation identifies the process; it is random and not 0. No clock can
 	// order the processes of an instance: after a power loss the monotonic clock
 	// starts again at zero, and the time of day may jump.
@@ -227,6 +232,9 @@
 	// byHash holds the peers by the hashes of their names.
 	byHash   map[uint64]*peer
 	sequence uint64
+	// reportedAt is when this instance sent its latest report. It stood still from pausedAt to resumedAt; pausedAt is 0 if
+	// it has not.
+	reportedAt, pausedAt, resumedAt time.Duration
 	// ownHash is the hash of Name.
 	ownHash uint64
 	// early receives a value when the next report is due at once.
@@ -247,6 +255,7 @@
 		Name:        name,
 		OwnRecord:   ownRecord,
 		Clock:       clock,
+		started:     clock.Now(),
 		peers:       map[string]*peer{},
 		byHash:      map[uint64]*peer{},
 		ownHash:     xxhash.Sum64String(name),
@@ -344,6 +353,7 @@
 			p = &peer{hash: xxhash.Sum64String(r.Name), lastReport: now - removeAfter, lastMutual: now - removeAfter,
 				recordSeen: now}
 			p.report.at, p.domain.at, p.fleet.at = now-removeAfter, now-removeAfter, now-removeAfter
+			p.report.readAt, p.domain.readAt, p.fleet.readAt = p.report.at, p.domain.at, p.fleet.at
 			m.peers[r.Name], m.byHash[p.hash] = p, p
 			m.Recorder.Record(event.InstanceKnown, "", "peer", r.Name, "address", r.Instance.ReportAddress)
 		}
@@ -496,7 +506,8 @@
 			if p.unreachable {
 				id = event.PeerUnreachable
 			}
-			m.Recorder.Record(id, "", "peer", name, "silentFor", (now - max(p.lastReport, p.recordSeen)).String())
+			m.Recorder.Record(id, "", "peer", name, "silentFor", (now - max(p.lastReport, p.recordSeen)).String(),
+				"readAge", (now - max(p.report.readAt, p.domain.readAt, p.fleet.readAt)).String())
 		}
 		members = append(members, Member{Name: name, InstanceRecord: p.record, Ready: p.ready, Leaving: p.leaving, Alive: alive,
 			HeardRecently: now-p.lastReport < recent, StoreUnreachable: p.storeUnreachable,
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -30,6 +30,12 @@
 	spareTokens  []map[string]float64
 	// drops reports whether a message from one instance to another is lost.
 	drops func(from, to int) bool
+	// delay returns how long a message is on its way or waits to be read. It may be nil.
+	delay func(from, to int) time.Duration
+	// underWay holds the messages that have not been read, in the order of sending.
+	underWay []delayedMessage
+	// systemClock reports whether the system's clock, which is that of a test bubble, runs like the fleet's.
+	systemClock bool
 	// domains is the number of failure domains, over which the instances are spread in
 	// turn.
 	domains int
@@ -38,6 +44,13 @@
 	messages, bytes map[bool]int
 }
 
+// delayedMessage is a message that is read later than it is sent.
+type delayedMessage struct {
+	due     time.Duration
+	to      int
+	message *wire.InstanceMessage
+}
+
 const reportInterval = 250 * time.Millisecond
 
 func instanceName(i int) string { return fmt.Sprint("instance-", i) }
@@ -101,7 +114,11 @@
 			sameDomain := f.domainOf(i) == f.domainOf(to)
 			f.messages[sameDomain]++
 			f.bytes[sameDomain] += proto.Size(message)
-			if to != i && !f.drops(i, to) {
+			switch {
+			case to == i || f.drops(i, to):
+			case f.delay != nil:
+				f.underWay = append(f.underWay, delayedMessage{f.clock.now + f.delay(i, to), to, proto.CloneOf(message)})
+			default:
 				f.members[to].Receive(proto.CloneOf(message))
 			}
 		}
@@ -115,7 +132,7 @@
 // run advances the clock by d, while all instances except those in stopped report.
 func (f *fleet) run(d time.Duration, stopped ...int) {
 	for range int(d / reportInterval) {
-		f.clock.now += reportInterval
+		f.deliver(f.clock.now + reportInterval)
 		for i, m := range f.members {
 			if !slices.Contains(stopped, i) {
 				m.sendReport()
@@ -124,6 +141,26 @@
 	}
 }
 
+// deliver advances the clock and delivers the messages that are due.
+func (f *fleet) deliver(until time.Duration) {
+	slices.SortStableFunc(f.underWay, func(a, b delayedMessage) int { return int(a.due - b.due) })
+	for len(f.underWay) > 0 && f.underWay[0].due <= until {
+		next := f.underWay[0]
+		f.underWay = f.underWay[1:]
+		f.advance(next.due)
+		f.members[next.to].Receive(next.message)
+	}
+	f.advance(until)
+}
+
+// advance sets the clock, and the system's clock too if f.systemClock is set.
+func (f *fleet) advance(to time.Duration) {
+	if f.systemClock && to > f.clock.now {
+		time.Sleep(to - f.clock.now)
+	}
+	f.clock.now = max(f.clock.now, to)
+}
+
 // aliveNames returns the names of the members that instance i counts as alive.
 func (f *fleet) aliveNames(i int) []string {
 	names := []string{}
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -45,17 +45,18 @@
 		return nil
 	}
 	now := m.Clock.Now()
-	p.report.at, p.report.demands, p.report.spareTokens = now, readTable(r.Demands), readTable(r.SpareTokens)
+	sent := m.sentAt(now, p, r, r.HeardRelays)
+	p.report.at, p.report.readAt, p.report.demands, p.report.spareTokens = sent, now, readTable(r.Demands), readTable(r.SpareTokens)
 	if r.Leaving && !p.leaving {
 		m.ReportSoon()
 	}
-	p.known, p.lastReport, p.spareTokens = true, now, maps.Clone(p.report.spareTokens)
+	p.known, p.lastReport, p.spareTokens = true, max(p.lastReport, sent), maps.Clone(p.report.spareTokens)
 	p.ready, p.leaving, p.requestRate = r.Ready, r.Leaving, r.RequestRate
 	p.storeUnreachable, p.serversUnreachable = r.StoreAway, r.ServersAway
 	if slices.Contains(r.HeardRelays, m.ownHash) {
-		p.lastMutual = now
+		p.lastMutual = max(p.lastMutual, sent)
 	}
-	m.mergePositions(r.Era, r.Revisions, r.VerifiedAge)
+	m.mergePositions(r.Era, r.Revisions, r.VerifiedAge, now-sent)
 	return p
 }
 
@@ -66,13 +67,14 @@
 		return nil
 	}
 	now := m.Clock.Now()
-	p.domain.at, p.domain.demands, p.domain.members = now, readTable(d.Demands), int(d.Covered)
+	sent := m.sentAt(now, p, d, d.HeardRelays)
+	p.domain.at, p.domain.readAt, p.domain.demands, p.domain.members = sent, now, readTable(d.Demands), int(d.Covered)
 	mutual := now - removeAfter
 	if slices.Contains(d.HeardRelays, m.ownHash) {
-		mutual = now
+		mutual = sent
 	}
-	m.mergeMembers(now, d.Members, d.Lenders, mutual)
-	m.mergePositions(d.Era, d.Revisions, d.VerifiedAge)
+	m.mergeMembers(now, sent, d.Members, d.Lenders, mutual)
+	m.mergePositions(d.Era, d.Revisions, d.VerifiedAge, now-sent)
 	return p
 }
 
@@ -83,23 +85,24 @@
 		return nil
 	}
 	now := m.Clock.Now()
-	p.fleet.at, p.fleet.demands, p.fleet.members = now, readTable(d.Demands), int(d.Covered)
+	sent := m.sentAt(now, p, d, d.HeardReporters)
+	p.fleet.at, p.fleet.readAt, p.fleet.demands, p.fleet.members = sent, now, readTable(d.Demands), int(d.Covered)
 	p.avoidedSince = 0
 	// The relay hears this instance if its table says so.
 	mutual := now - removeAfter
 	if i := slices.Index(d.Members.GetNames(), m.ownHash); i >= 0 && i < len(d.Members.GetAges()) {
-		mutual = now - time.Duration(d.Members.Ages[i])*time.Millisecond
+		mutual = sent - time.Duration(d.Members.Ages[i])*time.Millisecond
 	}
-	m.mergeMembers(now, d.Members, d.Lenders, mutual)
-	m.mergePositions(d.Era, d.Revisions, d.VerifiedAge)
+	m.mergeMembers(now, sent, d.Members, d.Lenders, mutual)
+	m.mergePositions(d.Era, d.Revisions, d.VerifiedAge, now-sent)
 	return p
 }
 
-// mergeMembers updates the peers from a relay's member table. mutual is until when messages
-// passed between this instance and the relay in both directions. In a DomainDigest the relay
+// mergeMembers updates the peers from a relay's member table, which was sent at the given time. mutual is until when
+// messages passed between this instance and the relay in both directions. In a DomainDigest the relay
 // is in contact with all members, and in a FleetDigest with each as its contact age says. The
 // caller holds m.mu.
-func (m *Membership) mergeMembers(now time.Duration, t *wire.MemberTable, lenders *wire.LenderTable, mutual time.Duration) {
+func (m *Membership) mergeMembers(now, sent time.Duration, t *wire.MemberTable, lenders *wire.LenderTable, mutual time.Duration) {
 	fromOtherDomain := len(t.GetContactAges()) == 0
 	// Peers that report to this instance have told it their tokens themselves.
 	reportsFrom := now - m.recentAge()
@@ -109,7 +112,7 @@
 		if p == nil {
 			continue
 		}
-		at, f := now-time.Duration(t.Ages[i])*time.Millisecond, t.Flags[i]
+		at, f := sent-time.Duration(t.Ages[i])*time.Millisecond, t.Flags[i]
 		if at > p.lastReport {
 			p.known = p.known || t.Ages[i] < uint32(removeAfter.Milliseconds())
 			p.lastReport = at
@@ -125,7 +128,7 @@
 		}
 		contact := mutual
 		if i < len(t.ContactAges) {
-			contact = min(contact, now-time.Duration(t.ContactAges[i])*time.Millisecond)
+			contact = min(contact, sent-time.Duration(t.ContactAges[i])*time.Millisecond)
 		}
 		p.lastMutual = max(p.lastMutual, contact)
 		if p.report.at < reportsFrom {
@@ -147,9 +150,9 @@
 	}
 }
 
-// mergePositions passes on what another instance knows of the store.
-func (m *Membership) mergePositions(era int64, revisions []int64, verifiedAge uint32) {
-	m.Verifier.MergeReport(time.Now(), verify.Join(era, revisions), time.Duration(verifiedAge)*time.Millisecond)
+// mergePositions passes on what another instance knew of the store when it sent a message of the given age.
+func (m *Membership) mergePositions(era int64, revisions []int64, verifiedAge uint32, age time.Duration) {
+	m.Verifier.MergeReport(time.Now(), verify.Join(era, revisions), time.Duration(verifiedAge)*time.Millisecond+age)
 }
 
 // totalDemand returns the demand of the fleet by the hash of the organisation, and the number
--- a/internal/coordination/membership/relays.go
+++ b/internal/coordination/membership/relays.go
@@ -216,7 +216,7 @@
 		if p.askedSince == 0 {
 			p.askedSince = now
 		}
-		if p.avoidedSince == 0 && now-max(p.askedSince, p.fleet.at) >= answerIntervals*m.reportInterval() {
+		if p.avoidedSince == 0 && now-max(p.askedSince, p.fleet.readAt) >= answerIntervals*m.reportInterval() {
 			p.avoidedSince = now
 		}
 	}
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -60,13 +60,17 @@
 	s.era, s.revisions = positions.Split()
 	m.mu.Lock()
 	now := m.Clock.Now()
+	m.notePause(now)
+	m.reportedAt = now
 	m.sequence++
+	heard := m.heardPeers(now, true)
 	relays, isRelay := m.ownRelays(now)
 	m.noteAsked(relays, now)
 	report := &wire.InstanceReport{Name: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Ready: m.ready.Load(),
 		Leaving: m.leaving.Load(), StoreAway: m.Verifier.StoreUnreachable(), ServersAway: m.serversUnreachable(), Era: s.era, Revisions: s.revisions,
 		VerifiedAge: s.ageMillis(), Demands: rateTable(s.demands), SpareTokens: rateTable(s.spareTokens),
-		HeardRelays: m.heardRelays(now), RequestRate: m.requestRate(), Suspects: s.suspects}
+		HeardRelays: hashesOf(heard), RequestRate: m.requestRate(), Suspects: s.suspects, SentMillis: m.clockMillis(now),
+		HeardClocks: m.heardClocks(now, heard)}
 	if isRelay {
 		relays = append(relays, m.silentPeers(now)...)
 	}
@@ -127,10 +131,12 @@
 	// another failure domain have died, its instances learn from it where to report.
 	domainMembers := m.memberTable(now, domainPeers)
 	domainMembers.ContactAges = nil
+	heard := m.heardPeers(now, false)
 	digest := func(withLenders bool) *wire.InstanceMessage {
 		d := &wire.DomainDigest{Relay: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Members: domainMembers,
-			Demands: rateTable(domainDemands), HeardRelays: m.heardRelays(now), Era: s.era, Revisions: s.revisions,
-			VerifiedAge: s.ageMillis(), Covered: uint32(1 + len(counted)), Suspects: s.suspects}
+			Demands: rateTable(domainDemands), HeardRelays: hashesOf(heard), Era: s.era, Revisions: s.revisions,
+			VerifiedAge: s.ageMillis(), Covered: uint32(1 + len(counted)), Suspects: s.suspects, SentMillis: m.clockMillis(now),
+			HeardClocks: m.heardClocks(now, heard)}
 		if withLenders {
 			d.Lenders = lenderTable(spares)
 		}
@@ -164,7 +170,8 @@
 	}
 	fleet := &wire.FleetDigest{Relay: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Members: m.memberTable(now, all),
 		Demands: rateTable(s.total), Covered: uint32(s.covered), Lenders: lenderTable(spares), Era: s.era, Revisions: s.revisions,
-		VerifiedAge: s.ageMillis(), Suspects: s.suspects}
+		VerifiedAge: s.ageMillis(), Suspects: s.suspects, SentMillis: m.clockMillis(now), HeardReporters: hashesOf(reporters),
+		HeardClocks: m.heardClocks(now, reporters)}
 	return append(messages, outgoing{&wire.InstanceMessage{Content: &wire.InstanceMessage_FleetDigest{FleetDigest: fleet}}, addressesOf(reporters)})
 }
 
@@ -180,18 +187,20 @@
 	return reporters
 }
 
-// heardRelays returns the hashes of the relays whose messages arrived within one and a half
-// intervals. The receiver takes the contact as present at the arrival of this message, so a
+// heardPeers returns the peers of the own failure domain, or those of all others, whose messages were read within one and a half
+// intervals and had not waited for long. The receiver takes the contact as present when this message is sent, so a
 // longer time would delay the moment at which a cut-off relay notices that it is cut off.
 // The caller holds m.mu.
-func (m *Membership) heardRelays(now time.Duration) []uint64 {
-	var hashes []uint64
+func (m *Membership) heardPeers(now time.Duration, ownDomain bool) []*peer {
+	var heard []*peer
 	for _, p := range m.peers {
-		if now-max(p.report.at, p.domain.at, p.fleet.at) < 3*m.reportInterval()/2 {
-			hashes = append(hashes, p.hash)
+		read := max(p.report.readAt, p.domain.readAt, p.fleet.readAt)
+		sent := max(p.report.at, p.domain.at, p.fleet.at)
+		if ownDomain == (p.record.FailureDomain == m.OwnRecord.FailureDomain) && now-read < 3*m.reportInterval()/2 && now-sent < m.recentAge() {
+			heard = append(heard, p)
 		}
 	}
-	return hashes
+	return heard
 }
 
 // memberTable returns a table with this instance and the peers. The caller holds m.mu.
