Count servers that end within an answer

Each end of the connection under a request leads to the check now: within the answer, while the request is written, and at the end of an answer without a length, which cleared the request before and counts as an answer only after the check. As servers also cut answers off without ending, the check looks first whether the server has another open connection; all connections of a process end together. Invalid answers and silent connections count if the record shows the server's end.

--- a/internal/program/front/crash.go
+++ b/internal/program/front/crash.go
@@ -28,6 +28,8 @@
 	// endCheckAge is the least time between two checks of a server. The result of one serves for all requests that
 	// were at the server.
 	endCheckAge = time.Second
+	// endSpread is the time within which the connections of a process that has ended end.
+	endSpread = 50 * time.Millisecond
 	// lossMemory is how long a lost answer is remembered of which the check doesn't show that the server
 	// has ended. The record of a server that has ended lapses or is replaced within it.
 	lossMemory = 5 * time.Second
@@ -47,7 +49,7 @@
 // shows reports whether the check, which is done, says something about a loss. A server may end after the check.
 func (c *endCheck) shows(l loss) bool { return c.proof != "" || !c.ended.Before(l.at) }
 
-// loss is an answer that was lost because its connection ended.
+// loss is an answer that was lost, or may have been cut off, with its connection.
 type loss struct {
 	at      time.Time
 	id      string
@@ -139,17 +141,29 @@
 	return max(left, maxRetryAfter), false
 }
 
-// noteResult watches for requests under which servers end. Other connections of the server tell an end
-// from a lost answer.
+// noteResult watches for requests under which servers end, at whatever point of the answer.
 func (f *Front) noteResult(req *request, server *registry.Server, result exchange.Result) {
+	if result.Outcome == tamarackrun.Done && !result.UntilEnd {
+		f.noteAnswer(req, server)
+		return
+	}
+	l := loss{time.Now(), req.caller.ID, identify(req), server}
 	switch {
 	case result.Outcome == tamarackrun.Done:
-		f.noteAnswer(req, server)
+		go f.checkLastAnswer(req, l)
+	case result.Outcome.Reason == tamarackrun.AnswerLost && endedConnection(result):
+		go f.checkEnd(l)
 	case endedConnection(result):
-		go f.checkEnd(loss{time.Now(), req.caller.ID, identify(req), server})
+		go f.checkCutAnswer(l)
+	case lostReasons[result.Outcome.Reason]:
+		// The server has sent bytes that are no answer, or is silent. Its record may show later that it has ended.
+		f.endChecks.addLoss(l)
 	}
 }
 
+// lostReasons are the reasons of dispatches whose connection has ended, or was closed because of what the server sent.
+var lostReasons = map[tamarackrun.Reason]bool{tamarackrun.AnswerLost: true, tamarackrun.AnswerTruncated: true}
+
 // noteAnswer clears the ends under a request that a server has answered.
 func (f *Front) noteAnswer(req *request, server *registry.Server) {
 	if f.crashes.Empty() {
@@ -172,20 +186,61 @@
 // record may show it later.
 func (f *Front) checkEnd(l loss) {
 	defer f.recoverPanic("check of a server's end", nil)
-	check := f.awaitCheck(l)
-	if !check.shows(l) {
-		time.Sleep(time.Until(check.began.Add(endCheckAge)))
-		check = f.awaitCheck(l)
+	if proof := f.proveEnd(l); proof != "" {
+		f.noteEnd(l, proof)
+		return
 	}
-	if check.proof != "" && !f.links.ServersUnreachable() {
-		f.noteEnd(l, check.proof)
+	f.noteUnproven(l)
+}
+
+// checkCutAnswer is checkEnd for an answer that has begun, which more often has other reasons.
+func (f *Front) checkCutAnswer(l loss) {
+	if f.hasOtherConnection(l) {
+		f.noteUnproven(l)
 		return
 	}
+	f.checkEnd(l)
+}
+
+// checkLastAnswer is checkEnd for an answer that ended with its connection. It counts as one if the server has not ended.
+func (f *Front) checkLastAnswer(req *request, l loss) {
+	defer f.recoverPanic("check of a server's end", nil)
+	if !f.hasOtherConnection(l) {
+		if proof := f.proveEnd(l); proof != "" {
+			f.noteEnd(l, proof)
+			return
+		}
+	}
+	f.noteAnswer(req, l.server)
+}
+
+// hasOtherConnection reports whether the server has another connection, so that no probe is needed: all connections of a
+// process end together.
+func (f *Front) hasOtherConnection(l loss) bool {
+	time.Sleep(endSpread)
+	return f.backendClient.HasOpen(l.server.Address, l.at)
+}
+
+// noteUnproven remembers a loss of which nothing shows yet that the server has ended.
+func (f *Front) noteUnproven(l loss) {
 	f.history.Record(event.EndUnproven, l.id, "server", l.server.Name, "identity", l.request.String(),
 		"serversUnreachable", strconv.FormatBool(f.links.ServersUnreachable()))
 	f.endChecks.addLoss(l)
 }
 
+// proveEnd returns what shows that the server of a loss has ended, or "".
+func (f *Front) proveEnd(l loss) (proof string) {
+	check := f.awaitCheck(l)
+	if !check.shows(l) {
+		time.Sleep(time.Until(check.began.Add(endCheckAge)))
+		check = f.awaitCheck(l)
+	}
+	if f.links.ServersUnreachable() {
+		return ""
+	}
+	return check.proof
+}
+
 // awaitCheck returns the latest check of the server of a loss when it is done, and makes it if it is due.
 func (f *Front) awaitCheck(l loss) *endCheck {
 	check, fresh := f.endChecks.begin(time.Now(), processOf(l.server))
@@ -222,7 +277,8 @@
 			return "connect"
 		case result.Outcome == tamarackrun.Done && fields.Server != "" && fields.Server != server.Name:
 			return "otherServer"
-		case result.Sent && !endedConnection(result):
+		case result.Sent && (result.Outcome.Reason != tamarackrun.AnswerLost || !endedConnection(result)):
+			// What answers, even in part, has not ended.
 			return ""
 		}
 	}
@@ -232,10 +288,17 @@
 	return "reset"
 }
 
-// endedConnection reports whether the answer was lost because the connection has ended.
+// endedConnection reports whether the answer, or a part of it, was lost because the connection has ended.
 func endedConnection(result exchange.Result) bool {
-	return result.Outcome.Reason == tamarackrun.AnswerLost &&
-		(errors.Is(result.Err, io.EOF) || errors.Is(result.Err, io.ErrUnexpectedEOF) || errors.Is(result.Err, syscall.ECONNRESET))
+	if !lostReasons[result.Outcome.Reason] {
+		return false
+	}
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(result.Err, cause) {
+			return true
+		}
+	}
+	return false
 }
 
 // noteEnd records that a server has ended and tells the holders of the request. proof names what shows it.
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -168,7 +168,7 @@
 	{AttemptEnded, "attemptEnded", "info", "one dispatch of a request to a backend server ended"},
 	{RequestDelegated, "requestDelegated", "info", "another instance was asked to send a request to a backend server"},
 	{ServerEnded, "serverEnded", "warn", "a backend server ended while a request was there; the identity is that of all attempts of the same request"},
-	{EndUnproven, "endUnproven", "info", "the connection of a request ended without an answer, but its backend server does not seem to have ended"},
+	{EndUnproven, "endUnproven", "info", "the connection of a request ended without a whole answer, but its backend server does not seem to have ended"},
 	{SuspectTried, "suspectTried", "warn", "a request that is refused because backend servers have ended under it is sent to one again"},
 	{AnswerDropped, "answerDropped", "info", "a backend server sent bytes that are the answer to no request under way on their connection"},
 	{TicketsIssued, "ticketsIssued", "debug", "a caller got tickets"},
--- a/internal/transport/exchange/connection.go
+++ b/internal/transport/exchange/connection.go
@@ -155,6 +155,7 @@
 		}
 		result := c.resultOf(r, response, body, fields)
 		result.reserved = reserved
+		result.UntilEnd = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 		return result
 	}
 	c.broken = true
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -86,6 +86,9 @@
 	Fields  tamarackrun.AnswerFields
 	// Use says on which connection the request was sent. Its zero value means none.
 	Use
+	// UntilEnd reports whether the answer has no length and ended with its connection, as it also does if the server has
+	// ended within it.
+	UntilEnd bool
 	// Sent reports whether the server may have got at least a part of the request.
 	Sent bool
 	// Err is the error that led to the outcome, for logs.
