Let a relay send only its own sums of demand

Two relays of a failure domain took each other's sums of demand, when these covered one instance more, and sent them on as new. So the sums of the moment at which an instance no longer counted went to and fro for ever.

A digest holds only sums from reports and from other failure domains' digests, which can't come back. Sums of relays that cover more instances still count at the receiver; where sums differ, the highest demand does, as one that covers more may be older. Refusals log the demand that the instance knows.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -110,16 +110,16 @@
 	stream
 	// at is when the digest was sent, and readAt when it was read.
 	at, readAt time.Duration
-	// demands holds the sums of demand by the hash of the organisation, and members the
-	// number of instances that they cover.
+	// demands holds the sums of demand by the hash of the organisation that the relay has made itself, and members
+	// the number of instances that they cover.
 	demands map[uint64]float64
 	members int
 }
 
-// covers reports whether the digest is a better source of demand than the other one: it
+// compare returns a positive number if the digest is a better source of demand than the other one: it
 // covers more instances, or as many and is younger.
-func (d *digestState) covers(other *digestState) bool {
-	return d.members > other.members || d.members == other.members && d.at > other.at
+func (d *digestState) compare(other *digestState) int {
+	return cmp.Or(cmp.Compare(d.members, other.members), cmp.Compare(d.at, other.at))
 }
 
 // peer holds what the instance knows of another one. Times are on the instance's own
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -155,36 +155,58 @@
 	m.Verifier.MergeReport(time.Now(), verify.Join(era, revisions), time.Duration(verifiedAge)*time.Millisecond+age)
 }
 
-// totalDemand returns the demand of the fleet by the hash of the organisation, and the number
-// of instances that it covers. A relay sums up reports and the digests of other failure
-// domains; other instances take the sums of their relay. The caller holds m.mu.
-func (m *Membership) totalDemand(now time.Duration, own map[uint64]float64) (map[uint64]float64, int) {
-	best := map[string]*digestState{}
-	total, covered := maps.Clone(own), 1
-	var fleet *digestState
+// ownSums returns the sums of demand by the hash of the organisation that this instance can make itself, and the number of instances
+// that they cover: of its own demand, of the reports that it has got, and of the digests of other failure domains. The
+// caller holds m.mu.
+func (m *Membership) ownSums(now time.Duration, own map[uint64]float64) (map[uint64]float64, int) {
+	digests := map[string][]*digestState{}
+	sums, covered := maps.Clone(own), 1
 	for _, p := range m.peers {
 		if p.record.FailureDomain == m.OwnRecord.FailureDomain {
 			if now-p.report.at < m.DetectionBound {
-				addTo(total, p.report.demands)
+				addTo(sums, p.report.demands)
 				covered++
 			}
-			if now-p.fleet.at < m.DetectionBound && (fleet == nil || p.fleet.covers(fleet)) {
-				fleet = &p.fleet
-			}
 			continue
 		}
-		if d := best[p.record.FailureDomain]; now-p.domain.at < m.DetectionBound && (d == nil || p.domain.covers(d)) {
-			best[p.record.FailureDomain] = &p.domain
+		if now-p.domain.at < m.DetectionBound {
+			digests[p.record.FailureDomain] = append(digests[p.record.FailureDomain], &p.domain)
+		}
+	}
+	for _, list := range digests {
+		best := slices.MaxFunc(list, (*digestState).compare)
+		demands := maps.Clone(best.demands)
+		for _, d := range list {
+			// A younger digest that covers fewer instances may show a higher demand.
+			if d.at > best.at {
+				raiseTo(demands, d.demands)
+			}
 		}
+		addTo(sums, demands)
+		covered += best.members
 	}
-	for _, d := range best {
-		addTo(total, d.demands)
-		covered += d.members
+	return sums, covered
+}
+
+// totalDemand returns the demand of the fleet by the hash of the organisation, from this instance's own sums and those of its relays
+// that cover more instances. It is not passed on, since two relays that take each other's sums would keep them when an
+// instance that they cover has gone. Where the sums differ, the highest counts: an older one may lack an increase, and a part of a limit that
+// is too large breaks the limit. The caller holds m.mu.
+func (m *Membership) totalDemand(now time.Duration, sums map[uint64]float64, covered int) map[uint64]float64 {
+	total := maps.Clone(sums)
+	for _, p := range m.peersOf(m.OwnRecord.FailureDomain) {
+		if now-p.fleet.at < m.DetectionBound && p.fleet.members > covered {
+			raiseTo(total, p.fleet.demands)
+		}
 	}
-	if fleet != nil && fleet.members > covered {
-		return fleet.demands, fleet.members
+	return total
+}
+
+// raiseTo raises the values to those of the other map.
+func raiseTo(values, other map[uint64]float64) {
+	for k, v := range other {
+		values[k] = max(values[k], v)
 	}
-	return total, covered
 }
 
 // reachability counts the fleet's instances. The caller holds m.mu.
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -35,8 +35,8 @@
 // the hash of the organisation.
 type ownState struct {
 	demands, spareTokens map[uint64]float64
-	// total is the demand of the fleet, and covered the number of instances in it.
-	total   map[uint64]float64
+	// sums holds the instance's own sums of demand, and covered is the number of instances in them.
+	sums    map[uint64]float64
 	covered int
 	// revisions holds the highest known revisions in the era, and verifiedAge is the age of the
 	// latest read by any instance that showed the store's position.
@@ -75,7 +75,8 @@
 		relays = append(relays, m.silentPeers(now)...)
 	}
 	messages := []outgoing{{&wire.InstanceMessage{Content: &wire.InstanceMessage_Report{Report: report}}, addressesOf(relays)}}
-	s.total, s.covered = m.totalDemand(now, s.demands)
+	s.sums, s.covered = m.ownSums(now, s.demands)
+	total := m.totalDemand(now, s.sums, s.covered)
 	reporters := m.reporters(now, m.recentAge())
 	if isRelay || len(reporters) > 0 || m.servesAsRelay(now) {
 		messages = append(messages, m.digests(now, reporters, s)...)
@@ -91,7 +92,7 @@
 	if !recordsRead {
 		return
 	}
-	m.OnReport(reachability, func(organisation string) float64 { return s.total[xxhash.Sum64String(organisation)] })
+	m.OnReport(reachability, func(organisation string) float64 { return total[xxhash.Sum64String(organisation)] })
 }
 
 // servesAsRelay reports whether an instance of another failure domain has sent its digest to
@@ -169,7 +170,7 @@
 		}
 	}
 	fleet := &wire.FleetDigest{Relay: m.Name, Incarnation: m.incarnation, Sequence: m.sequence, Members: m.memberTable(now, all),
-		Demands: rateTable(s.total), Covered: uint32(s.covered), Lenders: lenderTable(spares), Era: s.era, Revisions: s.revisions,
+		Demands: rateTable(s.sums), Covered: uint32(s.covered), Lenders: lenderTable(spares), Era: s.era, Revisions: s.revisions,
 		VerifiedAge: s.ageMillis(), Suspects: s.suspects, SentMillis: m.clockMillis(now), HeardReporters: hashesOf(reporters),
 		HeardClocks: m.heardClocks(now, reporters)}
 	return append(messages, outgoing{&wire.InstanceMessage{Content: &wire.InstanceMessage_FleetDigest{FleetDigest: fleet}}, addressesOf(reporters)})
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -269,6 +269,16 @@
 	return 0
 }
 
+// FleetDemand returns the demand of an organisation on the whole fleet as far as this instance knows it, in requests per second.
+func (l *Limiter) FleetDemand(organisation string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fleet.TotalDemand == nil {
+		return 0
+	}
+	return l.fleet.TotalDemand(organisation)
+}
+
 // ReportDemand returns the demand of each organisation in requests per second, for a
 // report to the other instances. An increase raises the instance's own share only
 // ReportHops reports later, after the others have lowered theirs; a decrease takes
--- a/internal/program/front/serve.go
+++ b/internal/program/front/serve.go
@@ -197,6 +197,7 @@
 		"configuration", strconv.FormatInt(f.configurationVersion(), 10), "configurationAge", f.configurationAge().String()}
 	if outcome.Reason == tamarackrun.RateExceeded {
 		fields = append(fields, "limit", formatRate(req.organisation.Rate), "part", formatRate(f.limiter.Share(req.organisation.Name)),
+			"fleetDemand", formatRate(f.limiter.FleetDemand(req.organisation.Name)),
 			"loan", string(req.loan))
 	}
 	if req.identity != 0 {
