Pass any header bytes between instances

Fields, targets and ids were protobuf strings, which must be UTF-8, so the delegate could not encode its reply; the error was dropped.

They are bytes now, which look the same on the wire. A reply that can't be sent is logged as replyNotSent.

--- a/internal/program/front/delegation.go
+++ b/internal/program/front/delegation.go
@@ -256,10 +256,10 @@
 	// The key is removed; the delegate sets the fields again.
 	f.HeaderCodec.RewriteRequest(header, tamarackrun.ForwardFields{ID: req.caller.ID, Organisation: req.organisation.Name})
 	return &wire.Delegate{
-		Process: process, DeadlineMillis: uint64(max(0, deadline.Milliseconds())), Entry: f.Identity.Name, Id: req.caller.ID,
-		Route: req.route.Name, Service: req.service, Organisation: req.organisation.Name, Method: r.Method, Target: r.RequestURI,
-		Host: r.Host, Header: frame.HeaderFields(header), Body: req.call.Body, Idempotent: req.route.Idempotent,
-		Attempts: uint32(req.route.MaxAttempts - a.delivered), Counted: a.counted, Excluded: excluded, Object: f.query(req).Object,
+		Process: process, DeadlineMillis: uint64(max(0, deadline.Milliseconds())), Entry: f.Identity.Name, Id: []byte(req.caller.ID),
+		Route: req.route.Name, Service: req.service, Organisation: req.organisation.Name, Method: r.Method, Target: []byte(r.RequestURI),
+		Host: []byte(r.Host), Header: frame.HeaderFields(header), Body: req.call.Body, Idempotent: req.route.Idempotent,
+		Attempts: uint32(req.route.MaxAttempts - a.delivered), Counted: a.counted, Excluded: excluded, Object: []byte(f.query(req).Object),
 		TargetLatencyMillis: uint64(req.route.TargetLatency.Milliseconds()), RouteRegions: req.route.Regions,
 		OrganisationRegions: req.organisation.Regions,
 	}, nil
@@ -367,15 +367,23 @@
 	}
 	defer f.backendClient.Release(result)
 	reply.Clock = f.processClock()
-	// An error means that the entry instance has gone.
-	if stream.Send(&wire.Envelope{Kind: &wire.Envelope_Delegated{Delegated: reply}}) != nil {
-		return
+	if err := sendReply(stream, reply, result.Body); err != nil {
+		f.history.Record(event.ReplyNotSent, string(m.Id), "entry", m.Entry, "server", reply.Server, "status", strconv.Itoa(int(reply.Status)),
+			"error", err.Error())
+	}
+}
+
+// sendReply sends the reply to another instance, with the body of the answer.
+func sendReply(stream tamarackrun.Stream, reply *wire.Delegated, body []byte) error {
+	if err := stream.Send(&wire.Envelope{Kind: &wire.Envelope_Delegated{Delegated: reply}}); err != nil {
+		return err
 	}
-	for piece := range slices.Chunk(result.Body, answerPiece) {
-		if stream.Send(&wire.Envelope{Kind: &wire.Envelope_AnswerBody{AnswerBody: &wire.AnswerBody{Piece: piece}}}) != nil {
-			return
+	for piece := range slices.Chunk(body, answerPiece) {
+		if err := stream.Send(&wire.Envelope{Kind: &wire.Envelope_AnswerBody{AnswerBody: &wire.AnswerBody{Piece: piece}}}); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // refuseDelegate returns why this instance does not take the request of another one, which is one of
@@ -441,10 +449,10 @@
 	}
 	return &request{
 		call: pipeline.Call{Arrived: now, Body: m.Body,
-			Request: &http.Request{Method: m.Method, RequestURI: m.Target, Host: m.Host, Header: frame.Header(m.Header)}},
-		caller:        tamarackrun.CallerFields{ID: m.Id, Object: m.Object},
+			Request: &http.Request{Method: m.Method, RequestURI: string(m.Target), Host: string(m.Host), Header: frame.Header(m.Header)}},
+		caller:        tamarackrun.CallerFields{ID: string(m.Id), Object: string(m.Object)},
 		configuration: f.snapshot.Load(),
-		route: configuration.Route{Name: m.Route, Idempotent: m.Idempotent, MaxAttempts: int(m.Attempts), Sticky: m.Object != "",
+		route: configuration.Route{Name: m.Route, Idempotent: m.Idempotent, MaxAttempts: int(m.Attempts), Sticky: len(m.Object) > 0,
 			Regions: m.RouteRegions, TargetLatency: time.Duration(m.TargetLatencyMillis) * time.Millisecond},
 		organisation: configuration.Organisation{Name: m.Organisation, Regions: m.OrganisationRegions},
 		service:      m.Service,
--- a/internal/program/front/delegation_test.go
+++ b/internal/program/front/delegation_test.go
@@ -117,7 +117,7 @@
 	body := &wire.Envelope{Kind: &wire.Envelope_AnswerBody{AnswerBody: &wire.AnswerBody{Piece: []byte("abc")}}}
 	head := delegated(&wire.Delegated{Outcome: uint32(tamarackrun.Ran), Status: http.StatusOK, Length: 7})
 	// An instance of an earlier version may have read such an answer.
-	invalidField := delegated(&wire.Delegated{Outcome: uint32(tamarackrun.Ran), Status: http.StatusOK, Header: []*wire.HeaderField{{Name: "Some Name", Value: "1"}}})
+	invalidField := delegated(&wire.Delegated{Outcome: uint32(tamarackrun.Ran), Status: http.StatusOK, Header: []*wire.HeaderField{{Name: "Some Name", Value: []byte("1")}}})
 	lost, shed := tamarackrun.Uncertain(tamarackrun.DelegateLost), tamarackrun.Refused(tamarackrun.ServerShed)
 	tests := map[string]struct {
 		idempotent bool
@@ -307,8 +307,8 @@
 		}
 		f.registry.ApplyServers(time.Now(), page, false)
 		deadline := boottime.Clock{}.Now() + 5*time.Second
-		reply, _ := f.runDelegated(t.Context(), &wire.Delegate{Process: 1, DeadlineMillis: uint64(deadline.Milliseconds()), Entry: "entry", Id: "a",
-			Service: "s", Method: http.MethodPost, Target: "/", Host: "h", Attempts: 3, Counted: true})
+		reply, _ := f.runDelegated(t.Context(), &wire.Delegate{Process: 1, DeadlineMillis: uint64(deadline.Milliseconds()), Entry: "entry", Id: []byte("a"),
+			Service: "s", Method: http.MethodPost, Target: []byte("/"), Host: []byte("h"), Attempts: 3, Counted: true})
 		want := tamarackrun.Refused(tamarackrun.ServerShed)
 		if diff := cmp.Diff(want, tamarackrun.Outcome{Kind: tamarackrun.OutcomeKind(reply.Outcome), Reason: tamarackrun.Reason(reply.Reason)}); diff != "" {
 			t.Fatalf("outcome (-want +got):\n%s", diff)
--- a/internal/protocol/event/event.go
+++ b/internal/protocol/event/event.go
@@ -72,6 +72,7 @@
 	EndUnproven           tamarackrun.EventID = 2011
 	SuspectTried          tamarackrun.EventID = 2012
 	AnswerDropped         tamarackrun.EventID = 2013
+	ReplyNotSent          tamarackrun.EventID = 2014
 	PartChanged           tamarackrun.EventID = 2320
 	TicketsIssued         tamarackrun.EventID = 2101
 	OrderForwarded        tamarackrun.EventID = 2102
@@ -171,6 +172,7 @@
 	{EndUnproven, "endUnproven", "info", "the connection of a request ended without a whole answer, but its backend server does not seem to have ended"},
 	{SuspectTried, "suspectTried", "warn", "a request that is refused because backend servers have ended under it is sent to one again"},
 	{AnswerDropped, "answerDropped", "info", "a backend server sent bytes that are the answer to no request under way on their connection"},
+	{ReplyNotSent, "replyNotSent", "warn", "the result of a request that another instance had asked to send could not be sent back to it"},
 	{TicketsIssued, "ticketsIssued", "debug", "a caller got tickets"},
 	{OrderForwarded, "orderForwarded", "debug", "a request went to the instance that issued its ticket"},
 	{OrderRepeated, "orderRepeated", "info", "a request with a used ticket got the recorded outcome or a refusal"},
--- a/internal/protocol/frame/exchange.go
+++ b/internal/protocol/frame/exchange.go
@@ -14,7 +14,7 @@
 	var fields []*wire.HeaderField
 	for name, values := range header {
 		for _, v := range values {
-			fields = append(fields, &wire.HeaderField{Name: name, Value: v})
+			fields = append(fields, &wire.HeaderField{Name: name, Value: []byte(v)})
 		}
 	}
 	return fields
@@ -24,7 +24,7 @@
 func Header(fields []*wire.HeaderField) http.Header {
 	header := http.Header{}
 	for _, f := range fields {
-		header.Add(f.Name, f.Value)
+		header.Add(f.Name, string(f.Value))
 	}
 	return header
 }
@@ -39,7 +39,7 @@
 	return &wire.Dispatch{
 		KeyHash: keyHash, KeyVersion: uint64(r.KeyVersion),
 		Id: r.ID, Attempt: r.Attempt, Organisation: r.Organisation, Route: r.Route, Service: r.Service,
-		Server: r.Server, OriginRegion: r.OriginRegion, Method: r.Method, Target: r.Target,
+		Server: r.Server, OriginRegion: r.OriginRegion, Method: r.Method, Target: []byte(r.Target),
 		Header: HeaderFields(r.Header), Body: r.Body, Idempotent: r.Idempotent,
 		RemainingMillis: uint64(max(0, r.Deadline-now).Milliseconds()),
 		TokenAgeMillis:  uint64(max(0, now-r.Admitted).Milliseconds()),
@@ -53,7 +53,7 @@
 	return tamarackrun.Request{
 		KeyHash: keyHash, KeyVersion: int64(d.KeyVersion),
 		ID: d.Id, Attempt: d.Attempt, Organisation: d.Organisation, Route: d.Route, Service: d.Service,
-		Server: d.Server, OriginRegion: d.OriginRegion, Method: d.Method, Target: d.Target,
+		Server: d.Server, OriginRegion: d.OriginRegion, Method: d.Method, Target: string(d.Target),
 		Header: Header(d.Header), Body: d.Body, Idempotent: d.Idempotent,
 		Deadline: now + time.Duration(d.RemainingMillis)*time.Millisecond,
 		Admitted: now - time.Duration(d.TokenAgeMillis)*time.Millisecond,
--- a/internal/protocol/frame/exchange_test.go
+++ b/internal/protocol/frame/exchange_test.go
@@ -1,9 +1,13 @@
 package frame
 
 import (
+	"bytes"
 	"net/http"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
 	"tamarackrun"
 	"tamarackrun/internal/protocol/wire"
 )
@@ -33,7 +37,7 @@
 	for _, head := range []*wire.AnswerHead{
 		{Outcome: uint32(tamarackrun.Ran), Status: 20},
 		{Outcome: uint32(tamarackrun.Ran), Status: 600},
-		{Outcome: uint32(tamarackrun.Ran), Status: http.StatusOK, Header: []*wire.HeaderField{{Name: "Some Name", Value: "1"}}},
+		{Outcome: uint32(tamarackrun.Ran), Status: http.StatusOK, Header: []*wire.HeaderField{{Name: "Some Name", Value: []byte("1")}}},
 	} {
 		message := &wire.Envelope{Kind: &wire.Envelope_AnswerHead{AnswerHead: head}}
 		outcome, began := ReceiveAnswer(oneMessage{message: message}, headRecorder{t: t})
@@ -42,3 +46,28 @@
 		}
 	}
 }
+
+// Guards against requests and answers that can't be sent to another instance because HTTP allows bytes that are no UTF-8, such as a
+// file name in Latin-1 (RECOVER: the answers of requests that had run were lost on the way from a delegate).
+func TestMessagesCarryAnyBytes(t *testing.T) {
+	const text = "M\xfcnchen"
+	header := http.Header{"Content-Disposition": {`attachment; filename="` + text + `"`}}
+	for _, message := range []*wire.Envelope{
+		{Kind: &wire.Envelope_Delegated{Delegated: &wire.Delegated{Header: HeaderFields(header)}}},
+		{Kind: &wire.Envelope_Delegate{Delegate: &wire.Delegate{Id: []byte(text), Target: []byte("/" + text), Host: []byte(text), Object: []byte(text), Header: HeaderFields(header)}}},
+		{Kind: &wire.Envelope_Dispatch{Dispatch: FromRequest(tamarackrun.Request{Target: "/" + text, Header: header}, 0)}},
+		{Kind: &wire.Envelope_AnswerHead{AnswerHead: &wire.AnswerHead{Header: HeaderFields(header)}}},
+	} {
+		var b bytes.Buffer
+		if err := Write(&b, message); err != nil {
+			t.Errorf("%v: %v", message, err)
+			continue
+		}
+		if got, err := Read(&b); err != nil || !proto.Equal(message, got) {
+			t.Errorf("read %v, error %v, want %v", got, err, message)
+		}
+	}
+	if diff := cmp.Diff(header, Header(HeaderFields(header))); diff != "" {
+		t.Errorf("header (-want +got):\n%s", diff)
+	}
+}
--- a/internal/state/history/history.go
+++ b/internal/state/history/history.go
@@ -40,7 +40,7 @@
 	}
 	record := &wire.EventRecord{Id: uint32(id), WallMillis: time.Now().UnixMilli(), Instance: h.Instance, Request: request}
 	for i := 0; i < len(fields); i += 2 {
-		record.Fields = append(record.Fields, &wire.HeaderField{Name: fields[i], Value: fields[i+1]})
+		record.Fields = append(record.Fields, &wire.EventField{Name: fields[i], Value: fields[i+1]})
 	}
 	h.mu.Lock()
 	h.records[h.next%Capacity] = record
