Refuse requests with invalid lines in their heads

A request within the body of another one ran as a request of its own: with 'Content-Length : 55', or a blank or tab before the name, the instance saw no length. http.ReadRequest allows blanks in names and lines that go on, as http.ReadResponse did for answers. No caller has reported it; it was found by looking for that cause in the other readers.

An invalid line or several lengths get 400, and nothing behind them on the connection is read.

TestInvalidHeadsEndConnection failed before in 6 of its 15 cases. All tests of protocol, transport and platform pass.

--- a/internal/protocol/answer/answer.go
+++ b/internal/protocol/answer/answer.go
@@ -5,16 +5,18 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httputil"
 	"net/textproto"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
+
+	"tamarackrun/internal/protocol/body"
+	"tamarackrun/internal/protocol/field"
 )
 
 const (
@@ -22,8 +24,6 @@
 	minStatus, maxStatus = 100, 599
 	// maxInterim bounds the number of interim answers before an answer.
 	maxInterim = 8
-	// maxTrailerBytes bounds the fields behind a chunked body. The reader limits the head.
-	maxTrailerBytes = 4 << 10
 )
 
 // ErrInterim is the error of too many interim answers.
@@ -74,30 +74,34 @@
 	if status < http.StatusOK || status > maxStatus {
 		return invalid("an invalid status", strconv.Itoa(status))
 	}
-	return checkFields(header)
+	if err := field.Check(header); err != nil {
+		return invalidField(err)
+	}
+	return checkJoined(header)
 }
 
-// checkFields returns an *InvalidError if an answer may not have the header.
-func checkFields(header http.Header) error {
-	for name, values := range header {
-		if !isToken(name) {
-			return invalid("a field with an invalid name", name)
-		}
-		for _, v := range values {
-			switch {
-			case !isText(v):
-				return invalid("a field with an invalid value", v)
-			case containsStatusLine(v):
-				return invalid("the head of another answer in a field", v)
-			}
+// checkJoined returns an *InvalidError if another answer begins within the header.
+func checkJoined(header http.Header) error {
+	for _, values := range header {
+		if i := slices.IndexFunc(values, containsStatusLine); i >= 0 {
+			return invalid("the head of another answer in a field", values[i])
 		}
 	}
 	return nil
 }
 
+// invalidField returns an *InvalidError for the error of an invalid field, and other errors unchanged.
+func invalidField(err error) error {
+	var f *field.Error
+	if errors.As(err, &f) {
+		return invalid(f.Problem, f.Text)
+	}
+	return err
+}
+
 // readHead reads one head. The answer has no body yet.
 func readHead(reader *bufio.Reader) (*http.Response, error) {
-	line, err := readLine(reader)
+	line, err := field.ReadLine(reader)
 	if err != nil {
 		return nil, err
 	}
@@ -105,8 +109,10 @@
 	if err != nil {
 		return nil, err
 	}
-	a.Header, err = readFields(reader)
-	return a, err
+	if a.Header, err = field.Read(reader); err != nil {
+		return nil, invalidField(err)
+	}
+	return a, checkJoined(a.Header)
 }
 
 // parseStatusLine returns an answer with the status that a line names. The reason may be missing.
@@ -115,7 +121,7 @@
 	digits, reason, _ := strings.Cut(rest, " ")
 	status, err := strconv.ParseUint(digits, 10, 16)
 	switch {
-	case version != "HTTP/1.0" && version != "HTTP/1.1", err != nil, len(digits) != 3, !isText(reason),
+	case version != "HTTP/1.0" && version != "HTTP/1.1", err != nil, len(digits) != 3, !field.IsText(reason),
 		status < minStatus, status > maxStatus:
 		return nil, invalid("an invalid status line", line)
 	case containsStatusLine(reason):
@@ -128,38 +134,6 @@
 	return a, nil
 }
 
-// readFields reads and checks fields up to an empty line. A line that begins with a blank, by which older versions of
-// HTTP go on with the field before it, is a field with an invalid name.
-func readFields(reader *bufio.Reader) (http.Header, error) {
-	header := http.Header{}
-	for {
-		line, err := readLine(reader)
-		if err != nil {
-			return nil, err
-		}
-		if line == "" {
-			return header, checkFields(header)
-		}
-		name, value, ok := strings.Cut(line, ":")
-		if !ok {
-			return nil, invalid("a line that is no field", line)
-		}
-		header.Add(name, strings.Trim(value, " \t"))
-	}
-}
-
-// readLine reads a line without its end, which is CRLF or LF.
-func readLine(reader *bufio.Reader) (string, error) {
-	line, err := reader.ReadString('\n')
-	if err != nil {
-		if errors.Is(err, io.EOF) {
-			err = io.ErrUnexpectedEOF
-		}
-		return "", err
-	}
-	return strings.TrimSuffix(strings.TrimSuffix(line, "\n"), "\r"), nil
-}
-
 // setBody sets the body of an answer, its length, its encoding, and whether the connection ends with it.
 func setBody(a *http.Response, reader *bufio.Reader, method string) error {
 	a.Close = hasToken(a.Header, "Connection", "close") || a.ProtoMinor == 0 && !hasToken(a.Header, "Connection", "keep-alive")
@@ -181,13 +155,13 @@
 			a.Close = true
 		}
 		a.ContentLength, a.TransferEncoding = -1, encodings
-		a.Body = io.NopCloser(&chunkedBody{chunks: httputil.NewChunkedReader(reader), reader: reader})
+		a.Body = body.Chunked(reader)
 	case len(encodings) > 0:
 		return invalid("an unknown transfer encoding", strings.Join(encodings, ", "))
 	case length == 0:
 		a.Body = http.NoBody
 	case length > 0:
-		a.ContentLength, a.Body = length, io.NopCloser(&sizedBody{reader, length})
+		a.ContentLength, a.Body = length, body.Sized(reader, length)
 	default:
 		a.ContentLength, a.Close, a.Body = -1, true, io.NopCloser(reader)
 	}
@@ -211,77 +185,6 @@
 	return int64(n), nil
 }
 
-// sizedBody is a body of known length.
-type sizedBody struct {
-	reader io.Reader
-	// left is the number of bytes that are still to be read.
-	left int64
-}
-
-// Read returns io.ErrUnexpectedEOF if the body is incomplete.
-func (b *sizedBody) Read(p []byte) (int, error) {
-	if b.left == 0 {
-		return 0, io.EOF
-	}
-	n, err := b.reader.Read(p[:min(int64(len(p)), b.left)])
-	b.left -= int64(n)
-	switch {
-	case b.left == 0:
-		return n, io.EOF
-	case errors.Is(err, io.EOF):
-		return n, io.ErrUnexpectedEOF
-	}
-	return n, err
-}
-
-// chunkedBody is a body in chunks with the fields behind it, which are dropped.
-type chunkedBody struct {
-	chunks io.Reader
-	reader *bufio.Reader
-	// ended is true when the fields have been read.
-	ended bool
-}
-
-// Read returns io.EOF only when the fields behind the body have been read.
-func (b *chunkedBody) Read(p []byte) (int, error) {
-	if b.ended {
-		return 0, io.EOF
-	}
-	n, err := b.chunks.Read(p)
-	if !errors.Is(err, io.EOF) {
-		return n, err
-	}
-	if err := readTrailer(&io.LimitedReader{R: b.reader, N: maxTrailerBytes}); err != nil {
-		return n, err
-	}
-	b.ended = true
-	return n, io.EOF
-}
-
-// readTrailer reads the fields behind a chunked body and no byte more.
-func readTrailer(reader *io.LimitedReader) error {
-	var text []byte
-	for one := make([]byte, 1); !endsFields(text); text = append(text, one[0]) {
-		switch _, err := io.ReadFull(reader, one); {
-		case reader.N == 0:
-			return invalid("a long trailer", string(text))
-		case errors.Is(err, io.EOF):
-			return io.ErrUnexpectedEOF
-		case err != nil:
-			return err
-		}
-	}
-	_, err := readFields(bufio.NewReader(bytes.NewReader(text)))
-	return err
-}
-
-// endsFields reports whether the text ends with an empty line.
-func endsFields(text []byte) bool {
-	line, ended := bytes.CutSuffix(text, []byte("\n"))
-	line = bytes.TrimSuffix(line, []byte("\r"))
-	return ended && (len(line) == 0 || line[len(line)-1] == '\n')
-}
-
 // hasToken reports whether a field holds a token in its list.
 func hasToken(header http.Header, name, token string) bool {
 	for _, line := range header[textproto.CanonicalMIMEHeaderKey(name)] {
@@ -294,28 +197,6 @@
 	return false
 }
 
-// isToken reports whether the text is a token (RFC 9110, section 5.6.2), as the name of a field must be.
-func isToken(text string) bool {
-	for i := range len(text) {
-		c := text[i]
-		isLetter := 'a' <= c|0x20 && c|0x20 <= 'z'
-		if !isLetter && (c < '0' || c > '9') && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
-			return false
-		}
-	}
-	return text != ""
-}
-
-// isText reports whether the text holds no control bytes but tabs. Bytes that are not ASCII are allowed.
-func isText(text string) bool {
-	for i := range len(text) {
-		if c := text[i]; c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
-
 // statusLine matches the beginning of an answer.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-9][0-9]{2}`)
 
--- a/internal/transport/pipeline/connection.go
+++ b/internal/transport/pipeline/connection.go
@@ -253,7 +253,7 @@
 	c.head.MaxBytes = int64(limits.HeaderBytes)
 	c.head.Begin(c.reader)
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	r, err := http.ReadRequest(c.reader)
+	r, err := readHead(c.reader)
 	c.head.End()
 	var timeout net.Error
 	switch {
