Refuse chunked requests of HTTP/1.0

A request in HTTP/1.0 with 'Transfer-Encoding: chunked' ran without a body, and the body as a request of its own: http.ReadRequest leaves the line out for versions without chunks, and the connection stays open if the request asks for that. No caller has reported it. Such a request gets 400 now and ends its connection (RFC 9112, section 6.1).

The new case of TestInvalidHeadsEndConnection failed before: the inner request was answered.

--- a/internal/transport/pipeline/head.go
+++ b/internal/transport/pipeline/head.go
@@ -40,6 +40,8 @@
 		return nil, err
 	}
 	switch {
+	case len(r.TransferEncoding) == 0 && len(header["Transfer-Encoding"]) > 0:
+		return nil, errors.New("the request names an encoding that its version of HTTP does not have")
 	case len(r.TransferEncoding) > 0:
 		r.Body = body.Chunked(reader)
 	case r.ContentLength > 0:
--- a/internal/transport/pipeline/head_test.go
+++ b/internal/transport/pipeline/head_test.go
@@ -25,6 +25,7 @@
 		"two equal lengths":         "Content-Length: 55\r\nContent-Length: 55\r\n",
 		"signed length":             "Content-Length: +55\r\n",
 		"chunks that are not last":  "Transfer-Encoding: chunked, identity\r\n",
+		"chunks of HTTP/1.0":        "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\n",
 		"chunks twice":              "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -32,7 +33,11 @@
 			for _, path := range []string{"/before", "/outer", "/inner"} {
 				g.release(path)
 			}
-			c.send(t, "GET /before HTTP/1.1\r\nHost: h\r\n\r\nPOST /outer HTTP/1.1\r\nHost: h\r\n"+lines+"\r\n"+inner)
+			version := "1.1"
+			if strings.HasSuffix(name, "HTTP/1.0") {
+				version = "1.0"
+			}
+			c.send(t, "GET /before HTTP/1.1\r\nHost: h\r\n\r\nPOST /outer HTTP/"+version+"\r\nHost: h\r\n"+lines+"\r\n"+inner)
 			answers, err := io.ReadAll(c.reader)
 			text := string(answers)
 			if err != nil || strings.Contains(text, "/inner") || strings.Contains(text, "/outer") || !strings.Contains(text, "/before") || !strings.Contains(text, "malformed") {
