--- a/internal/standin/soak/backend.go
+++ b/internal/standin/soak/backend.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,6 +95,10 @@
 	b.mu.Lock()
 	server := b.server
 	b.mu.Unlock()
+	if strings.HasPrefix(r.URL.Path, crashPrefix) && rand.IntN(2) == 0 {
+		// The server ends within its answer.
+		server.BeginAnswer(w, r)
+	}
 	server.ServeHTTP(w, r)
 }
 
--- a/internal/standin/soak/history.go
+++ b/internal/standin/soak/history.go
@@ -10,6 +10,9 @@
 	"tamarackrun/platform/standin"
 )
 
+// minStatus and maxStatus bound the status of a reply.
+const minStatus, maxStatus = 200, 599
+
 // call is one request with what its caller and the servers saw of it.
 type call struct {
 	standin.Call
@@ -123,6 +126,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	c.ended, c.status = time.Now(), r.Status
+	if r.Status < minStatus || r.Status > maxStatus {
+		h.addViolationLocked("MIXED", "%s gets the status %d", c.ID, r.Status)
+	}
 	if r.Signature == "" {
 		if r.Status/100 == 2 {
 			h.addViolationLocked("MIXED", "%s gets %d without a server's signature", c.ID, r.Status)
--- a/internal/standin/soak/kinds.go
+++ b/internal/standin/soak/kinds.go
@@ -36,6 +36,10 @@
 	// seed has fewer than maxMissed.
 	evacuationStream = 1 << 22
 	maxMissed        = 3
+	// garbledStream is the random stream of the servers that send invalid heads, of which a seed has fewer
+	// than maxGarbled.
+	garbledStream = 1 << 26
+	maxGarbled    = 3
 	// One seed in plannedOneIn has planned disturbances only, as many rules are
 	// stricter then.
 	plannedOneIn = 3
@@ -87,6 +91,10 @@
 	}
 	h.disturbByCopies(seed, schedule)
 	h.disturbByStorms(seed, schedule)
+	garbled := rand.New(rand.NewPCG(seed, garbledStream))
+	for range garbled.IntN(maxGarbled) {
+		schedule(garbled, serverKind("sends invalid heads", misbehave(standin.SendInvalidHeads)))
+	}
 }
 
 // sleep waits for the duration or until the context ends.
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -293,6 +293,7 @@
 		"another target":             {func(x *standin.Execution, _ *standin.Reply) { x.Target = "/read/2" }, "UNASKED"},
 		"another organisation":       {func(x *standin.Execution, _ *standin.Reply) { x.Organisation = limited }, "UNASKED"},
 		"the key is passed on":       {func(x *standin.Execution, _ *standin.Reply) { x.Key = "k" }, "UNASKED"},
+		"an invalid status":          {func(_ *standin.Execution, r *standin.Reply) { r.Status = 0 }, "MIXED"},
 		"no signature":               {func(_ *standin.Execution, r *standin.Reply) { r.Signature = "" }, "MIXED"},
 		"half a body":                {func(_ *standin.Execution, r *standin.Reply) { r.Body = r.Body[:3] }, "MIXED"},
 		"an answer to another":       {func(_ *standin.Execution, r *standin.Reply) { r.ID = "c2" }, "MIXED"},
