Fuzz where requests and answers end against net/http

They found two differences, both harmless so far. Fields behind a body in chunks could end with LF alone, which net/http refuses; they need CRLF now. An answer without a body could name an empty or unknown transfer encoding; that is refused whatever the status is.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,8 @@
 	$(GO) test -run=NONE -fuzz=FuzzParse -fuzztime=20s -parallel=4 ./internal/protocol/document
 	$(GO) test -run=NONE -fuzz=FuzzRead -fuzztime=20s -parallel=4 ./internal/protocol/frame
 	$(GO) test -run=NONE -fuzz=FuzzRead -fuzztime=20s -parallel=4 ./internal/protocol/answer
+	$(GO) test -run=NONE -fuzz=FuzzAnswersEndAsForOthers -fuzztime=20s -parallel=4 ./internal/protocol/answer
+	$(GO) test -run=NONE -fuzz=FuzzRequestsEndAsForOthers -fuzztime=20s -parallel=4 ./internal/transport/pipeline
 	$(GO) test -run=NONE -fuzz=FuzzForwardedRequestHoldsNoKey -fuzztime=20s -parallel=4 ./internal/program/instance
 
 events: ## Write docs/events.md from the catalogue in the code.
--- a/internal/protocol/answer/answer.go
+++ b/internal/protocol/answer/answer.go
@@ -145,6 +145,8 @@
 	delete(a.Header, "Transfer-Encoding")
 	chunked := len(encodings) == 1 && strings.EqualFold(encodings[0], "chunked") && a.ProtoMinor == 1
 	switch {
+	case len(encodings) > 0 && !chunked:
+		return invalid("an unknown transfer encoding", strings.Join(encodings, ", "))
 	case method == http.MethodHead || a.StatusCode == http.StatusNoContent || a.StatusCode == http.StatusNotModified:
 		// The length, if there is one, is that of the body which another request would get.
 		a.Body = http.NoBody
@@ -156,8 +158,6 @@
 		}
 		a.ContentLength, a.TransferEncoding = -1, encodings
 		a.Body = body.Chunked(reader)
-	case len(encodings) > 0:
-		return invalid("an unknown transfer encoding", strings.Join(encodings, ", "))
 	case length == 0:
 		a.Body = http.NoBody
 	case length > 0:
--- a/internal/protocol/body/body.go
+++ b/internal/protocol/body/body.go
@@ -89,9 +89,7 @@
 	return err
 }
 
-// endsFields reports whether the text ends with an empty line.
+// endsFields reports whether the text ends with an empty line. Behind a body in chunks, lines end with CRLF.
 func endsFields(text []byte) bool {
-	line, ended := bytes.CutSuffix(text, []byte("\n"))
-	line = bytes.TrimSuffix(line, []byte("\r"))
-	return ended && (len(line) == 0 || line[len(line)-1] == '\n')
+	return string(text) == "\r\n" || bytes.HasSuffix(text, []byte("\r\n\r\n"))
 }
