Identify a request only where its answer was lost

The check of a cut answer recovers from panics like the others. Behaviour is the same; the tests of front and those of crashing requests of platform pass.

--- a/internal/program/front/crash.go
+++ b/internal/program/front/crash.go
@@ -143,21 +143,20 @@
 
 // noteResult watches for requests under which servers end, at whatever point of the answer.
 func (f *Front) noteResult(req *request, server *registry.Server, result exchange.Result) {
-	if result.Outcome == tamarackrun.Done && !result.UntilEnd {
-		f.noteAnswer(req, server)
-		return
-	}
-	l := loss{time.Now(), req.caller.ID, identify(req), server}
+	// The identity is a hash of the whole request, which most results don't need.
+	newLoss := func() loss { return loss{time.Now(), req.caller.ID, identify(req), server} }
 	switch {
+	case result.Outcome == tamarackrun.Done && !result.UntilEnd:
+		f.noteAnswer(req, server)
 	case result.Outcome == tamarackrun.Done:
-		go f.checkLastAnswer(req, l)
+		go f.checkLastAnswer(req, newLoss())
 	case result.Outcome.Reason == tamarackrun.AnswerLost && endedConnection(result):
-		go f.checkEnd(l)
+		go f.checkEnd(newLoss())
 	case endedConnection(result):
-		go f.checkCutAnswer(l)
+		go f.checkCutAnswer(newLoss())
 	case lostReasons[result.Outcome.Reason]:
 		// The server has sent bytes that are no answer, or is silent. Its record may show later that it has ended.
-		f.endChecks.addLoss(l)
+		f.endChecks.addLoss(newLoss())
 	}
 }
 
@@ -195,6 +194,7 @@
 
 // checkCutAnswer is checkEnd for an answer that has begun, which more often has other reasons.
 func (f *Front) checkCutAnswer(l loss) {
+	defer f.recoverPanic("check of a server's end", nil)
 	if f.hasOtherConnection(l) {
 		f.noteUnproven(l)
 		return
