--- a/internal/coordination/membership/age.go
+++ b/internal/coordination/membership/age.go
@@ -21,9 +21,10 @@
 	incarnation int64
 	// lead is a lower bound of the difference, which was confirmed at leadAt: the clock in a message is as old as its way here.
 	lead, leadAt time.Duration
-	// maxLead is an upper bound. isGuess is true if it comes from the time for which this instance stood still.
-	maxLead time.Duration
-	isGuess bool
+	// maxLead is an upper bound, which was confirmed at maxLeadAt. isGuess is true if it comes from the time for which this
+	// instance stood still.
+	maxLead, maxLeadAt time.Duration
+	isGuess            bool
 }
 
 // noteLead records the time on its clock at which a process sent a message that is read now.
@@ -38,6 +39,17 @@
 	c.incarnation = incarnation
 }
 
+// noteMaxLead records a time on the own clock that is not later than the sending of a message.
+func (c *peerClock) noteMaxLead(now, sent, at time.Duration, isGuess bool) {
+	lead := sent - at
+	switch {
+	case c.maxLeadAt == 0 || c.isGuess || isGuess || lead < c.maxLead || now-c.maxLeadAt > leadLifetime:
+		c.maxLead, c.maxLeadAt, c.isGuess = lead, now, isGuess
+	case lead <= c.maxLead+leadTolerance:
+		c.maxLeadAt = now
+	}
+}
+
 // clockMillis returns a time on the clock that this instance names in its messages, which starts with the process. It
 // is not 0.
 func (m *Membership) clockMillis(at time.Duration) uint64 {
@@ -54,28 +66,31 @@
 // sentAt returns when the message was sent, or a time before, at most as long as the way from this instance to the sender
 // takes. heard names the senders of heardClocks. The sender's estimate of this instance's clock is at most that clock
 // less the time on the way, and a message that has waited here names an earlier time, so that old news never look
-// new. The caller holds m.mu.
+// new. The difference of the clocks that was found with the least delays gives a later time if the sender's estimate has become
+// worse. The caller holds m.mu.
 func (m *Membership) sentAt(now time.Duration, p *peer, message timedMessage, heard []uint64) time.Duration {
 	sent := time.Duration(message.GetSentMillis()) * time.Millisecond
-	c, isKnown := &p.clock, p.clock.incarnation == message.GetIncarnation()
 	if sent == 0 {
 		// The sender is of a version that does not name its clock.
 		return now
 	}
+	c := &p.clock
+	if c.incarnation != message.GetIncarnation() {
+		*c = peerClock{}
+	}
 	c.noteLead(now, message.GetIncarnation(), sent)
-	at, isGuess := m.echoedTime(now, message, heard), false
+	at := m.echoedTime(now, message, heard)
 	switch {
 	case at != 0:
-	case isKnown && (!c.isGuess || m.hasJustResumed(now)):
+		c.noteMaxLead(now, sent, at, false)
+		return max(at, min(now, sent-c.maxLead))
+	case c.maxLeadAt != 0 && (!c.isGuess || m.hasJustResumed(now)):
 		return min(now, sent-c.maxLead)
-	default:
-		at, isGuess = now, m.hasJustResumed(now)
-		if isGuess {
-			at = m.pausedAt
-		}
+	case m.hasJustResumed(now):
+		c.noteMaxLead(now, sent, m.pausedAt, true)
+		return m.pausedAt
 	}
-	c.maxLead, c.isGuess = sent-at, isGuess
-	return at
+	return now
 }
 
 // echoedTime returns the time on this instance's clock that a message names, or 0 if the sender has not heard this
