--- a/review/rig-3/slow_caller.go
+++ b/review/rig-3/slow_caller.go
@@ -90,7 +90,7 @@
 				return
 			}
 			defer func() { _ = conn.Close() }()
-			pending, ended := make(chan string, slowPending), make(chan struct{})
+			pending, ended := make(chan string, slowPending-1), make(chan struct{})
 			go func() {
 				defer close(pending)
 				for n := 0; time.Now().Before(end); n++ {
