--- a/review/rig-3/deployment.go
+++ b/review/rig-3/deployment.go
@@ -109,15 +109,15 @@
 	_, _ = fmt.Fprintf(d.record, "%8.3f s  %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, values...))
 }
 
-// configure writes a desired state with one unsafe route. Its limits are those of the example that fleetbench wire shows.
-func (d *deployment) configure(timeout time.Duration) {
+// configure writes a desired state with one route of the type kind. Its limits are those of the example that fleetbench wire shows.
+func (d *deployment) configure(kind string, timeout time.Duration) {
 	d.store.Put("config", "main", fmt.Sprintf(`{"version":"r7","resources":[
-{"resource-kind":"routes","metadata":{"name":"order"},"spec":{"hostname":%q,"path-prefix":"/order/","type":"unsafe","timeout-s":%g,
+{"resource-kind":"routes","metadata":{"name":"order"},"spec":{"hostname":%q,"path-prefix":"/order/","type":%q,"timeout-s":%g,
 "target-latency-s":%g,"priority":1,"backend":"stamps","max-attempts":2,"public":false,"session-affinity":false,"allowed-regions":[]}},
 {"resource-kind":"services","metadata":{"name":"stamps"},"spec":{"health-check-path":"/healthz","max-connections":390,"protocol":"h1",
 "tls":false,"cold-start-s":3.0,"cold-per-s":5.7}},
 {"resource-kind":"limits","metadata":{},"spec":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-s":3,"idle-timeout-s":15}}]}`,
-		standin.Host, timeout.Seconds(), timeout.Seconds()/2))
+		standin.Host, kind, timeout.Seconds(), timeout.Seconds()/2))
 }
 
 // addServer starts an upstream and writes its entry.
--- a/review/rig-3/late_reader.go
+++ b/review/rig-3/late_reader.go
@@ -30,7 +30,7 @@
 		return false, err
 	}
 	defer d.close()
-	d.configure(lateTimeout)
+	d.configure("unsafe", lateTimeout)
 	early := os.Getenv("READ") == "early"
 	var mu sync.Mutex
 	runs := map[string]string{}
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -15,6 +15,7 @@
 // cases holds the cases by their names. Each returns whether its rule held.
 var cases = map[string]func(binary, record string, trouble bool) (bool, error){
 	"late-reader": lateReader,
+	"slow-caller": slowCaller,
 }
 
 func main() {
